--- a/crates/sablepass-agent/src/answers.rs
+++ b/crates/sablepass-agent/src/answers.rs
@@ -23,8 +23,7 @@
                 return;
             }
         };
-        // The asking thread gives up after a while.
-        let _ = query.reply.send(reply);
+        query.reply.send(reply);
     }
 
     fn ready(&self) -> admin::Reply {
@@ -33,7 +32,7 @@
         admin::Reply { status: if ready { 200 } else { 503 }, json }
     }
 
-    fn status(&self, reply: std::sync::mpsc::Sender<admin::Reply>) {
+    fn status(&self, reply: admin::Asker) {
         let (leaving, drained) = (self.gate.leaving(), self.drained);
         let (running, capacity, engine) =
             (self.gate.running(), self.capacity, self.target.engine());
@@ -45,7 +44,7 @@
             status["engine"] = engine.into();
             status["leaving"] = leaving.into();
             status["drained"] = drained.into();
-            let _ = reply.send(admin::Reply::ok(&status));
+            reply.send(admin::Reply::ok(&status));
         });
         call!([self.mesh], status(ret));
     }
--- a/crates/sablepass-agent/src/keeper.rs
+++ b/crates/sablepass-agent/src/keeper.rs
@@ -131,7 +131,7 @@
     /// Takes an event of the mesh.
     pub fn mesh_event(&mut self, cx: CX![], event: mesh::Event) {
         match event {
-            mesh::Event::Up(peer, it) if it.role == "entry" && !it.dialled => {
+            mesh::Event::Up(peer, it) if it.role == "entry" && it.dialled.is_none() => {
                 self.entries.push(peer);
                 self.report();
             }
@@ -142,6 +142,7 @@
                 self.declare(&it);
                 self.declare_group(&it);
             }
+            mesh::Event::Entries(_) => {}
             mesh::Event::Instances(it) => {
                 let me = it.get(&self.settings.node.name);
                 if me.is_some_and(|it| it.leaving) {
--- a/crates/sablepass-agent/src/settings.rs
+++ b/crates/sablepass-agent/src/settings.rs
@@ -15,6 +15,11 @@
     pub node: settings::Node,
     /// Base URL of the target.
     pub target: String,
+    /// Whether entries send this target's requests through the agent's gate.
+    /// If not, they send them straight to the target, and the agent reads its
+    /// load and tells it to them. Default true.
+    #[serde(default = "default_gate")]
+    pub gate: bool,
     /// Whether the target is a model engine: it then takes priorities and
     /// cancels, and reports its load. Default true.
     #[serde(default = "default_engine")]
@@ -36,6 +41,10 @@
     pub read: u64,
 }
 
+fn default_gate() -> bool {
+    true
+}
+
 fn default_engine() -> bool {
     true
 }
@@ -63,10 +72,15 @@
 impl settings::Settings for Settings {
     fn check(&self, checker: &Checker<'_>) -> Result<(), Error> {
         self.node.check(checker)?;
-        let qualified = self.node.name.contains('/');
-        checker.fits("node.name", &self.node.name, qualified, "partner/target")?;
-        let http = self.target.starts_with("http://");
-        checker.fits("target", &self.target, http, "a URL with http://")?;
+        if self.gate {
+            let qualified = self.node.name.contains('/');
+            checker.fits("node.name", &self.node.name, qualified, "partner/target")?;
+            let http = self.target.starts_with("http://");
+            checker.fits("target", &self.target, http, "a URL with http://")?;
+        } else {
+            let fits = settings::parse_url(&self.target).is_some();
+            checker.fits("target", &self.target, fits, "http:// with an IP address and port")?;
+        }
         checker.fits("limit", self.limit, (1..=10_000).contains(&self.limit), "1 to 10000")?;
         let spans = [("heartbeat", self.heartbeat), ("keep", self.keep), ("read", self.read)];
         for (key, value) in spans {
--- a/crates/sablepass-core/src/balance.rs
+++ b/crates/sablepass-core/src/balance.rs
@@ -16,6 +16,9 @@
     LeastLoad,
     /// The less loaded of two random ones.
     TwoChoices,
+    /// The least loaded of all, whatever its hall; a random one of several.
+    /// For ranks in lock-step, of which the most loaded one sets the pace.
+    Even,
     /// The owner of the prompt's prefix unless it is over its load bound,
     /// else the less loaded of two random ones.
     #[default]
@@ -29,6 +32,7 @@
             "round-robin" => Some(Self::RoundRobin),
             "least-load" => Some(Self::LeastLoad),
             "two-choices" => Some(Self::TwoChoices),
+            "even" => Some(Self::Even),
             "affinity" => Some(Self::Affinity),
             _ => None,
         }
@@ -86,6 +90,9 @@
         prefix: Option<&str>,
         candidates: &[Candidate<'_>],
     ) -> Option<usize> {
+        if self.policy == Policy::Even {
+            return least_of_all(rng, candidates);
+        }
         let near: Vec<usize> = (0..candidates.len())
             .filter(|&it| candidates[it].near && !candidates[it].full())
             .collect();
@@ -105,7 +112,7 @@
                 self.turn = self.turn.wrapping_add(1);
                 open[self.turn % open.len()]
             }
-            Policy::LeastLoad => least(&open, load),
+            Policy::LeastLoad | Policy::Even => least(&open, load),
             Policy::TwoChoices => two_choices(rng, &open, load),
             Policy::Affinity => {
                 let owner = prefix.and_then(|it| bounded_owner(it, &open, candidates));
@@ -125,6 +132,14 @@
     best
 }
 
+/// The least loaded candidate; of several, any one.
+fn least_of_all(rng: &mut impl Rng, candidates: &[Candidate<'_>]) -> Option<usize> {
+    let least = candidates.iter().map(Candidate::load).min_by(f64::total_cmp)?;
+    let ties: Vec<usize> =
+        (0..candidates.len()).filter(|&it| candidates[it].load() <= least).collect();
+    Some(ties[rng.random_range(0..ties.len())])
+}
+
 fn two_choices(rng: &mut impl Rng, open: &[usize], load: impl Fn(usize) -> f64) -> usize {
     let a = open[rng.random_range(0..open.len())];
     let b = open[rng.random_range(0..open.len())];
--- a/crates/sablepass-core/src/budget.rs
+++ b/crates/sablepass-core/src/budget.rs
@@ -27,6 +27,12 @@
 }
 
 impl Budget {
+    /// Changes the most that can be saved up, as when it is shared with more processes.
+    pub fn limit(&mut self, burst: f64) {
+        self.options.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Opens a budget that starts full.
     pub fn open(options: Options) -> Self {
         Self { tokens: options.burst, options }
--- a/crates/sablepass-core/src/catalogue.rs
+++ b/crates/sablepass-core/src/catalogue.rs
@@ -12,8 +12,11 @@
 use std::collections::BTreeMap;
 
 use crate::config;
-use crate::declaration::{self, Customer, Declarations, Error, Grant, Group, Kind, Result, Target};
+use crate::declaration::{
+    self, Customer, Declarations, Error, Grant, Group, Kind, Limits, Result, Service, Target,
+};
 use crate::id::Millis;
+use crate::route::Table;
 
 /// A declared resource with its partner and the document it stands in.
 #[derive(Clone, Debug)]
@@ -43,6 +46,12 @@
     pub grants: Vec<Declared<Grant>>,
     /// Start of the planned stop of each target.
     pub stops: BTreeMap<String, Millis>,
+    /// Routes of all partners.
+    pub routes: Table,
+    /// Services that routes name, by their own name.
+    pub services: BTreeMap<String, Service>,
+    /// Limits of callers' connections, where declared.
+    pub limits: Option<Limits>,
     /// What is refused, by document key.
     pub refused: BTreeMap<String, Error>,
 }
@@ -79,10 +88,20 @@
         }
         for customer in &it.customer {
             self.free(key, "customer", &qualify(&customer.name), |c, n| holder(&c.customers, n))?;
-            if let Some(other) = self.keys.get(&customer.key) {
+            if let Some(other) = customer.all_keys().find_map(|it| self.keys.get(it)) {
                 return Err(clash(key, "customer key of", &customer.name, other));
             }
         }
+        for route in &it.route {
+            if self.routes.has(&route.host, &route.prefix) {
+                return Err(clash(key, "route", &route.name, "another route of that prefix"));
+            }
+        }
+        for service in &it.service {
+            if self.services.contains_key(&service.name) {
+                return Err(clash(key, "service", &service.name, "another document"));
+            }
+        }
         let own = |it| Declared { partner: partner.clone(), holder: key.to_owned(), it };
         for target in it.target {
             self.targets.insert(qualify(&target.name), own(target));
@@ -93,7 +112,8 @@
         }
         let own = |it| Declared { partner: partner.clone(), holder: key.to_owned(), it };
         for customer in it.customer {
-            self.keys.insert(customer.key.clone(), qualify(&customer.name));
+            let name = qualify(&customer.name);
+            self.keys.extend(customer.all_keys().map(|it| (it.clone(), name.clone())));
             self.customers.insert(qualify(&customer.name), own(customer));
         }
         let own = |it| Declared { partner: partner.clone(), holder: key.to_owned(), it };
@@ -101,6 +121,12 @@
         for stop in it.stop {
             self.stops.insert(qualify(&stop.target), stop.at);
         }
+        for route in it.route {
+            self.routes.add(route);
+        }
+        let services = it.service.into_iter().map(|it| (it.name.clone(), it));
+        self.services.extend(services);
+        self.limits = it.limits.or(self.limits);
         Ok(())
     }
 
--- a/crates/sablepass-core/src/config.rs
+++ b/crates/sablepass-core/src/config.rs
@@ -9,7 +9,7 @@
 //! is ignored and counted. Each document keeps its last accepted version
 //! beside its newest one, so a bad edit loses nothing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use crate::declaration::{self, Declarations};
@@ -55,12 +55,15 @@
     pub refused: Option<declaration::Error>,
 }
 
+/// Reads and judges the text of a document, given its key.
+pub type Check = fn(&str, &str) -> declaration::Result<Declarations>;
+
 impl Verdict {
-    fn of(document: &Document) -> Self {
+    fn of(document: &Document, check: Check) -> Self {
         if document.removed {
             return Self { force: None, refused: None };
         }
-        let check = |it: &Version| declaration::check(&document.key, &it.body);
+        let check = |it: &Version| check(&document.key, &it.body);
         match check(&document.newest) {
             Ok(it) => {
                 let force = Some((document.newest.revision, Rc::new(it)));
@@ -130,15 +133,21 @@
 #[derive(Debug)]
 pub struct Store {
     what: What,
+    check: Check,
     revision: u64,
     documents: BTreeMap<String, Document>,
     verdicts: BTreeMap<String, Verdict>,
 }
 
 impl Store {
-    /// Opens an empty store.
+    /// Opens an empty store of documents in this project's own form.
     pub fn open(what: What) -> Self {
-        Self { what, revision: 0, documents: BTreeMap::new(), verdicts: BTreeMap::new() }
+        Self::open_with(what, declaration::check)
+    }
+
+    /// Opens an empty store of documents in another form.
+    pub fn open_with(what: What, check: Check) -> Self {
+        Self { what, check, revision: 0, documents: BTreeMap::new(), verdicts: BTreeMap::new() }
     }
 
     /// Highest revision held.
@@ -146,6 +155,11 @@
         self.revision
     }
 
+    /// A document, or its removal.
+    pub fn get(&self, key: &str) -> Option<&Document> {
+        self.documents.get(key)
+    }
+
     /// All documents by key, removals included.
     pub fn documents(&self) -> impl Iterator<Item = &Document> {
         self.documents.values()
@@ -231,6 +245,23 @@
         Ok(changed)
     }
 
+    /// Makes a delta out of everything that there is: what is held, is not
+    /// named and is not newer is removed.
+    pub fn complete(&self, delta: &mut Delta) {
+        let named: BTreeSet<&String> = delta.documents.iter().map(|it| &it.key).collect();
+        let gone = |it: &&Document| {
+            !it.removed && !named.contains(&it.key) && it.newest.revision < delta.revision
+        };
+        let removal = |it: &Document| Document {
+            key: it.key.clone(),
+            newest: Version { revision: delta.revision, body: String::new() },
+            removed: true,
+            accepted: None,
+        };
+        let removals: Vec<Document> = self.documents.values().filter(gone).map(removal).collect();
+        delta.documents.extend(removals);
+    }
+
     fn put(&mut self, mut document: Document) -> bool {
         let held = self.documents.get(&document.key).map(|it| it.newest.revision);
         if held > Some(document.newest.revision) {
@@ -255,7 +286,7 @@
             return false;
         };
         held.accepted = accepted.cloned();
-        let verdict = Verdict::of(held);
+        let verdict = Verdict::of(held, self.check);
         self.verdicts.insert(document.key.clone(), verdict);
         true
     }
@@ -273,7 +304,7 @@
             let newest = Some(&older.newest).filter(|it| Some(it.revision) == inherited);
             document.accepted = newest.or(older.accepted.as_ref()).cloned();
         }
-        self.verdicts.insert(document.key.clone(), Verdict::of(document));
+        self.verdicts.insert(document.key.clone(), Verdict::of(document, self.check));
     }
 }
 
--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -14,6 +14,7 @@
 use snafu::Snafu;
 
 use crate::id::Millis;
+use crate::route::Route;
 
 /// Most bytes of a document: the platform's limit on a value.
 pub const DOCUMENT_LIMIT: usize = 1 << 20;
@@ -183,12 +184,19 @@
     pub name: String,
     /// The key that its requests carry: the partner's name, ':', and at least
     /// 8 bytes more. So no partner can declare another one's keys.
+    #[serde(default)]
     pub key: String,
+    /// Further keys, of the same form, so that keys can be replaced one by one.
+    #[serde(default)]
+    pub keys: Vec<String>,
     /// Weight of its share of the partner's capacity. 1 to 1,000,000.
     pub share: u32,
     /// Highest priority it may ask for.
     #[serde(default)]
     pub priority: Priority,
+    /// Rank of its requests on routes, before that of the route; 0 is the most urgent.
+    #[serde(default)]
+    pub rank: Option<u8>,
     /// Requests it may hold at once at one entry. 1 to 100,000.
     #[serde(default = "default_streams")]
     pub streams: u32,
@@ -198,6 +206,85 @@
     1_000
 }
 
+impl Customer {
+    /// All keys that its requests may carry.
+    pub fn all_keys(&self) -> impl Iterator<Item = &String> {
+        self.keys.iter().chain(std::iter::once(&self.key).filter(|it| !it.is_empty()))
+    }
+}
+
+/// The figures of a model engine, as its operators publish them.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Engine {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens of prompt and answer that fit into its memory.
+    pub memory: u64,
+    /// Milliseconds of a step without any sequence.
+    pub step: f64,
+    /// Milliseconds a step takes longer for each sequence that writes.
+    pub per_sequence: f64,
+    /// Milliseconds a step takes longer for each 1,000 tokens of context of those.
+    pub per_context: f64,
+    /// Prompt tokens read a second.
+    pub read_rate: f64,
+    /// Prompt tokens read a step at most.
+    pub chunk: u32,
+    /// Steps that a pass with writers makes.
+    pub stride: u32,
+    /// The ranks that step together, if it is one of a group.
+    #[serde(default)]
+    pub ranks: Option<Ranks>,
+}
+
+/// What the ranks of a group of engines have in common.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Ranks {
+    /// Layers that are placed one by one.
+    pub layers: u32,
+    /// Experts a layer.
+    pub experts: u32,
+    /// Slots of a rank in a layer.
+    pub slots: u32,
+    /// Experts of a layer that one preparation may bring to a rank.
+    pub spare: u32,
+    /// Bytes of one expert, in millions.
+    pub expert_size: f64,
+    /// Part of the work for a token that experts do, 0 to 1.
+    pub expert_part: f64,
+    /// Milliseconds from the return of a lost rank to the group's next step.
+    pub form: f64,
+}
+
+/// A service and what its targets take.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name.
+    pub name: String,
+    /// Connections that one target takes, from all processes together.
+    pub connections: u32,
+    /// What its targets are, if they are model engines.
+    #[serde(default)]
+    pub engine: Option<Engine>,
+}
+
+/// What a caller's connection may send.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Bytes of the head of a request.
+    pub head: usize,
+    /// Bytes of its body.
+    pub body: usize,
+    /// Milliseconds in which the head must be there.
+    pub head_time: Millis,
+    /// Milliseconds that a connection may rest between two requests.
+    pub idle_time: Millis,
+}
+
 /// What one partner lends to the other.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -234,6 +321,12 @@
     pub grant: Vec<Grant>,
     /// Planned stops.
     pub stop: Vec<Stop>,
+    /// Routes.
+    pub route: Vec<Route>,
+    /// Services that routes name.
+    pub service: Vec<Service>,
+    /// Limits of callers' connections.
+    pub limits: Option<Limits>,
 }
 
 /// The partner that owns a document key.
@@ -252,11 +345,25 @@
     }
     let document: Declarations = toml::from_str(body)
         .map_err(|e| Error::Parse { key: key.to_owned(), message: e.to_string() })?;
-    let checker = Checker { key };
-    checker.names(&document)?;
-    checker.ranges(&document)?;
-    checker.twice(&document)?;
-    Ok(document)
+    judge(key, document, Keys::OfPartner)
+}
+
+/// Which keys a document may give its customers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Keys {
+    /// Those that begin with its partner's name.
+    OfPartner,
+    /// Any, where one operator writes for all.
+    Any,
+}
+
+/// Judges declarations that were decoded elsewhere by the rules for documents.
+pub fn judge(key: &str, it: Declarations, keys: Keys) -> Result<Declarations> {
+    let checker = Checker { key, keys };
+    checker.names(&it)?;
+    checker.ranges(&it)?;
+    checker.twice(&it)?;
+    Ok(it)
 }
 
 fn is_name(text: &str) -> bool {
@@ -266,6 +373,7 @@
 
 struct Checker<'a> {
     key: &'a str,
+    keys: Keys,
 }
 
 impl Checker<'_> {
@@ -290,6 +398,15 @@
         for stop in &it.stop {
             self.name("stop", &stop.target)?;
         }
+        for service in &it.service {
+            self.name("service", &service.name)?;
+        }
+        for route in &it.route {
+            self.name("route", &route.name)?;
+            for share in &route.shares {
+                self.name("route share", &share.service)?;
+            }
+        }
         Ok(())
     }
 
@@ -314,7 +431,11 @@
             self.range("customer", name, "share", customer.share, fits, "1 to 1000000")?;
             let fits = (1..=100_000).contains(&customer.streams);
             self.range("customer", name, "streams", customer.streams, fits, "1 to 100000")?;
-            let fits = self.is_own_key(&customer.key);
+            let own = || {
+                let mut keys = customer.all_keys();
+                customer.all_keys().count() > 0 && keys.all(|it| self.is_own_key(it))
+            };
+            let fits = self.keys == Keys::Any || own();
             let allowed = "the partner's name, ':', and at least 8 bytes";
             self.range("customer", name, "key", "(hidden)", fits, allowed)?;
         }
@@ -322,9 +443,31 @@
             let fits = grant.part > 0.0 && grant.part <= 1.0;
             self.range("grant", &grant.serves, "part", grant.part, fits, "above 0 and up to 1")?;
         }
+        for route in &it.route {
+            self.route_ranges(route)?;
+        }
         Ok(())
     }
 
+    fn route_ranges(&self, it: &Route) -> Result<()> {
+        let name = &it.name;
+        let fits = it.prefix.starts_with('/') && it.prefix.ends_with('/');
+        self.range(
+            "route",
+            name,
+            "prefix",
+            &it.prefix,
+            fits,
+            "a path that begins and ends with /",
+        )?;
+        let fits = (1..=3_600_000).contains(&it.timeout);
+        self.range("route", name, "timeout", it.timeout, fits, "1 to 3600000")?;
+        let fits = (1..=100).contains(&it.attempts);
+        self.range("route", name, "attempts", it.attempts, fits, "1 to 100")?;
+        let fits = it.shares.iter().any(|it| it.weight > 0);
+        self.range("route", name, "shares", it.shares.len(), fits, "one with a weight, or more")
+    }
+
     fn is_own_key(&self, key: &str) -> bool {
         let owner = self.key.split('/').next().unwrap_or_default();
         let secret = key.strip_prefix(owner).and_then(|it| it.strip_prefix(':'));
@@ -379,7 +522,12 @@
     fn twice(&self, it: &Declarations) -> Result<()> {
         self.each_once("target", it.target.iter().map(|it| it.name.as_str()))?;
         self.each_once("group", it.group.iter().map(|it| it.name.as_str()))?;
-        self.each_once("customer", it.customer.iter().map(|it| it.name.as_str()))
+        self.each_once("customer", it.customer.iter().map(|it| it.name.as_str()))?;
+        self.each_once("service", it.service.iter().map(|it| it.name.as_str()))?;
+        self.each_once("route", it.route.iter().map(|it| it.name.as_str()))?;
+        let places: Vec<String> =
+            it.route.iter().map(|it| format!("{}{}", it.host, it.prefix)).collect();
+        self.each_once("route of", places.iter().map(String::as_str))
     }
 
     fn each_once<'a>(
--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -12,7 +12,10 @@
 //! - Lost contact with such a request ends in a probe of the same agent.
 //! - A safe request is sent elsewhere as long as nothing of an answer was
 //!   delivered, the deadline has not passed and the retry budget lasts.
+//! - A stream that may be resumed is taken up elsewhere after the last whole
+//!   event that was delivered.
 
+use crate::events::Splitter;
 use crate::id::{AttemptId, Incarnation, Millis, RequestId};
 use crate::outcome::{Failure, Ran};
 use crate::reason::{Ignored, Refusal, Retry};
@@ -20,8 +23,6 @@
 /// Limits of a [`Flight`].
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Attempts in all. Default 4.
-    pub attempts: u32,
     /// Bytes of an answer kept until it is whole. Default 4 MiB.
     pub answer: usize,
     /// How long a probe may stay without an answer. Default 5 s.
@@ -33,7 +34,7 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { attempts: 4, answer: 4 << 20, probe: 5_000, stall: 10_000 }
+        Self { answer: 4 << 20, probe: 5_000, stall: 10_000 }
     }
 }
 
@@ -44,26 +45,51 @@
     pub id: RequestId,
     /// When it is no longer wanted.
     pub deadline: Millis,
+    /// Targets that it may be sent to in all.
+    pub attempts: u32,
     /// It must not run more than once.
     pub unsafe_repeat: bool,
     /// It has an idempotency key, so that one target owns it.
     pub keyed: bool,
     /// The answer is delivered as it comes, not when it is whole.
     pub stream: bool,
+    /// A broken answer may be taken up by another target after its last event.
+    pub resume: bool,
+}
+
+/// A header field of an answer, passed on as it came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Field {
+    /// Its name, in lower case.
+    pub name: String,
+    /// Its value.
+    pub value: Vec<u8>,
+}
+
+/// How an answer begins.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// HTTP status.
+    pub status: u32,
+    /// Header fields that the caller gets, without those of one connection.
+    pub fields: Vec<Field>,
+    /// A recorded answer.
+    pub replayed: bool,
+}
+
+impl Head {
+    /// A head with nothing but its content type, as agents send it.
+    pub fn plain(status: u32, content_type: &str, replayed: bool) -> Self {
+        let field = Field { name: "content-type".to_owned(), value: content_type.into() };
+        Self { status, fields: vec![field], replayed }
+    }
 }
 
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The target began to answer.
-    Head {
-        /// HTTP status.
-        status: u32,
-        /// Content type.
-        content_type: String,
-        /// A recorded answer.
-        replayed: bool,
-    },
+    Head(Head),
     /// Bytes of the answer.
     Chunk {
         /// Where they start.
@@ -128,14 +154,7 @@
     /// Tell the agent to stop the attempt.
     Cancel(AttemptId),
     /// Begin the caller's answer.
-    Head {
-        /// HTTP status.
-        status: u32,
-        /// Content type.
-        content_type: String,
-        /// A recorded answer.
-        replayed: bool,
-    },
+    Head(Head),
     /// Hand bytes to the caller.
     Deliver(Vec<u8>),
     /// The caller's answer is whole.
@@ -174,10 +193,12 @@
     state: State,
     attempt: u32,
     sent: Option<Sent>,
-    head: Option<(u32, String, bool)>,
+    head: Option<Head>,
     received: u64,
     body: Vec<u8>,
     delivered: bool,
+    /// Cuts the answer into events, if it may be resumed.
+    events: Option<Splitter>,
     heard: Millis,
     tried: Vec<String>,
     /// What is known of all attempts before this one together.
@@ -187,6 +208,7 @@
 impl Flight {
     /// Opens a flight that waits for a target.
     pub fn open(options: Options, request: Request) -> Self {
+        let events = request.resume.then(Splitter::default);
         Self {
             options,
             request,
@@ -197,6 +219,7 @@
             received: 0,
             body: Vec::new(),
             delivered: false,
+            events,
             heard: 0,
             tried: Vec::new(),
             before: Ran::NotRun,
@@ -223,6 +246,11 @@
         &self.tried
     }
 
+    /// Id of the last event delivered, after which another target goes on.
+    pub fn last_event(&self) -> Option<&str> {
+        self.events.as_ref().and_then(Splitter::last)
+    }
+
     /// Whether the final answer was given.
     pub fn ended(&self) -> bool {
         self.state == State::Ended
@@ -270,9 +298,7 @@
             return vec![Action::CountIgnored(Ignored::LateAnswer)];
         }
         match event {
-            Event::Head { status, content_type, replayed } => {
-                self.on_head(now, (status, content_type, replayed), budget)
-            }
+            Event::Head(head) => self.on_head(now, head, budget),
             Event::Chunk { offset, data } => self.on_chunk(now, offset, data, budget),
             Event::Done { length } => self.on_done(now, length, budget),
             Event::Refused(reason) => self.on_refused(now, reason, budget),
@@ -293,12 +319,15 @@
         self.head = None;
         self.received = 0;
         self.body.clear();
+        if let Some(events) = &mut self.events {
+            events.restart();
+        }
     }
 
     fn on_head(
         &mut self,
         now: Millis,
-        head: (u32, String, bool),
+        head: Head,
         budget: &mut dyn FnMut() -> bool,
     ) -> Vec<Action> {
         self.alive(now);
@@ -306,18 +335,45 @@
             // A resumed answer repeats its head.
             return Vec::new();
         }
-        let busy = matches!(head.0, 429 | 503);
+        let busy = matches!(head.status, 429 | 503);
         if busy && !self.request.unsafe_repeat {
             let failure = Failure { reason: Refusal::EngineBusy, ran: Ran::NotRun };
             return self.again(now, Retry::EngineBusy, failure, budget);
         }
+        if self.delivered {
+            // The caller keeps the head of the first target.
+            return self.on_resumed(now, head, budget);
+        }
+        if head.status >= 500 && self.may_move(now) && budget() {
+            // The rest of its answer is not waited for.
+            let mut actions = vec![Action::Cancel(self.attempt())];
+            actions.extend(self.move_on(Retry::EngineFailed, Ran::Unknown));
+            return actions;
+        }
         self.head = Some(head.clone());
         if !self.request.stream {
             return Vec::new();
         }
         self.delivered = true;
-        let (status, content_type, replayed) = head;
-        vec![Action::Head { status, content_type, replayed }]
+        if !(200..300).contains(&head.status) {
+            // What follows is not made of events.
+            self.events = None;
+        }
+        vec![Action::Head(head)]
+    }
+
+    fn on_resumed(
+        &mut self,
+        now: Millis,
+        head: Head,
+        budget: &mut dyn FnMut() -> bool,
+    ) -> Vec<Action> {
+        if (200..300).contains(&head.status) {
+            self.head = Some(head);
+            return Vec::new();
+        }
+        let failure = Failure { reason: Refusal::EngineBroke, ran: Ran::Ran };
+        self.again(now, Retry::EngineFailed, failure, budget)
     }
 
     fn on_chunk(
@@ -338,6 +394,10 @@
         }
         data.drain(..(self.received - offset) as usize);
         self.received = end;
+        if let Some(events) = &mut self.events {
+            let whole = events.take(&data);
+            return if whole.is_empty() { Vec::new() } else { vec![Action::Deliver(whole)] };
+        }
         if self.request.stream {
             return vec![Action::Deliver(data)];
         }
@@ -356,18 +416,19 @@
         length: u64,
         budget: &mut dyn FnMut() -> bool,
     ) -> Vec<Action> {
-        if length != self.received || self.head.is_none() {
+        let partial = self.events.as_ref().is_some_and(Splitter::is_partial);
+        if length != self.received || self.head.is_none() || partial {
             return self.gap(now, budget);
         }
         self.state = State::Ended;
         if self.request.stream {
             return vec![Action::Finish];
         }
-        let Some((status, content_type, replayed)) = self.head.take() else {
+        let Some(head) = self.head.take() else {
             return Vec::new();
         };
         let body = std::mem::take(&mut self.body);
-        vec![Action::Head { status, content_type, replayed }, Action::Deliver(body), Action::Finish]
+        vec![Action::Head(head), Action::Deliver(body), Action::Finish]
     }
 
     fn gap(&mut self, now: Millis, budget: &mut dyn FnMut() -> bool) -> Vec<Action> {
@@ -472,7 +533,7 @@
     /// Only a safe request of which nothing was delivered is moved off a
     /// silent target; any other one waits for its deadline.
     fn stalled(&self, now: Millis, heard: Millis) -> bool {
-        let movable = !self.request.unsafe_repeat && !self.delivered;
+        let movable = !self.request.unsafe_repeat && !self.is_bound();
         movable && now >= self.heard.max(heard) + self.options.stall
     }
 
@@ -509,7 +570,7 @@
         failure: Failure,
         budget: &mut dyn FnMut() -> bool,
     ) -> Vec<Action> {
-        if self.request.unsafe_repeat || self.delivered {
+        if self.request.unsafe_repeat || self.is_bound() {
             return self.fail(failure.reason, failure.ran);
         }
         self.resend(now, retry, failure, budget)
@@ -523,14 +584,34 @@
         failure: Failure,
         budget: &mut dyn FnMut() -> bool,
     ) -> Vec<Action> {
-        let late = now >= self.request.deadline;
-        if self.delivered || late || self.attempt >= self.options.attempts {
+        if !self.has_room(now) {
             return self.fail(failure.reason, failure.ran);
         }
         if !budget() {
             return self.fail(Refusal::RetryBudget, failure.ran);
         }
-        self.before = self.overall(failure.ran);
+        self.move_on(retry, failure.ran)
+    }
+
+    /// Whether time, attempts and what was delivered leave room for one more attempt.
+    fn has_room(&self, now: Millis) -> bool {
+        let late = now >= self.request.deadline;
+        !self.is_bound() && !late && self.attempt < self.request.attempts
+    }
+
+    /// Whether what was delivered binds the answer to its target.
+    fn is_bound(&self) -> bool {
+        self.delivered && self.events.is_none()
+    }
+
+    /// Whether an attempt that may have run can be followed by another one.
+    fn may_move(&self, now: Millis) -> bool {
+        !self.request.unsafe_repeat && self.has_room(now)
+    }
+
+    /// Leaves the attempt, of which `ran` is known, for another one.
+    fn move_on(&mut self, retry: Retry, ran: Ran) -> Vec<Action> {
+        self.before = self.overall(ran);
         self.head = None;
         self.state = State::Choosing;
         vec![Action::CountRetry(retry), Action::Dispatch]
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -30,9 +30,22 @@
     pub engine_age: Option<Millis>,
 }
 
+/// What tells that a target is live.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// Heartbeats of its agent.
+    Heartbeats,
+    /// The instance list; heartbeats only tell its load.
+    Listing,
+}
+
 /// A target's agent as last heard of.
 #[derive(Clone, Debug)]
 pub struct Member {
+    /// What tells that it is live.
+    pub source: Source,
+    /// It refused a connection or work and is left alone until then.
+    pub rests: Millis,
     /// Its incarnation.
     pub incarnation: Incarnation,
     /// Its last report.
@@ -69,6 +82,8 @@
         let leaving = known.is_some_and(|it| it.leaving);
         let own = known.map_or(0, |it| it.own);
         let member = Member {
+            source: Source::Heartbeats,
+            rests: 0,
             incarnation,
             report: Report::default(),
             heard: now,
@@ -80,6 +95,37 @@
         self.members.insert(name.to_owned(), member);
     }
 
+    /// Records that the instance list names a target.
+    pub fn listed(&mut self, now: Millis, name: &str, leaving: bool) {
+        if !self.members.contains_key(name) {
+            self.up(now, name, Incarnation(0));
+        }
+        if let Some(member) = self.members.get_mut(name) {
+            member.source = Source::Listing;
+            member.leaving |= leaving;
+        }
+    }
+
+    /// Records that the instance list names a target no more.
+    pub fn unlisted(&mut self, name: &str) {
+        self.members.remove(name);
+    }
+
+    /// Records what a target said of its load with an answer: requests that
+    /// run and wait there, this entry's own included.
+    pub fn told(&mut self, name: &str, requests: u32) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.others = requests.saturating_sub(member.own);
+        }
+    }
+
+    /// Records that a target is better left alone until `until`.
+    pub fn rest(&mut self, name: &str, until: Millis) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.rests = member.rests.max(until);
+        }
+    }
+
     /// Records a heartbeat.
     pub fn heard(&mut self, now: Millis, name: &str, report: Report) {
         let Some(member) = self.members.get_mut(name) else {
@@ -132,8 +178,11 @@
         let member = self.members.get(name)?;
         let silent = now.saturating_sub(member.heard) >= self.silence;
         let stalled = now.saturating_sub(member.alive) >= self.silence * STALLED;
-        let usable = !silent && !stalled && !member.leaving && !member.report.away;
-        usable.then_some(member)
+        let lost = match member.source {
+            Source::Heartbeats => silent || stalled || member.report.away,
+            Source::Listing => now < member.rests,
+        };
+        (!lost && !member.leaving).then_some(member)
     }
 
     /// The agent, in whatever state.
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -113,6 +113,20 @@
         AnswerTooLarge = 37, "answer-too-large";
         /// The key was made longer ago than keys are remembered, or in the future.
         KeyExpired = 38, "key-expired";
+        /// The target said that it is full and did not run the request.
+        TargetFull = 41, "target-full";
+        /// Another target has the address now.
+        Misdirected = 42, "misdirected";
+        /// No route answers this host and path.
+        UnknownRoute = 43, "unknown-route";
+        /// No configuration is in force yet.
+        NoConfiguration = 44, "no-configuration";
+        /// The request is not HTTP that can be understood.
+        BadRequest = 45, "bad-request";
+        /// The request did not arrive in time.
+        SlowRequest = 46, "slow-request";
+        /// The target's answer is not one to this request.
+        WrongAnswer = 47, "wrong-answer";
         /// The headers are longer than the limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -153,6 +167,8 @@
         LateHeartbeat = 6, "late-heartbeat";
         /// An expert-map message of an older version.
         OldBallot = 7, "old-ballot";
+        /// An item of the platform that does not decode.
+        BadDocument = 8, "bad-document";
     }
 }
 
@@ -162,17 +178,21 @@
         match self {
             Self::UnknownKey => 401,
             Self::NotGranted => 403,
-            Self::UnknownModel | Self::UnknownPath => 404,
+            Self::UnknownModel | Self::UnknownPath | Self::UnknownRoute => 404,
             Self::WrongMethod => 405,
-            Self::BadBody | Self::BadHeader => 400,
+            Self::BadBody | Self::BadHeader | Self::BadRequest => 400,
+            Self::SlowRequest => 408,
             Self::BodyTooLarge => 413,
             Self::HeaderTooLarge => 431,
             Self::OverShare | Self::CustomerLimit | Self::GrantUsed => 429,
             Self::KeyReused => 422,
             Self::KeyInFlight | Self::KeyAnswerLost | Self::KeyExpired => 409,
             Self::DeadlinePassed => 504,
-            Self::EngineBroke | Self::AnswerGap | Self::AnswerTooLarge => 502,
+            Self::EngineBroke | Self::AnswerGap | Self::AnswerTooLarge | Self::WrongAnswer => 502,
             Self::Saturated
+            | Self::NoConfiguration
+            | Self::TargetFull
+            | Self::Misdirected
             | Self::ProcessLimit
             | Self::NoTarget
             | Self::OwnerAway
@@ -216,6 +236,8 @@
                 | Self::AgentLimit
                 | Self::EngineAway
                 | Self::Blocked
+                | Self::TargetFull
+                | Self::Misdirected
         )
     }
 }
--- a/crates/sablepass-edge/src/admin.rs
+++ b/crates/sablepass-edge/src/admin.rs
@@ -6,24 +6,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc;
-use std::time::Duration;
 
-use stakker::sync::Channel;
+use http::header::{self, HeaderValue};
+use sablepass_platform::request::READY_PATH;
+use stakker::{ActorOwn, CX, Fwd, Stakker, actor_new, call, fwd_to, ret_shutdown};
 
-use crate::http;
+use crate::server::{self, Incoming, Limits, Server};
 use crate::telemetry::Metrics;
 
-/// How long a query waits for the event loop.
-const PATIENCE: Duration = Duration::from_secs(5);
-
 /// A question to the main actor.
 #[derive(Debug)]
 pub struct Query {
     /// What is asked.
     pub ask: Ask,
     /// Where the answer goes.
-    pub reply: mpsc::Sender<Reply>,
+    pub reply: Asker,
 }
 
 /// What may be asked.
@@ -39,6 +36,17 @@
     Group(String),
 }
 
+/// Who waits for an answer.
+#[derive(Clone, Debug)]
+pub struct Asker(server::Reply);
+
+impl Asker {
+    /// Answers. An asker that is gone is not told.
+    pub fn send(&self, it: Reply) {
+        answer(&self.0, it.status, "application/json", it.json.into_bytes());
+    }
+}
+
 /// An answer: HTTP status and JSON text.
 #[derive(Clone, Debug)]
 pub struct Reply {
@@ -61,44 +69,79 @@
     }
 }
 
-/// Serves until the process ends. Returns the address.
+/// The actor.
+pub struct Admin {
+    metrics: Arc<Metrics>,
+    queries: Fwd<Query>,
+    _server: ActorOwn<Server>,
+}
+
+/// Opens the interface. Returns its address and the actor that serves it.
 pub fn spawn(
+    s: &mut Stakker,
     addr: SocketAddr,
     metrics: Arc<Metrics>,
-    queries: Channel<Query>,
-) -> Result<SocketAddr, http::Error> {
-    let (server, addr) = http::bind_quiet(addr)?;
-    std::thread::spawn(move || {
-        while let Ok(request) = server.recv() {
-            let response = respond(&metrics, &queries, request.url());
-            let _ = request.respond(response);
-        }
-    });
-    Ok(addr)
+    queries: Fwd<Query>,
+) -> Result<(SocketAddr, ActorOwn<Admin>), server::Error> {
+    let listener = server::listen(addr)?;
+    let addr = listener.local_addr().unwrap_or(addr);
+    let admin = actor_new!(s, Admin, ret_shutdown!(s));
+    let events = fwd_to!([admin], event() as (server::Event));
+    let server = actor_new!(s, Server, ret_shutdown!(s));
+    call!([server], Server::init(listener, Limits::default(), events));
+    call!([admin], Admin::init(metrics, queries, server));
+    Ok((addr, admin))
 }
 
-fn respond(
-    metrics: &Metrics,
-    queries: &Channel<Query>,
-    url: &str,
-) -> tiny_http::Response<std::io::Cursor<Vec<u8>>> {
-    let ask = match url {
-        "/metrics" => return http::answer(200, "text/plain; version=0.0.4", metrics.render()),
-        "/healthz" => return http::answer(200, "text/plain", b"ok\n".to_vec()),
-        "/readyz" => Ask::Ready,
-        "/status" => Ask::Status,
-        _ => match url.split_once('?') {
-            Some(("/explain/request", id)) => Ask::Request(id.to_owned()),
-            Some(("/explain/group", name)) => Ask::Group(name.to_owned()),
-            _ => return http::answer(404, "text/plain", b"unknown path\n".to_vec()),
-        },
-    };
-    let (reply, answers) = mpsc::channel();
-    if !queries.send(Query { ask, reply }) {
-        return http::answer(503, "text/plain", b"stopping\n".to_vec());
+impl Admin {
+    fn init(
+        _cx: CX![],
+        metrics: Arc<Metrics>,
+        queries: Fwd<Query>,
+        server: ActorOwn<Server>,
+    ) -> Option<Self> {
+        Some(Self { metrics, queries, _server: server })
+    }
+
+    fn event(&mut self, _cx: CX![], event: server::Event) {
+        match event {
+            server::Event::Request(it) => self.request(*it),
+            // Answers are short and written at once.
+            server::Event::Gone(_) | server::Event::Full(_) | server::Event::Drained(_) => {}
+        }
     }
-    match answers.recv_timeout(PATIENCE) {
-        Ok(it) => http::answer(it.status, "application/json", it.json.into_bytes()),
-        Err(_) => http::answer(503, "text/plain", b"event loop does not answer\n".to_vec()),
+
+    fn request(&self, it: Incoming) {
+        let Ok(head) = it.head else {
+            answer(&it.reply, 400, "text/plain", b"not understood\n".to_vec());
+            return;
+        };
+        let ask = match (head.uri().path(), head.uri().query()) {
+            ("/metrics", _) => {
+                answer(&it.reply, 200, "text/plain; version=0.0.4", self.metrics.render());
+                return;
+            }
+            ("/healthz", _) => {
+                answer(&it.reply, 200, "text/plain", b"ok\n".to_vec());
+                return;
+            }
+            ("/readyz" | READY_PATH, _) => Ask::Ready,
+            ("/status", _) => Ask::Status,
+            ("/explain/request", Some(id)) => Ask::Request(id.to_owned()),
+            ("/explain/group", Some(name)) => Ask::Group(name.to_owned()),
+            _ => {
+                answer(&it.reply, 404, "text/plain", b"unknown path\n".to_vec());
+                return;
+            }
+        };
+        self.queries.fwd(Query { ask, reply: Asker(it.reply) });
     }
 }
+
+fn answer(to: &server::Reply, status: u16, content_type: &'static str, body: Vec<u8>) {
+    let mut head = http::Response::new(());
+    *head.status_mut() =
+        http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    head.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    to.whole(head, body);
+}
--- a/crates/sablepass-edge/src/daemon.rs
+++ b/crates/sablepass-edge/src/daemon.rs
@@ -12,11 +12,11 @@
 use stakker::{ActorOwn, Fwd, Stakker, actor_new, call, ret_shutdown};
 use stakker_mio::mio::net::TcpListener;
 
+use crate::instance::Role;
 use crate::mesh::{self, Identity, Mesh};
-use crate::platform::Role;
 use crate::settings::{self, Node, Settings};
 use crate::telemetry::{self, Metrics};
-use crate::{cli, http, runtime};
+use crate::{cli, log, runtime, server};
 
 /// Why a daemon ended before it was told to.
 #[derive(Debug, Snafu)]
@@ -41,9 +41,9 @@
     },
     /// One of its HTTP servers cannot be opened.
     #[snafu(transparent)]
-    Http {
+    Server {
         /// Why.
-        source: http::Error,
+        source: server::Error,
     },
     /// Its metrics cannot be set up.
     #[snafu(transparent)]
@@ -94,7 +94,7 @@
     pub fn open(node: &Node, role: Role) -> Result<Self, Error> {
         let listener = mesh::listen(node.listen)?;
         Ok(Self {
-            log: telemetry::logger(node.log, &node.name),
+            log: log::open(node, role),
             metrics: Arc::new(Metrics::open()?),
             me: Identity::open(node.clone(), role),
             peers: listener.local_addr().unwrap_or(node.listen),
--- a/crates/sablepass-edge/src/dial.rs
+++ b/crates/sablepass-edge/src/dial.rs
@@ -13,8 +13,8 @@
 use stakker_mio::mio::net::TcpStream;
 
 use crate::clock;
-use crate::mesh::{Mesh, PeerKey};
-use crate::platform::Instance;
+use crate::instance::{Instance, Role};
+use crate::mesh::{Mesh, PeerKey, Wanted};
 
 /// Time between two looks at what has to be dialled.
 const PULSE: Duration = Duration::from_millis(100);
@@ -25,11 +25,21 @@
 /// Peers of other halls to dial.
 const FAR_PEERS: usize = 2;
 
+/// How the address of an endpoint was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Found {
+    /// In the instance list: the other side must carry the endpoint's name.
+    Listed,
+    /// The owner gave it.
+    Given,
+    /// It is a seed.
+    Seed,
+}
+
 /// A process to be connected to.
 pub(crate) struct Endpoint {
     pub(crate) addr: SocketAddr,
-    /// Whether the other side must carry the endpoint's name.
-    pub(crate) named: bool,
+    pub(crate) found: Found,
     /// Whether it is dialled for spreading.
     pub(crate) spread: bool,
     pub(crate) peer: Option<PeerKey>,
@@ -41,14 +51,20 @@
     /// Makes the endpoints those that are wanted now.
     pub(crate) fn place(&mut self, cx: CX![]) {
         let spread = self.spread_peers();
-        let mut names: Vec<String> = self.wanted.keys().cloned().collect();
-        names.extend(spread.iter().cloned());
         let instances = self.spread.instances().clone();
-        let chosen: BTreeMap<String, SocketAddr> = names
-            .into_iter()
-            .filter_map(|it| instances.get(&it).map(|found| (it, found.addr)))
-            .collect();
-        let moved = |name: &String, it: &Endpoint| it.named && chosen.get(name) != Some(&it.addr);
+        let listed = |it: &String| {
+            let found = instances.get(it)?;
+            Some((it.clone(), (found.addr, Found::Listed)))
+        };
+        let mut chosen: BTreeMap<String, (SocketAddr, Found)> =
+            spread.iter().filter_map(listed).collect();
+        chosen.extend(self.wanted.iter().filter_map(|it| match it {
+            Wanted::Named(name) => listed(name),
+            Wanted::At(addr) => Some((it.endpoint(), (*addr, Found::Given))),
+        }));
+        let moved = |name: &String, it: &Endpoint| {
+            it.found != Found::Seed && chosen.get(name).map(|it| it.0) != Some(it.addr)
+        };
         let gone: Vec<String> = self
             .endpoints
             .iter()
@@ -61,10 +77,9 @@
                 self.closed(cx, key);
             }
         }
-        for (name, addr) in chosen {
+        for (name, (addr, found)) in chosen {
             let spread = spread.contains(&name);
-            let fresh =
-                Endpoint { addr, named: true, spread, peer: None, next: 0, wait: REDIAL_FIRST };
+            let fresh = Endpoint { addr, found, spread, peer: None, next: 0, wait: REDIAL_FIRST };
             self.endpoints.entry(name).or_insert(fresh);
         }
     }
@@ -72,8 +87,9 @@
     fn spread_peers(&self) -> Vec<String> {
         let me = &self.node.name;
         let pick = |near: bool, most: usize| {
-            let fits =
-                |it: &(&String, &Instance)| (it.1.hall == self.node.hall) == near && it.0 != me;
+            let fits = |it: &(&String, &Instance)| {
+                (it.1.hall == self.node.hall) == near && it.0 != me && it.1.role != Role::Target
+            };
             let names = self.spread.instances().iter().filter(fits).map(|it| it.0.as_str());
             let ranked = rendezvous::rank(me, names);
             ranked.into_iter().take(most).map(str::to_owned).collect::<Vec<_>>()
@@ -85,6 +101,7 @@
 
     pub(crate) fn pulse(&mut self, cx: CX![]) {
         let now = clock::now();
+        self.spread.tick(now);
         self.use_seeds();
         let due = |it: &Endpoint| it.peer.is_none() && now >= it.next;
         let names: Vec<String> =
@@ -95,15 +112,15 @@
         after!(PULSE, [cx], pulse());
     }
 
-    /// Seeds serve only while nothing else is known.
+    /// Seeds serve while the instance list names no entry.
     fn use_seeds(&mut self) {
-        if !self.spread.instances().is_empty() {
+        if self.spread.lists_entries() {
             return;
         }
-        for addr in &self.node.seeds {
+        for addr in self.node.seeds.iter().filter(|it| **it != self.node.listen) {
             let fresh = Endpoint {
                 addr: *addr,
-                named: false,
+                found: Found::Seed,
                 spread: true,
                 peer: None,
                 next: 0,
--- a/crates/sablepass-edge/src/lib.rs
+++ b/crates/sablepass-edge/src/lib.rs
@@ -8,14 +8,19 @@
 
 pub mod admin;
 pub mod cli;
+pub mod client;
 pub mod clock;
+mod connection;
 pub mod daemon;
 pub mod dial;
-pub mod http;
+pub mod instance;
 pub mod link;
+pub mod log;
 pub mod mesh;
-pub mod platform;
+pub mod reader;
 pub mod runtime;
+pub mod server;
 pub mod settings;
+mod socket;
 pub mod spread;
 pub mod telemetry;
--- a/crates/sablepass-edge/src/link.rs
+++ b/crates/sablepass-edge/src/link.rs
@@ -4,6 +4,7 @@
 //! One TCP connection to another process, as an actor that owns its socket.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use sablepass_wire::frame::{self, Codec};
 use sablepass_wire::generated::frame::Body;
@@ -13,12 +14,17 @@
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
 
+use crate::socket;
 use crate::telemetry::Metrics;
 
 /// Bytes read at once.
 const READ_SIZE: usize = 64 * 1024;
 /// Bytes that may wait to be sent before a peer counts as stuck.
 const SEND_LIMIT: usize = 32 << 20;
+/// Time after which bytes that are not acknowledged end a connection.
+const UNACKED: Duration = Duration::from_secs(3);
+/// Time without a word after which the other side is probed: the least that a kernel takes.
+const PROBE: Duration = Duration::from_secs(1);
 /// Priority of socket events in the poll.
 const PRIORITY: u32 = 10;
 
@@ -74,7 +80,9 @@
     ) -> Option<Self> {
         let poll = cx.anymap_get::<MioPoll>();
         let interest = Interest::READABLE | Interest::WRITABLE;
-        match poll.add(stream, interest, PRIORITY, fwd_to!([cx], ready() as (Ready))) {
+        let ready = fwd_to!([cx], ready() as (Ready));
+        let guarded = socket::guard(&stream, UNACKED, PROBE);
+        match guarded.and_then(|()| poll.add(stream, interest, PRIORITY, ready)) {
             Ok(source) => {
                 let mut tcp = TcpStreamBuf::new();
                 tcp.init(source);
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -24,16 +24,16 @@
 use sablepass_wire::generated::frame::Body;
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
-use stakker::sync::{Channel, ChannelGuard};
 use stakker::{ActorOwn, CX, Fwd, actor_new, after, call, fwd_to, ret_nop};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::{TcpListener, TcpStream};
 use stakker_mio::{MioPoll, MioSource, Ready};
 
 use crate::clock;
-use crate::dial::{self, Endpoint};
+use crate::dial::{self, Endpoint, Found};
+use crate::instance::{Instance, Role};
 use crate::link::{self, Link};
-use crate::platform::{self, Instance, Role};
+use crate::reader;
 use crate::settings;
 use crate::spread::Spread;
 use crate::telemetry::Metrics;
@@ -76,8 +76,27 @@
     pub role: String,
     /// Its incarnation.
     pub incarnation: Incarnation,
-    /// This process dialled.
-    pub dialled: bool,
+    /// The endpoint that this process dialled, if it did.
+    pub dialled: Option<String>,
+}
+
+/// A process that the owner wants a connection to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wanted {
+    /// The one that the instance list names so.
+    Named(String),
+    /// The one at this address, whatever its name.
+    At(SocketAddr),
+}
+
+impl Wanted {
+    /// The endpoint's name, as [`Introduction::dialled`] gives it.
+    pub fn endpoint(&self) -> String {
+        match self {
+            Self::Named(it) => it.clone(),
+            Self::At(it) => it.to_string(),
+        }
+    }
 }
 
 /// What the mesh tells its owner.
@@ -93,6 +112,8 @@
     Config(Rc<Catalogue>),
     /// The instance list changed.
     Instances(Rc<BTreeMap<String, Instance>>),
+    /// Names of the entries connected, without this process.
+    Entries(Vec<String>),
 }
 
 /// Who this process is.
@@ -137,10 +158,9 @@
     peers: HashMap<PeerKey, Peer>,
     next_peer: u64,
     pub(crate) endpoints: BTreeMap<String, Endpoint>,
-    pub(crate) wanted: BTreeMap<String, ()>,
+    pub(crate) wanted: Vec<Wanted>,
     pub(crate) spread: Spread,
     ticks: u64,
-    _guard: ChannelGuard,
 }
 
 impl Mesh {
@@ -165,9 +185,8 @@
                 return None;
             }
         };
-        let reads = fwd_to!([cx], read() as (platform::Read));
-        let (channel, guard) = Channel::new(cx, reads);
-        let spread = Spread::open(now, &node, log.clone(), metrics.clone(), &channel);
+        let reads = fwd_to!([cx], read() as (reader::Read));
+        let spread = Spread::open(cx, now, (&node, role), log.clone(), metrics.clone(), &reads);
         let mut mesh = Self {
             role,
             incarnation,
@@ -179,10 +198,9 @@
             peers: HashMap::new(),
             next_peer: 0,
             endpoints: BTreeMap::new(),
-            wanted: BTreeMap::new(),
+            wanted: Vec::new(),
             spread,
             ticks: 0,
-            _guard: guard,
             node,
         };
         mesh.pulse(cx);
@@ -191,9 +209,13 @@
     }
 
     /// Says which processes the owner wants connections to.
-    pub fn want(&mut self, cx: CX![], names: Vec<String>) {
-        self.wanted = names.into_iter().map(|it| (it, ())).collect();
-        self.place(cx);
+    pub fn want(&mut self, cx: CX![], mut wanted: Vec<Wanted>) {
+        wanted.sort();
+        wanted.dedup();
+        if wanted != self.wanted {
+            self.wanted = wanted;
+            self.place(cx);
+        }
     }
 
     /// Sends a message on a connection, if it is still there.
@@ -248,7 +270,7 @@
         let spread = known.is_some_and(|it| it.spread);
         let hello = Body::Hello(wire::Hello {
             name: self.node.name.clone(),
-            role: role_name(self.role).to_owned(),
+            role: self.role.name().to_owned(),
             hall: self.node.hall.clone(),
             incarnation: self.incarnation.0,
             spread,
@@ -291,7 +313,8 @@
         let Some(peer) = self.peers.get_mut(&key) else {
             return;
         };
-        let named = |it: &String| self.endpoints.get(it).is_some_and(|it| it.named);
+        let named =
+            |it: &String| self.endpoints.get(it).is_some_and(|it| it.found == Found::Listed);
         let expected = peer.endpoint.as_ref().filter(|it| named(it));
         if expected.is_some_and(|name| *name != it.name) {
             // The address now belongs to another process.
@@ -306,13 +329,26 @@
             name: it.name,
             role: it.role,
             incarnation: Incarnation(it.incarnation),
-            dialled: peer.endpoint.is_some(),
+            dialled: peer.endpoint.clone(),
         };
         peer.spread |= it.spread;
         peer.introduction = Some(introduction.clone());
         call!([peer.link], send(digest));
         self.owner.fwd(Event::Up(key, introduction));
         self.count_links();
+        self.meet();
+    }
+
+    /// Tells which entries are connected, for the share of each in common duties.
+    fn meet(&mut self) {
+        let entry = Role::Entry.name();
+        let known = self.peers.values().filter_map(|it| it.introduction.as_ref());
+        let mut names: Vec<String> =
+            known.filter(|it| it.role == entry).map(|it| it.name.clone()).collect();
+        names.sort();
+        names.dedup();
+        self.owner.fwd(Event::Entries(names.clone()));
+        self.spread.meet(names);
     }
 
     pub(crate) fn closed(&mut self, _cx: CX![], key: PeerKey) {
@@ -329,6 +365,7 @@
             self.owner.fwd(Event::Down(key));
         }
         self.count_links();
+        self.meet();
     }
 
     fn count_links(&self) {
@@ -378,7 +415,7 @@
         }
     }
 
-    fn read(&mut self, cx: CX![], read: platform::Read) {
+    fn read(&mut self, cx: CX![], read: reader::Read) {
         let changed = self.spread.read(clock::now(), read);
         self.changed(cx, changed);
     }
@@ -412,7 +449,6 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = clock::now();
-        self.spread.tick(now);
         self.ticks += 1;
         let all = self.ticks.is_multiple_of(RARE);
         self.tell(|it| it.spread || all);
@@ -436,13 +472,6 @@
     }
 }
 
-fn role_name(role: Role) -> &'static str {
-    match role {
-        Role::Entry => "entry",
-        Role::Agent => "agent",
-    }
-}
-
 /// Listens for other processes.
 pub fn listen(addr: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(addr).context(ListenSnafu { addr })
--- a/crates/sablepass-edge/src/settings.rs
+++ b/crates/sablepass-edge/src/settings.rs
@@ -3,13 +3,15 @@
 
 //! Reading settings files, and the settings that programs share.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 
+use crate::reader::Form;
+
 /// Why settings cannot be used.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -83,10 +85,10 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "kebab-case")]
 pub enum LogFormat {
-    /// JSON lines on standard error.
+    /// JSON lines on standard output.
     #[default]
     Json,
-    /// Plain text on standard error.
+    /// Plain text on standard output.
     Terminal,
 }
 
@@ -102,15 +104,18 @@
     pub listen: SocketAddr,
     /// Where metrics, health and status are served.
     pub admin: SocketAddr,
-    /// Base URL of the platform's configuration service.
+    /// Base URL of the platform's configuration service, by IP address.
     pub platform: String,
+    /// How the platform's services are read.
+    #[serde(default)]
+    pub form: Form,
     /// Base URL of the platform's instance list; the same service by default.
     #[serde(default)]
     pub instances: Option<String>,
     /// Addresses of processes to ask when the instance list does not answer.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
-    /// Milliseconds between two reads of the instance list by a reader. Default 5,000.
+    /// Least milliseconds between two reads of the instance list by a reader. Default 5,000.
     #[serde(default = "default_list_every")]
     pub list_every: u64,
     /// Milliseconds between two digests on a connection. Default 1,000.
@@ -125,6 +130,13 @@
     /// Format of logs.
     #[serde(default)]
     pub log: LogFormat,
+    /// Log lines a second at most, some seconds' worth at once. Default 500.
+    #[serde(default = "default_log_rate")]
+    pub log_rate: u32,
+}
+
+fn default_log_rate() -> u32 {
+    500
 }
 
 fn default_list_every() -> u64 {
@@ -144,11 +156,21 @@
 }
 
 impl Node {
-    /// Base URL of the instance list.
-    pub fn instances_url(&self) -> &str {
+    fn instances_url(&self) -> &str {
         self.instances.as_deref().unwrap_or(&self.platform)
     }
 
+    /// Address of the platform's configuration service. Checked when the
+    /// settings were opened.
+    pub fn platform_addr(&self) -> SocketAddr {
+        parse_url(&self.platform).unwrap_or(NOWHERE)
+    }
+
+    /// Address of the instance list.
+    pub fn instances_addr(&self) -> SocketAddr {
+        parse_url(self.instances_url()).unwrap_or(NOWHERE)
+    }
+
     /// Refuses values outside their ranges.
     pub fn check(&self, checker: &Checker<'_>) -> Result<(), Error> {
         checker.fits("node.name", &self.name, !self.name.is_empty(), "a unique name")?;
@@ -162,14 +184,25 @@
         for (key, value) in spans {
             checker.fits(key, value, (20..=600_000).contains(&value), "20 to 600000")?;
         }
-        let fits = |it: &str| it.starts_with("http://");
+        let rate = self.log_rate;
+        checker.fits("node.log_rate", rate, (1..=100_000).contains(&rate), "1 to 100000")?;
+        let fits = parse_url(&self.platform).is_some();
         checker.fits(
             "node.platform",
             &self.platform,
-            fits(&self.platform),
-            "a URL with http://",
+            fits,
+            "http:// with an IP address and port",
         )?;
         let url = self.instances_url();
-        checker.fits("node.instances", url, fits(url), "a URL with http://")
+        let fits = parse_url(url).is_some();
+        checker.fits("node.instances", url, fits, "http:// with an IP address and port")
     }
 }
+
+/// An address on which nothing listens.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// The address in a URL of the form `http://IP:PORT`, with or without a slash behind.
+pub fn parse_url(url: &str) -> Option<SocketAddr> {
+    url.strip_prefix("http://")?.trim_end_matches('/').parse().ok()
+}
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -4,26 +4,31 @@
 //! What a process holds of the platform's two services, and when it reads
 //! them itself.
 //!
-//! Both the declarations and the instance list spread alike: a few readers a
-//! hall read, everybody else pulls from peers that hold more. A process
-//! without a single instance known reads the list itself, once.
+//! Both the declarations and the instance list spread alike: a few readers
+//! read, everybody else pulls from peers that hold more. Where the platform
+//! lists our own processes, the readers are a few of each hall. Where it does
+//! not, entries find each other through seeds: each watches the declarations,
+//! and a few of them the list, whose changes are many.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use sablepass_core::catalogue::Catalogue;
-use sablepass_core::config::{self, Compare, Delta, Digest, Document, Store, What};
+use sablepass_core::config::{self, Check, Compare, Delta, Digest, Document, Store, What};
+use sablepass_core::declaration;
 use sablepass_core::id::Millis;
 use sablepass_core::reason::Ignored;
 use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
 use slog::Logger;
-use stakker::sync::Channel;
+use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
 
-use crate::platform::{self, Instance, Order, Reader};
+use crate::instance::{Instance, Role};
+use crate::reader::{self, Batch, Form, Order, Read, Reader};
 use crate::settings::Node;
 use crate::telemetry::Metrics;
 
@@ -31,70 +36,114 @@
 const DELTA_SIZE: usize = 512 * 1024;
 /// Time beyond its wait after which an outstanding watch no longer counts as good.
 const WATCH_GRACE: Millis = 2_000;
+/// First wait before a failed read is made again. Doubles up to [`RETRY_LAST`].
+const RETRY_FIRST: Millis = 100;
+/// Longest wait before a failed read is made again: an outage ends unseen for that long.
+const RETRY_LAST: Millis = 800;
+/// Least time between two reads of declarations, so that a burst of changes
+/// does not become a burst of calls.
+const WATCH_PACE: Millis = 50;
 
 /// One service and its reader.
 struct Source {
     store: Store,
-    reader: Reader,
+    reader: ActorOwn<Reader>,
     /// When the call that is under way was ordered.
     ordered: Option<Millis>,
     /// Whether the last call succeeded and was not stale.
     good: bool,
-    /// When the next call is due, for a service that is polled.
+    /// Calls that failed in a row.
+    failures: u32,
+    /// Everything has to be read, not only what changed.
+    whole: bool,
+    /// When the next call is due.
     next: Millis,
 }
 
 impl Source {
-    fn open(what: What, base: &str, metrics: Arc<Metrics>, to: &Channel<platform::Read>) -> Self {
-        let reader = platform::spawn(what, base, metrics, to.clone());
-        Self { store: Store::open(what), reader, ordered: None, good: false, next: 0 }
+    fn open(store: Store, reader: ActorOwn<Reader>, whole: bool) -> Self {
+        Self { store, reader, ordered: None, good: false, failures: 0, whole, next: 0 }
     }
 
     fn order(&mut self, now: Millis, wait: Duration) {
         self.ordered = Some(now);
-        self.reader.order(Order { after: self.store.revision(), wait });
+        let wait = if self.whole { Duration::ZERO } else { wait };
+        let order = Order { after: self.store.revision(), wait, whole: self.whole };
+        call!([self.reader], order(order));
+    }
+
+    /// When a failed call is made again. Spread, so that processes which
+    /// failed together do not come back together.
+    fn retry_at(&mut self, now: Millis) -> Millis {
+        self.failures += 1;
+        let wait = (RETRY_FIRST << (self.failures - 1).min(8)).min(RETRY_LAST);
+        now + wait + rand::random_range(0..=wait / 2)
     }
 }
 
 /// What is held.
 pub struct Spread {
     node: Node,
+    role: Role,
     log: Logger,
     metrics: Arc<Metrics>,
     declarations: Source,
     list: Source,
     /// The list as parsed. Lines that do not parse are left out.
     instances: Rc<BTreeMap<String, Instance>>,
+    /// Entries that this process is connected to.
+    entries: Vec<String>,
     started: Millis,
-    /// When the configuration service last answered anybody.
+    /// When the service that readers share the reading of last answered anybody.
     fresh: Millis,
 }
 
 impl Spread {
-    /// Opens empty stores and their readers, whose reads go to the channel.
+    /// Opens empty stores and their readers, whose reads go to `to`.
     pub fn open(
+        core: &mut Core,
         now: Millis,
-        node: &Node,
+        (node, role): (&Node, Role),
         log: Logger,
         metrics: Arc<Metrics>,
-        to: &Channel<platform::Read>,
+        to: &Fwd<Read>,
     ) -> Self {
-        let base = &node.platform;
-        let declarations = Source::open(What::Declarations, base, metrics.clone(), to);
-        let base = node.instances_url();
-        let list = Source::open(What::Instances, base, metrics.clone(), to);
+        let form = node.form;
+        let check: Check = match form {
+            Form::Changes => declaration::check,
+            Form::Keys => sablepass_platform::config::check,
+        };
+        let mut source = |what, addr: SocketAddr| {
+            let reader = actor_new!(core, Reader, ret_nop!());
+            call!([reader], Reader::init(what, form, addr, metrics.clone(), to.clone()));
+            Source::open(Store::open_with(what, check), reader, form == Form::Keys)
+        };
+        let declarations = source(What::Declarations, node.platform_addr());
+        let list = source(What::Instances, node.instances_addr());
         Self {
             node: node.clone(),
+            role,
             log,
             metrics,
             declarations,
             list,
             instances: Rc::default(),
+            entries: Vec::new(),
             started: now,
             fresh: 0,
         }
     }
 
+    /// Says which entries this process is connected to.
+    pub fn meet(&mut self, entries: Vec<String>) {
+        self.entries = entries;
+    }
+
+    /// Whether the instance list names entries, so that they are found there.
+    pub fn lists_entries(&self) -> bool {
+        self.instances.values().any(|it| it.role == Role::Entry)
+    }
+
     fn source(&mut self, what: What) -> &mut Source {
         match what {
             What::Declarations => &mut self.declarations,
@@ -107,8 +156,8 @@
         self.declarations.store.revision()
     }
 
-    /// Time since the configuration service last answered anybody, as far as
-    /// this process can have heard of it.
+    /// Time since the service that readers share the reading of last answered
+    /// anybody, as far as this process can have heard of it.
     pub fn age(&self, now: Millis) -> Millis {
         now.saturating_sub(self.fresh.max(self.started))
     }
@@ -192,8 +241,11 @@
 
     /// Takes a delta in. Returns what changed.
     pub fn merge(&mut self, what: What, it: Delta) -> Option<What> {
+        // A revision that brings no document is known to peers by the next digest.
+        let empty = it.documents.is_empty();
         match self.source(what).store.merge(it) {
             Ok(false) => None,
+            Ok(true) if empty => None,
             Ok(true) => {
                 self.note(what);
                 Some(what)
@@ -216,79 +268,169 @@
 
     // The platform.
 
+    /// The service of which the readers share the reading.
+    fn shared(&self) -> What {
+        match self.node.form {
+            Form::Changes => What::Declarations,
+            Form::Keys => What::Instances,
+        }
+    }
+
     /// Takes a read in. Returns what changed.
-    pub fn read(&mut self, now: Millis, read: platform::Read) -> Option<What> {
+    pub fn read(&mut self, now: Millis, read: Read) -> Option<What> {
         let what = read.what;
-        self.source(what).ordered = None;
-        let delta = match read.result {
+        let ordered = self.source(what).ordered.take().unwrap_or(now);
+        let batch = match read.result {
             Ok(it) => it,
             Err(e) => {
-                slog::debug!(self.log, "read failed"; "error" => %e);
-                self.judge(what, false);
+                self.failed(now, what, &e);
                 return None;
             }
         };
-        let stale = delta.revision < self.source(what).store.revision();
-        self.judge(what, !stale);
+        for e in &batch.problems {
+            slog::warn!(self.log, "item not decoded"; "what" => ?what, "error" => %e);
+            self.metrics.ignored(Ignored::BadDocument);
+        }
+        let stale = batch.delta.revision < self.source(what).store.revision();
+        self.judge(what, !stale, "stale");
+        let pace = self.pace(what);
+        let source = self.source(what);
+        source.failures = 0;
+        source.next = now.max(ordered + pace);
         if stale {
             self.metrics.ignored(Ignored::OldRevision);
             return None;
         }
+        let delta = self.trim(what, batch);
         let changed = self.merge(what, delta);
-        if what == What::Declarations {
+        if what == self.shared() {
             self.fresh = now;
-            if changed.is_some() && self.on_duty(now) {
-                // More may have changed meanwhile: watch on at once.
-                self.watch(now);
-            }
+        }
+        if changed.is_some() {
+            // More may have changed meanwhile.
+            self.tick(now);
         }
         changed
     }
 
+    fn failed(&mut self, now: Millis, what: What, e: &reader::Error) {
+        let source = self.source(what);
+        if let reader::Error::History { .. } = e {
+            source.whole = true;
+            source.next = now;
+            slog::info!(self.log, "platform history gone"; "what" => ?what, "error" => %e);
+            return;
+        }
+        let next = source.retry_at(now);
+        source.next = next;
+        slog::debug!(self.log, "read failed"; "what" => ?what, "error" => %e);
+        self.judge(what, false, &e.to_string());
+    }
+
+    /// Leaves out what says the same as before, and adds removals to a whole read.
+    fn trim(&mut self, what: What, batch: Batch) -> Delta {
+        let Batch { whole, mut delta, .. } = batch;
+        let source = self.source(what);
+        if whole {
+            source.whole = false;
+            source.store.complete(&mut delta);
+        }
+        if what == What::Instances {
+            let same = |it: &Document| {
+                let held = source.store.get(&it.key);
+                held.is_some_and(|held| {
+                    held.removed == it.removed && held.newest.body == it.newest.body
+                })
+            };
+            delta.documents.retain(|it| !same(it));
+        }
+        delta
+    }
+
+    /// Least time between two calls.
+    fn pace(&self, what: What) -> Millis {
+        match (self.node.form, what) {
+            (_, What::Declarations) => WATCH_PACE,
+            (_, What::Instances) => self.node.list_every,
+        }
+    }
+
     /// Records whether a service is good; a line only when that changes.
-    fn judge(&mut self, what: What, good: bool) {
-        if self.source(what).good != good {
-            slog::info!(self.log, "platform service"; "what" => ?what, "good" => good);
+    fn judge(&mut self, what: What, good: bool, why: &str) {
+        let before = std::mem::replace(&mut self.source(what).good, good);
+        match (before, good) {
+            (false, true) => slog::info!(self.log, "platform regained"; "what" => ?what),
+            (true, false) => slog::warn!(self.log, "platform lost"; "what" => ?what, "why" => why),
+            _ => {}
         }
-        self.source(what).good = good;
     }
 
     /// Orders the reads that are due.
     pub fn tick(&mut self, now: Millis) {
         let limit = self.node.watch + WATCH_GRACE;
-        let waiting = self.declarations.ordered.is_some_and(|at| now < at + limit);
-        if waiting && self.declarations.good {
+        let shared = self.shared();
+        let source = self.source(shared);
+        let waiting = source.ordered.is_some_and(|at| now < at + limit);
+        if waiting && source.good && shared == What::Declarations {
             self.fresh = now;
         }
-        let on_duty = self.on_duty(now);
-        let alone = self.instances.is_empty();
-        if on_duty && self.declarations.ordered.is_none() {
-            self.watch(now);
-        }
-        let list = &mut self.list;
-        let due = list.ordered.is_none() && now >= list.next;
-        if due && (on_duty || alone) {
-            list.next = now + self.node.list_every;
-            list.order(now, Duration::ZERO);
+        for what in [What::Declarations, What::Instances] {
+            let source = self.source(what);
+            let due = source.ordered.is_none() && now >= source.next;
+            if due && self.on_duty(now, what) {
+                let wait = self.wait(what);
+                self.source(what).order(now, wait);
+            }
         }
     }
 
-    fn watch(&mut self, now: Millis) {
-        let source = &mut self.declarations;
-        // Until a first read succeeded, do not wait: an empty service would hold the call.
-        let wait = if source.good { self.node.watch } else { 0 };
-        source.order(now, Duration::from_millis(wait));
+    /// How long a call may wait for a change. Until a first one succeeded it
+    /// does not wait: an empty service would hold it. The list of the own
+    /// form is not watched.
+    fn wait(&mut self, what: What) -> Duration {
+        let watched = self.node.form == Form::Keys || what == What::Declarations;
+        let watch = self.node.watch;
+        let wait = if watched && self.source(what).good { watch } else { 0 };
+        Duration::from_millis(wait)
     }
 
-    fn on_duty(&self, now: Millis) -> bool {
-        let hall = &self.node.hall;
+    fn on_duty(&self, now: Millis, what: What) -> bool {
+        match (self.node.form, self.role, what) {
+            (Form::Changes, _, What::Declarations) => self.ranks_as_reader(now),
+            (Form::Changes, _, What::Instances) => {
+                self.instances.is_empty() || self.ranks_as_reader(now)
+            }
+            (Form::Keys, Role::Entry, What::Declarations) => true,
+            (Form::Keys, Role::Entry, What::Instances) => {
+                self.instances.is_empty() || self.ranks_as_reader(now)
+            }
+            // Agents are many; what they need they get from entries.
+            (Form::Keys, Role::Agent | Role::Target, _) => false,
+        }
+    }
+
+    fn ranks_as_reader(&self, now: Millis) -> bool {
+        let me = self.node.name.as_str();
         let patience = self.node.patience;
         let options = config::DutyOptions { patience, ..config::DutyOptions::default() };
-        let near = self.instances.iter().filter(|(_, it)| it.hall == *hall && !it.leaving);
-        let mut names: Vec<&str> = near.map(|(name, _)| name.as_str()).collect();
+        let hall = match self.node.form {
+            Form::Changes => self.node.hall.as_str(),
+            // A few of all entries together.
+            Form::Keys => "",
+        };
+        let mut names: Vec<&str> = match self.node.form {
+            Form::Changes => {
+                let near = self.instances.iter().filter(|it| it.1.hall == hall && !it.1.leaving);
+                near.map(|(name, _)| name.as_str()).collect()
+            }
+            Form::Keys => {
+                let others = self.entries.iter().map(String::as_str);
+                others.chain(std::iter::once(me)).collect()
+            }
+        };
         if names.is_empty() {
-            names.push(&self.node.name);
+            names.push(me);
         }
-        config::on_duty(options, &self.node.name, hall, &names, self.age(now))
+        config::on_duty(options, me, hall, &names, self.age(now))
     }
 }
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -1,20 +1,15 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! Logs and metrics of a process.
-
-use std::sync::Mutex;
+//! Metrics of a process.
 
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
     Opts, Registry, TextEncoder,
 };
 use sablepass_core::reason::{Ignored, Refusal, Retry};
-use slog::Drain;
 use snafu::{ResultExt, Snafu};
 
-use crate::settings::LogFormat;
-
 /// Why telemetry could not be set up.
 #[derive(Debug, Snafu)]
 #[snafu(display("metrics: {source}"))]
@@ -22,23 +17,6 @@
     source: prometheus::Error,
 }
 
-/// Opens the log of a process on standard error.
-pub fn logger(format: LogFormat, name: &str) -> slog::Logger {
-    let root = match format {
-        LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr());
-            let drain = Mutex::new(drain).map(slog::Fuse);
-            slog::Logger::root(slog_async::Async::new(drain).build().fuse(), slog::o!())
-        }
-        LogFormat::Terminal => {
-            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
-            let drain = slog_term::FullFormat::new(decorator).build().fuse();
-            slog::Logger::root(slog_async::Async::new(drain).build().fuse(), slog::o!())
-        }
-    };
-    root.new(slog::o!("process" => name.to_owned()))
-}
-
 /// All metrics of a process.
 #[derive(Debug)]
 pub struct Metrics {
--- a/crates/sablepass-entry/src/answers.rs
+++ b/crates/sablepass-entry/src/answers.rs
@@ -3,8 +3,6 @@
 
 //! What a router answers to operators: readiness, status, a request's story.
 
-use std::sync::mpsc;
-
 use sablepass_edge::admin::{self, Ask};
 use sablepass_edge::clock;
 use stakker::{CX, call, ret_some_do};
@@ -26,8 +24,7 @@
                 return;
             }
         };
-        // The asking thread gives up after a while.
-        let _ = query.reply.send(reply);
+        query.reply.send(reply);
     }
 
     fn ready(&self) -> admin::Reply {
@@ -37,7 +34,7 @@
         admin::Reply { status: if ready { 200 } else { 503 }, json }
     }
 
-    fn status(&self, reply: mpsc::Sender<admin::Reply>) {
+    fn status(&self, reply: admin::Asker) {
         let now = clock::now();
         let members = self.targets.members();
         let targets: Vec<serde_json::Value> = members
@@ -51,12 +48,14 @@
             })
             .collect();
         let requests = self.open.len();
+        let connections = self.pool.len();
         let ret = ret_some_do!(move |mesh: serde_json::Value| {
             let mut status = mesh;
             status["role"] = "entry".into();
+            status["connections"] = connections.into();
             status["requests"] = requests.into();
             status["targets"] = targets.into();
-            let _ = reply.send(admin::Reply::ok(&status));
+            reply.send(admin::Reply::ok(&status));
         });
         call!([self.mesh], status(ret));
     }
--- /dev/null
+++ b/crates/sablepass-entry/src/direct.rs
@@ -0,0 +1,189 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! The router towards targets that take requests straight: what it sends, and
+//! what their answers prove.
+
+use std::net::SocketAddr;
+
+use sablepass_core::flight::{Event, Head};
+use sablepass_core::id::{AttemptId, Millis, RequestId};
+use sablepass_core::outcome::{Failure, Ran};
+use sablepass_core::reason::Refusal;
+use sablepass_edge::client::{self, Outgoing};
+use sablepass_edge::clock;
+use sablepass_platform::answer::{self, Proof};
+use sablepass_platform::request;
+use stakker::CX;
+
+use crate::pool::{Carried, ConnectionKey};
+use crate::router::{Open, Router};
+
+/// How long a target is left alone that refused a connection.
+const REST_AWAY: Millis = 400;
+/// How long a target is left alone that was full: about one pass of its work.
+const REST_FULL: Millis = 40;
+/// How long a target is left alone whose address another one has: longer than
+/// the instance list takes to say so.
+const REST_MISDIRECTED: Millis = 5_000;
+
+impl Router {
+    /// Sends an attempt straight to a target.
+    pub(crate) fn send_direct(
+        &mut self,
+        cx: CX![],
+        now: Millis,
+        attempt: AttemptId,
+        target: &str,
+        addr: SocketAddr,
+    ) {
+        let Some(open) = self.open.get_mut(&attempt.request) else { return };
+        let head = match direct_head(now, open, target) {
+            Ok(it) => it,
+            Err(e) => {
+                slog::warn!(self.log, "request cannot be passed on"; "id" => &open.run.label,
+                    "error" => %e);
+                self.event(cx, attempt.request, 0, Event::Refused(Refusal::BadHeader));
+                return;
+            }
+        };
+        let fresh = open.flight.request().unsafe_repeat;
+        let key = self.pool.take(cx, target, addr, fresh);
+        let carried = Carried { request: attempt.request, attempt: attempt.number, offset: 0 };
+        let body = open.run.body.clone();
+        let outgoing = Outgoing { head, body, echo: Some(request::REQUEST_ID) };
+        open.connection = Some(key);
+        self.pool.send(key, carried, outgoing);
+    }
+
+    /// Takes an event of a connection to a target.
+    pub fn direct_event(&mut self, cx: CX![], (key, event): (ConnectionKey, client::Event)) {
+        match event {
+            client::Event::Head(head) => self.direct_answer(cx, key, &head),
+            client::Event::Bytes(data) => {
+                let Some(carried) = self.pool.carried(key) else { return };
+                let offset = carried.offset;
+                carried.offset += data.len() as u64;
+                let (id, attempt) = (carried.request, carried.attempt);
+                self.event(cx, id, attempt, Event::Chunk { offset, data });
+            }
+            client::Event::End { reusable, rest } => {
+                let carried = self.pool.carried(key).copied();
+                if reusable {
+                    self.pool.rest(clock::now(), key, rest);
+                } else {
+                    self.pool.close(key);
+                }
+                if let Some(it) = carried {
+                    self.left(it.request, key);
+                    let done = Event::Done { length: it.offset };
+                    self.event(cx, it.request, it.attempt, done);
+                }
+            }
+            client::Event::Closed { cause, sent } => self.direct_closed(cx, key, &cause, sent),
+        }
+    }
+
+    fn left(&mut self, id: RequestId, key: ConnectionKey) {
+        if let Some(open) = self.open.get_mut(&id)
+            && open.connection == Some(key)
+        {
+            open.connection = None;
+        }
+    }
+
+    fn direct_answer(&mut self, cx: CX![], key: ConnectionKey, head: &http::Response<()>) {
+        let Some(carried) = self.pool.carried(key).copied() else { return };
+        let meta = answer::decode(head);
+        let target = self.pool.target(key).unwrap_or_default().to_owned();
+        if let Some(load) = meta.load {
+            self.targets.told(&target, load.running + load.waiting);
+        }
+        let status = head.status().as_u16();
+        let now = clock::now();
+        // Statuses that promise that nothing ran need the target's own word for it.
+        let unproven = matches!(status, 408 | 429 | 503);
+        let event = match meta.proof {
+            Proof::NotRun => {
+                self.targets.rest(&target, now + REST_FULL);
+                Event::Refused(Refusal::TargetFull)
+            }
+            Proof::Misdirected => {
+                self.targets.rest(&target, now + REST_MISDIRECTED);
+                Event::Refused(Refusal::Misdirected)
+            }
+            Proof::None if unproven => failed(Refusal::EngineBroke),
+            Proof::None if meta.encoded || (head.status().is_success() && !meta.signed) => {
+                failed(Refusal::WrongAnswer)
+            }
+            Proof::None => {
+                let fields = answer::forward(head.headers());
+                let head = Head { status: status.into(), fields, replayed: false };
+                self.event(cx, carried.request, carried.attempt, Event::Head(head));
+                return;
+            }
+        };
+        self.left(carried.request, key);
+        match &event {
+            // The rest of the answer is read, and the connection used again.
+            Event::Refused(_) => self.pool.forget(key),
+            _ => self.pool.close(key),
+        }
+        self.event(cx, carried.request, carried.attempt, event);
+    }
+
+    fn direct_closed(&mut self, cx: CX![], key: ConnectionKey, cause: &client::Cause, sent: bool) {
+        let carried = self.pool.carried(key).copied();
+        let target = self.pool.target(key).unwrap_or_default().to_owned();
+        self.pool.close(key);
+        let Some(carried) = carried else { return };
+        self.left(carried.request, key);
+        if let Some(open) = self.open.get(&carried.request) {
+            slog::info!(self.log, "target broke off"; "id" => &open.run.label, "target" => &target,
+                "attempt" => carried.attempt, "sent" => sent, "bytes" => carried.offset,
+                "cause" => %cause);
+        }
+        let event = if sent {
+            failed(Refusal::EngineBroke)
+        } else {
+            self.targets.rest(&target, clock::now() + REST_AWAY);
+            Event::Refused(Refusal::EngineAway)
+        };
+        self.event(cx, carried.request, carried.attempt, event);
+    }
+
+    /// Closes the connection of an attempt that nobody wants, so that the
+    /// target drops it.
+    pub(crate) fn cancel_direct(&mut self, id: RequestId) -> bool {
+        let connection = self.open.get_mut(&id).and_then(|it| it.connection.take());
+        let Some(key) = connection else { return false };
+        self.pool.close(key);
+        true
+    }
+}
+
+/// It may have run: nothing proves the contrary.
+fn failed(reason: Refusal) -> Event {
+    Event::Failed(Failure { reason, ran: Ran::Unknown })
+}
+
+fn direct_head(
+    now: Millis,
+    open: &Open,
+    target: &str,
+) -> sablepass_platform::Result<http::Request<()>> {
+    let run = &open.run;
+    let attempt = request::Attempt {
+        customer: open.told.as_deref(),
+        left: open.flight.request().deadline.saturating_sub(now).max(1),
+        replica: target,
+        after: open.flight.last_event(),
+        length: run.body.len(),
+        body: request::has_body(&run.head),
+    };
+    let mut head = http::Request::new(());
+    *head.method_mut() = run.head.method().clone();
+    *head.uri_mut() = run.head.uri().clone();
+    *head.headers_mut() = request::forward(run.head.headers(), &attempt)?;
+    Ok(head)
+}
--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -1,52 +1,70 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! The entry instance: callers' HTTP on one side, agents on the other.
+//! The entry instance: callers' HTTP on one side, targets on the other.
 //!
-//! A request's path: [`front`] takes it from the caller and asks the
-//! [`router`], which admits it, chooses a target and sends it to that
-//! target's agent. Answers come back the same way.
+//! A request's path: the server of `sablepass-edge` takes it from the caller,
+//! a [`dialect`] reads it, and the [`router`] admits it, chooses a target and
+//! sends it there: to the target's agent, or straight over a connection of the
+//! [`pool`]. Answers come back the same way.
 
 mod answers;
+mod call;
 mod callers;
-mod exchange;
-mod front;
+mod dialect;
+mod direct;
+mod openai;
+mod pool;
 mod router;
+mod routes;
 mod settings;
 mod targets;
 mod trace;
 
 use std::process::ExitCode;
-use std::sync::Arc;
 
 use sablepass_edge::daemon::{self, Base};
-use sablepass_edge::platform::Role;
-use sablepass_edge::{admin, http, mesh, runtime};
-use stakker::sync::Channel;
+use sablepass_edge::instance::Role;
+use sablepass_edge::server::{Limits, Server};
+use sablepass_edge::{admin, mesh, runtime, server};
 use stakker::{actor_new, call, fwd_to, ret_shutdown};
 
 use crate::router::Router;
 
+/// Connections of callers beyond the admission limit that are still answered, with a refusal.
+const HEADROOM: usize = 64;
+
 fn main() -> ExitCode {
     daemon::main("sablepass-entry", "Takes callers' requests and routes them", run)
 }
 
 fn run(settings: settings::Settings) -> Result<(), daemon::Error> {
     let base = Base::open(&settings.node, Role::Entry)?;
-    let (server, callers) = http::bind(settings.http)?;
+    let listener = server::listen(settings.http)?;
+    let callers = listener.local_addr().unwrap_or(settings.http);
     runtime::run::<_, daemon::Error>(|s| {
         let actor = actor_new!(s, Router, ret_shutdown!(s));
-        let (calls, calls_guard) = Channel::new(s, fwd_to!([actor], call_in() as (front::Call)));
-        let (queries, queries_guard) = Channel::new(s, fwd_to!([actor], query() as (admin::Query)));
+        let queries = || fwd_to!([actor], query() as (admin::Query));
         let signals = runtime::stop_signals(s, fwd_to!([actor], stop() as (runtime::StopSignal)))?;
         let (log, metrics, peers) = (base.log.clone(), base.metrics.clone(), base.peers);
         let mesh = base.spawn_mesh(s, fwd_to!([actor], mesh_event() as (mesh::Event)));
-        let admin = admin::spawn(settings.node.admin, metrics.clone(), queries)?;
-        let options = front::Options::from(&settings);
-        let busy = Arc::default();
-        call!([actor], Router::init(settings, log, metrics.clone(), mesh, Arc::clone(&busy)));
-        front::spawn(server, options, metrics, calls, busy);
-        println!("{}", serde_json::json!({ "http": callers, "peers": peers, "admin": admin }));
-        Ok((actor, calls_guard, queries_guard, signals))
+        let (admin, operators) = admin::spawn(s, settings.node.admin, metrics.clone(), queries())?;
+        let ready = match settings.ready {
+            Some(addr) => Some(admin::spawn(s, addr, metrics.clone(), queries())?),
+            None => None,
+        };
+        let server = actor_new!(s, Server, ret_shutdown!(s));
+        let limits = Limits {
+            body: settings.body,
+            connections: settings.exchanges + HEADROOM,
+            ..Limits::default()
+        };
+        let events = fwd_to!([actor], server_event() as (server::Event));
+        call!([server], Server::init(listener, limits, events));
+        let addresses = serde_json::json!({ "http": callers, "peers": peers, "admin": admin });
+        println!("{addresses}");
+        slog::info!(log, "started"; "callers" => %callers, "peers" => %peers, "admin" => %admin);
+        call!([actor], Router::init(settings, log, metrics, mesh, server));
+        Ok((actor, signals, operators, ready))
     })
 }
--- /dev/null
+++ b/crates/sablepass-entry/src/pool.rs
@@ -0,0 +1,173 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! Connections to targets that take requests straight from this entry. Each
+//! carries one request at a time; one that rests is used again.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sablepass_core::id::{Millis, RequestId};
+use sablepass_edge::client::{self, Connection, Outgoing};
+use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
+
+/// How long a connection rests before it is closed, where its target does not
+/// say. Targets close resting connections after some seconds.
+const REST: Duration = Duration::from_secs(3);
+/// Time by which a connection is closed before its target would.
+const EARLY: Duration = Duration::from_millis(700);
+/// Connections that rest for one target.
+const RESTING: usize = 16;
+
+/// One connection, for as long as it lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ConnectionKey(u64);
+
+/// The request that a connection carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Carried {
+    /// The request.
+    pub request: RequestId,
+    /// Its attempt.
+    pub attempt: u32,
+    /// Bytes of the answer so far.
+    pub offset: u64,
+}
+
+struct Open {
+    connection: ActorOwn<Connection>,
+    target: String,
+    carried: Option<Carried>,
+    /// Requests carried so far.
+    used: u32,
+    /// When a connection that rests is closed.
+    until: Millis,
+}
+
+/// The connections of an entry.
+pub struct Pool {
+    open: HashMap<ConnectionKey, Open>,
+    resting: HashMap<String, Vec<ConnectionKey>>,
+    next: u64,
+    events: Fwd<(ConnectionKey, client::Event)>,
+}
+
+impl Pool {
+    /// Opens a pool without connections, whose events go to `events`.
+    pub fn open(events: Fwd<(ConnectionKey, client::Event)>) -> Self {
+        Self { open: HashMap::new(), resting: HashMap::new(), next: 0, events }
+    }
+
+    /// A resting connection to a target, or a new one. `fresh` asks for a new
+    /// one: a resting one may die just as it is used, and then nobody knows
+    /// whether the request ran.
+    pub fn take(
+        &mut self,
+        core: &mut Core,
+        target: &str,
+        addr: SocketAddr,
+        fresh: bool,
+    ) -> ConnectionKey {
+        let resting = if fresh { None } else { self.resting.get_mut(target).and_then(Vec::pop) };
+        resting.unwrap_or_else(|| self.connect(core, target, addr))
+    }
+
+    fn connect(&mut self, core: &mut Core, target: &str, addr: SocketAddr) -> ConnectionKey {
+        self.next += 1;
+        let key = ConnectionKey(self.next);
+        let events = self.events.clone();
+        let to = Fwd::new(move |it| events.fwd((key, it)));
+        let connection = actor_new!(core, Connection, ret_nop!());
+        let options = client::Options::default();
+        call!([connection], Connection::init(addr, options, to));
+        let target = target.to_owned();
+        let it = Open { connection, target, carried: None, used: 0, until: Millis::MAX };
+        self.open.insert(key, it);
+        key
+    }
+
+    /// Sends a request. True if the connection had carried one before.
+    pub fn send(&mut self, key: ConnectionKey, carried: Carried, it: Outgoing) -> bool {
+        let Some(open) = self.open.get_mut(&key) else { return false };
+        let used = open.used > 0;
+        open.carried = Some(carried);
+        open.used += 1;
+        open.until = Millis::MAX;
+        call!([open.connection], send(it));
+        used
+    }
+
+    /// Stops or goes on to read an answer.
+    pub fn pause(&self, key: ConnectionKey, paused: bool) {
+        if let Some(open) = self.open.get(&key) {
+            call!([open.connection], pause(paused));
+        }
+    }
+
+    /// What a connection carries.
+    pub fn carried(&mut self, key: ConnectionKey) -> Option<&mut Carried> {
+        self.open.get_mut(&key).and_then(|it| it.carried.as_mut())
+    }
+
+    /// The target at the other end.
+    pub fn target(&self, key: ConnectionKey) -> Option<&str> {
+        self.open.get(&key).map(|it| it.target.as_str())
+    }
+
+    /// Leaves the request that a connection carries; the rest of the answer is
+    /// read and dropped.
+    pub fn forget(&mut self, key: ConnectionKey) {
+        if let Some(open) = self.open.get_mut(&key) {
+            open.carried = None;
+        }
+    }
+
+    /// Takes a connection back whose answer is whole.
+    pub fn rest(&mut self, now: Millis, key: ConnectionKey, rest: Option<Duration>) {
+        let Some(open) = self.open.get_mut(&key) else { return };
+        open.carried = None;
+        let rest = rest.map_or(REST, |it| it.saturating_sub(EARLY));
+        open.until = now + rest.as_millis() as Millis;
+        let resting = self.resting.entry(open.target.clone()).or_default();
+        resting.push(key);
+        if resting.len() > RESTING {
+            let oldest = resting.remove(0);
+            self.open.remove(&oldest);
+        }
+    }
+
+    /// Closes a connection, which has its target drop what it carries.
+    pub fn close(&mut self, key: ConnectionKey) {
+        let Some(open) = self.open.remove(&key) else { return };
+        if let Some(resting) = self.resting.get_mut(&open.target) {
+            resting.retain(|it| *it != key);
+        }
+    }
+
+    /// Closes the resting connections of a target that is gone.
+    pub fn leave(&mut self, target: &str) {
+        for key in self.resting.remove(target).unwrap_or_default() {
+            self.open.remove(&key);
+        }
+    }
+
+    /// Closes what has rested for long enough.
+    pub fn tick(&mut self, now: Millis) {
+        let open = &mut self.open;
+        for resting in self.resting.values_mut() {
+            resting.retain(|key| {
+                let keep = open.get(key).is_some_and(|it| now < it.until);
+                if !keep {
+                    open.remove(key);
+                }
+                keep
+            });
+        }
+    }
+
+    /// Connections open now.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+}
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -5,8 +5,8 @@
 //! does what each request's state machine says.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -14,36 +14,50 @@
 use sablepass_core::admit::{Admission, Ticket};
 use sablepass_core::balance::Policy;
 use sablepass_core::budget::Budget;
+use sablepass_core::declaration::{Limits, Priority};
 use sablepass_core::flight::{Action, Event, Flight};
-use sablepass_core::id::{AttemptId, Millis, RequestId};
+use sablepass_core::id::{AttemptId, Incarnation, Millis, RequestId};
+use sablepass_core::outcome::Failure;
 use sablepass_core::reason::{Ignored, Refusal};
+use sablepass_core::route::Route;
+use sablepass_edge::client;
 use sablepass_edge::mesh::{self, Introduction, Mesh, PeerKey};
+use sablepass_edge::server::{self, ExchangeKey, Part, Server};
 use sablepass_edge::telemetry::Metrics;
 use sablepass_edge::{clock, runtime};
 use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
 use slog::Logger;
-use stakker::{ActorOwn, CX, after, call};
+use stakker::{ActorOwn, CX, after, call, fwd_to};
 
-use crate::front::{Reply, Run};
+use crate::call::Run;
+use crate::openai;
+use crate::pool::{ConnectionKey, Pool};
 use crate::settings::Settings;
-use crate::targets::{self, Choice, Served, Targets};
+use crate::targets::{self, Choice, Served, Targets, Via};
 use crate::trace::{Step, Traces};
 
 /// Time between two looks at deadlines and silence.
 const TICK: Duration = Duration::from_millis(25);
 /// How long a request waits for a connection to the owner of its key.
 const OWNER_WAIT: Millis = 2_000;
-/// How long a stopping entry waits for its last answers to be written.
-const STOP_GRACE: Millis = 15_000;
+/// How long a stopping entry stays after its last answer, so that it is read.
+const LINGER: Duration = Duration::from_millis(200);
 
 /// A request in progress.
 pub(crate) struct Open {
     pub(crate) flight: Flight,
     pub(crate) run: Run,
+    /// The customer's qualified name.
     pub(crate) customer: String,
+    /// The customer's name as targets are told it.
+    pub(crate) told: Option<String>,
+    pub(crate) priority: Priority,
     pub(crate) served: Served,
+    /// The route that it came by, as it was then.
+    pub(crate) route: Option<Rc<Route>>,
+    pub(crate) exchange: ExchangeKey,
     pub(crate) ticket: Ticket,
     /// The target that owns the request's key.
     pub(crate) owner: Option<String>,
@@ -51,23 +65,36 @@
     pub(crate) waiting: Option<Millis>,
     /// The target that counts this request as its own.
     pub(crate) counted: Option<String>,
+    /// The connection that carries it, if it goes straight to its target.
+    pub(crate) connection: Option<ConnectionKey>,
+    /// The caller's answer has begun.
+    pub(crate) begun: bool,
+    /// When the caller last got something.
+    pub(crate) spoke: Millis,
+    /// Revision of the configuration that it was admitted by.
+    pub(crate) revision: u64,
 }
 
 /// The actor.
 pub struct Router {
     pub(crate) settings: Settings,
-    log: Logger,
+    pub(crate) log: Logger,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) mesh: ActorOwn<Mesh>,
     pub(crate) targets: Targets,
     pub(crate) admission: Admission,
-    pub(crate) budget: Budget,
+    pub(crate) options: openai::Options,
+    /// A retry budget a service.
+    budgets: HashMap<Served, Budget>,
     pub(crate) open: HashMap<RequestId, Open>,
+    pub(crate) exchanges: HashMap<ExchangeKey, RequestId>,
+    pub(crate) pool: Pool,
     pub(crate) traces: Traces,
-    rng: StdRng,
-    /// Exchanges whose threads still run.
-    busy: Arc<AtomicUsize>,
+    pub(crate) rng: StdRng,
+    pub(crate) server: ActorOwn<Server>,
     pub(crate) stopping: Option<Millis>,
+    /// The last answer is written and the process about to end.
+    ending: bool,
 }
 
 impl Router {
@@ -78,7 +105,7 @@
         log: Logger,
         metrics: Arc<Metrics>,
         mesh: ActorOwn<Mesh>,
-        busy: Arc<AtomicUsize>,
+        server: ActorOwn<Server>,
     ) -> Option<Self> {
         let options = targets::Options {
             me: settings.node.name.clone(),
@@ -86,21 +113,26 @@
             subset: settings.subset,
             lead: settings.stop_lead,
             silence: settings.silence,
+            agent_port: settings.agent_port,
         };
         let policy = Policy::parse(&settings.policy).unwrap_or_default();
         let mut router = Self {
             targets: Targets::open(options, policy),
             admission: Admission::open(settings.admit()),
-            budget: Budget::open(settings.budget()),
+            options: openai::Options::from(&settings),
+            budgets: HashMap::new(),
             open: HashMap::new(),
-            traces: Traces::default(),
+            exchanges: HashMap::new(),
+            pool: Pool::open(fwd_to!([cx], direct_event() as ((ConnectionKey, client::Event)))),
+            traces: Traces::open(settings.stories),
             rng: StdRng::seed_from_u64(rand::random()),
             stopping: None,
+            ending: false,
             settings,
             log,
             metrics,
             mesh,
-            busy,
+            server,
         };
         router.tick(cx);
         Some(router)
@@ -134,7 +166,7 @@
         };
         open.waiting = None;
         match choice {
-            Some(choice) => self.send(now, id, &choice),
+            Some(choice) => self.send(cx, now, id, &choice),
             None => {
                 let keyed = open.owner.is_some();
                 let reason = if keyed { Refusal::OwnerAway } else { Refusal::NoTarget };
@@ -144,25 +176,45 @@
         }
     }
 
-    fn send(&mut self, now: Millis, id: RequestId, choice: &Choice) {
+    fn send(&mut self, cx: CX![], now: Millis, id: RequestId, choice: &Choice) {
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        let attempt = open.flight.send(now, &choice.name, choice.incarnation);
+        let incarnation = match choice.via {
+            Via::Agent(_, it) => it,
+            Via::Direct(_) => Incarnation(0),
+        };
+        let attempt = open.flight.send(now, &choice.name, incarnation);
         open.counted = Some(choice.name.clone());
         self.targets.sent(&choice.name);
         if attempt.number == 1 {
             let waited = now.saturating_sub(open.run.arrived) as f64 / 1_000.0;
             self.metrics.wait.observe(waited);
         }
+        slog::info!(self.log, "sent"; "id" => &open.run.label, "target" => &choice.name,
+            "attempt" => attempt.number, "load" => choice.load, "of" => choice.candidates,
+            "after" => open.flight.last_event(), "route" => route_name(open), "revision" => open.revision,
+            "left" => open.flight.request().deadline.saturating_sub(now));
         let step = Step::Sent {
             target: choice.name.clone(),
             load: choice.load,
             candidates: choice.candidates,
         };
         self.traces.add(now, id, step);
-        let body = dispatch_body(open, attempt, choice);
-        call!([self.mesh], send(choice.peer, body));
+        match choice.via {
+            Via::Agent(peer, incarnation) => {
+                let body = dispatch_body(open, attempt, incarnation);
+                call!([self.mesh], send(peer, body));
+            }
+            Via::Direct(addr) => self.send_direct(cx, now, attempt, &choice.name, addr),
+        }
+    }
+
+    /// The retry budget of a service.
+    pub(crate) fn budget(&mut self, served: &Served) -> &mut Budget {
+        let options = self.settings.budget(self.targets.entries());
+        let open = || Budget::open(options);
+        self.budgets.entry(served.clone()).or_insert_with(open)
     }
 
     // Events.
@@ -172,8 +224,9 @@
             self.metrics.ignored(Ignored::LateAnswer);
             return;
         };
-        let budget = &mut self.budget;
-        let actions = open.flight.on(clock::now(), number, event, &mut || budget.spend());
+        let mut budget = self.budgets.get_mut(&open.served);
+        let mut spend = || budget.as_mut().is_some_and(|it| it.spend());
+        let actions = open.flight.on(clock::now(), number, event, &mut spend);
         self.act(cx, id, actions);
     }
 
@@ -201,39 +254,73 @@
                 });
                 self.to_target(id, probe);
             }
-            Action::Cancel(attempt) => {
-                let cancel = Body::Cancel(wire::Cancel {
-                    request: convert::request_bytes(attempt.request),
-                    attempt: attempt.number,
-                });
-                self.to_target(id, cancel);
-            }
-            Action::Head { status, content_type, replayed } => {
+            Action::Cancel(attempt) => self.cancel(id, attempt),
+            Action::Head(head) => {
                 let took = now.saturating_sub(open.run.arrived) as f64 / 1_000.0;
                 self.metrics.first_byte.observe(took);
-                let _ = open.run.reply.send(Reply::Head { status, content_type, replayed });
+                open.begun = true;
+                open.spoke = now;
+                let stream = open.flight.request().stream;
+                self.settings.dialect.head(&open.run.reply, &open.run.label, head, stream);
             }
             Action::Deliver(bytes) => {
-                let _ = open.run.reply.send(Reply::Part(bytes));
+                let paused = now.saturating_sub(open.spoke) as f64 / 1_000.0;
+                self.metrics.between.observe(paused);
+                open.spoke = now;
+                open.run.reply.send(Part::Bytes(bytes));
             }
             Action::Finish => {
                 self.metrics.answered.inc();
-                let _ = open.run.reply.send(Reply::End);
+                open.run.reply.send(Part::End);
+                slog::info!(self.log, "answered"; "id" => &open.run.label,
+                    "target" => open.flight.target(), "attempts" => open.flight.attempt().number,
+                    "took" => now.saturating_sub(open.run.arrived));
                 self.traces.add(now, id, Step::Answered);
             }
-            Action::Fail(failure) => {
-                self.metrics.refused(failure.reason);
-                let _ = open.run.reply.send(Reply::Fail(failure));
-                self.traces.add(now, id, Step::Failed(failure));
-            }
+            Action::Fail(failure) => self.fail(now, id, failure),
             Action::CountRetry(reason) => {
                 self.metrics.retried(reason);
+                slog::warn!(self.log, "retried"; "id" => &open.run.label,
+                    "reason" => reason.label(), "target" => open.flight.target(),
+                    "attempt" => open.flight.attempt().number);
                 self.traces.add(now, id, Step::Retried(reason));
             }
             Action::CountIgnored(reason) => self.metrics.ignored(reason),
         }
     }
 
+    fn fail(&mut self, now: Millis, id: RequestId, failure: Failure) {
+        let Some(open) = self.open.get(&id) else { return };
+        self.metrics.refused(failure.reason);
+        slog::warn!(self.log, "failed"; "id" => &open.run.label,
+            "reason" => failure.reason.label(), "ran" => failure.ran.label(),
+            "target" => open.flight.target(), "attempts" => open.flight.attempt().number,
+            "begun" => open.begun, "took" => now.saturating_sub(open.run.arrived),
+            "customer" => &open.customer, "service" => &open.served.1,
+            "revision" => open.revision);
+        self.traces.add(now, id, Step::Failed(failure));
+        if failure.reason == Refusal::CallerGone {
+            return;
+        }
+        let (reply, label) = (&open.run.reply, &open.run.label);
+        if open.begun {
+            self.settings.dialect.break_off(reply, label, failure);
+        } else {
+            self.settings.dialect.fail(reply, label, failure);
+        }
+    }
+
+    fn cancel(&mut self, id: RequestId, attempt: AttemptId) {
+        if self.cancel_direct(id) {
+            return;
+        }
+        let cancel = Body::Cancel(wire::Cancel {
+            request: convert::request_bytes(attempt.request),
+            attempt: attempt.number,
+        });
+        self.to_target(id, cancel);
+    }
+
     fn to_target(&self, id: RequestId, body: Body) {
         let target = self.open.get(&id).and_then(|it| it.flight.target());
         if let Some(peer) = target.and_then(|it| self.targets.link(it)) {
@@ -246,6 +333,7 @@
             return;
         };
         self.admission.release(&open.ticket);
+        self.exchanges.remove(&open.exchange);
         if let Some(name) = open.counted {
             self.targets.ended(&name);
         }
@@ -261,23 +349,43 @@
             mesh::Event::Down(peer) => self.down(cx, peer),
             mesh::Event::Message(peer, body) => self.message(cx, peer, body),
             mesh::Event::Config(catalogue) => {
+                if let Some(it) = catalogue.limits {
+                    call!([self.server], limit(limits(it)));
+                }
                 self.targets.declare(catalogue);
                 self.want(cx);
             }
             mesh::Event::Instances(instances) => {
-                self.targets.list(&instances);
+                let gone = self.targets.list(clock::now(), &instances);
+                self.forget(&gone);
                 self.want(cx);
             }
+            mesh::Event::Entries(names) => {
+                self.targets.meet(names.len());
+                let entries = self.targets.entries();
+                let burst = self.settings.budget(entries).burst;
+                self.budgets.values_mut().for_each(|it| it.limit(burst));
+            }
+        }
+    }
+
+    fn forget(&mut self, targets: &[String]) {
+        for target in targets {
+            slog::info!(self.log, "target gone"; "target" => target);
+            self.pool.leave(target);
         }
     }
 
     fn want(&mut self, _cx: CX![]) {
-        let names = self.targets.wanted(clock::now());
-        call!([self.mesh], want(names));
+        let wanted = self.targets.wanted(clock::now());
+        call!([self.mesh], want(wanted));
     }
 
     fn up(&mut self, cx: CX![], peer: PeerKey, it: &Introduction) {
-        if !it.dialled || it.role != "agent" {
+        let Some(endpoint) = it.dialled.as_ref().filter(|_| it.role == "agent") else {
+            return;
+        };
+        if self.targets.beside(peer, endpoint) {
             return;
         }
         self.targets.up(clock::now(), peer, &it.name, it.incarnation);
@@ -303,6 +411,11 @@
     }
 
     fn message(&mut self, cx: CX![], peer: PeerKey, body: Body) {
+        if let Body::Report(it) = &body
+            && self.targets.heard_beside(clock::now(), peer, convert::report(it))
+        {
+            return;
+        }
         let Some(name) = self.targets.name(peer).map(str::to_owned) else {
             self.metrics.ignored(Ignored::BadFrame);
             return;
@@ -348,6 +461,9 @@
         for id in ids {
             self.tick_one(cx, id);
         }
+        self.pool.tick(now);
+        let gone = self.targets.lapse_due(now);
+        self.forget(&gone);
         self.check_stop(cx, now);
         after!(TICK, [cx], tick());
     }
@@ -373,38 +489,61 @@
         if self.stopping.is_none() {
             slog::info!(self.log, "stopping"; "requests" => self.open.len());
             self.stopping = Some(now);
+            call!([self.server], drain());
         }
         self.check_stop(cx, now);
     }
 
     fn check_stop(&mut self, cx: CX![], now: Millis) {
         let Some(since) = self.stopping else { return };
-        if !self.open.is_empty() {
+        let waits = now < since + self.settings.stop_wait;
+        if self.ending || waits || !self.open.is_empty() {
             return;
         }
-        let written = self.busy.load(Ordering::Relaxed) == 0;
-        if written || now >= since + STOP_GRACE {
-            slog::info!(self.log, "stopped");
+        self.ending = true;
+        call!([self.server], close());
+        after!(LINGER, [cx], |this, cx| {
+            slog::info!(this.log, "stopped");
             stakker::stop!(cx);
-        }
+        });
+    }
+}
+
+/// The declared limits of callers' connections.
+fn limits(it: Limits) -> server::Limits {
+    server::Limits {
+        head: it.head,
+        body: it.body,
+        head_time: Duration::from_millis(it.head_time),
+        idle_time: Duration::from_millis(it.idle_time),
+        ..server::Limits::default()
     }
 }
 
-fn dispatch_body(open: &Open, attempt: AttemptId, choice: &Choice) -> Body {
+fn dispatch_body(open: &Open, attempt: AttemptId, incarnation: Incarnation) -> Body {
     let run = &open.run;
     Body::Dispatch(wire::Dispatch {
         request: convert::request_bytes(attempt.request),
         attempt: attempt.number,
-        incarnation: choice.incarnation.0,
+        incarnation: incarnation.0,
         deadline: run.deadline,
         customer: open.customer.clone(),
-        priority: run.priority.unwrap_or_default() as u32,
+        priority: open.priority as u32,
         unsafe_repeat: run.unsafe_repeat,
         key: run.idempotency.clone().unwrap_or_default(),
         issued: run.issued.unwrap_or(0),
-        method: run.method.clone(),
+        method: run.head.method().to_string(),
         path: run.path.clone(),
-        content_type: run.content_type.clone(),
+        content_type: content_type(&run.head).to_owned(),
         body: run.body.clone().into(),
     })
 }
+
+fn route_name(open: &Open) -> Option<&str> {
+    open.route.as_ref().map(|it| it.name.as_str())
+}
+
+fn content_type(head: &http::Request<()>) -> &str {
+    let value = head.headers().get(http::header::CONTENT_TYPE);
+    value.and_then(|it| it.to_str().ok()).unwrap_or_default()
+}
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -10,6 +10,8 @@
 use sablepass_edge::settings::{self, Checker, Error};
 use serde::Deserialize;
 
+use crate::dialect::Dialect;
+
 /// The file.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -52,11 +54,46 @@
     /// Retries as a part of first attempts. Default 0.1.
     #[serde(default = "default_retry_ratio")]
     pub retry_ratio: f64,
+    /// Retries that all entries together may make at once beyond that, for
+    /// each service. Absent, every entry may make 20.
+    #[serde(default)]
+    pub retry_slack: Option<f64>,
     /// Characters of a prompt that count as its prefix. Default 256.
     #[serde(default = "default_prefix")]
     pub prefix: usize,
+    /// What callers speak. Default open-ai.
+    #[serde(default)]
+    pub dialect: Dialect,
+    /// Where a balancer asks whether this entry takes callers; on the admin
+    /// address as well.
+    #[serde(default)]
+    pub ready: Option<SocketAddr>,
+    /// Port of the agents beside targets that the instance list names, which
+    /// tell their load.
+    #[serde(default)]
+    pub agent_port: Option<u16>,
+    /// Milliseconds after a stop signal in which callers are still taken,
+    /// until a balancer has seen that this entry is not ready. Default 0.
+    #[serde(default)]
+    pub stop_wait: u64,
+    /// Requests whose stories are remembered. Default 10,000.
+    #[serde(default = "default_stories")]
+    pub stories: usize,
+}
+
+fn default_stories() -> usize {
+    10_000
 }
 
+/// Retries at once that an entry may make where nothing else is set.
+const RETRY_BURST: f64 = 20.0;
+/// Part of the common retries that entries use, so that one that starts anew,
+/// with a new share, does not bring all of them over the limit.
+const RETRY_PART: f64 = 0.6;
+/// Entries among which the common retries are shared at least: there may be
+/// some that this one has not met.
+const RETRY_SHARERS: usize = 4;
+
 fn default_policy() -> String {
     "affinity".to_owned()
 }
@@ -86,7 +123,7 @@
 }
 
 fn default_attempts() -> u32 {
-    flight::Options::default().attempts
+    4
 }
 
 fn default_stall() -> u64 {
@@ -109,7 +146,7 @@
     fn check(&self, checker: &Checker<'_>) -> Result<(), Error> {
         self.node.check(checker)?;
         let known = Policy::parse(&self.policy).is_some();
-        let names = "round-robin, least-load, two-choices or affinity";
+        let names = "round-robin, least-load, two-choices, even or affinity";
         checker.fits("policy", &self.policy, known, names)?;
         checker.fits("subset", self.subset, (1..=1_024).contains(&self.subset), "1 to 1024")?;
         let exchanges = self.exchanges;
@@ -119,6 +156,12 @@
         checker.fits("attempts", self.attempts, (1..=10).contains(&self.attempts), "1 to 10")?;
         let ratio = self.retry_ratio;
         checker.fits("retry_ratio", ratio, (0.0..=1.0).contains(&ratio), "0 to 1")?;
+        let slack = self.retry_slack.unwrap_or(0.0);
+        checker.fits("retry_slack", slack, (0.0..=1e6).contains(&slack), "0 to 1000000")?;
+        let wait = self.stop_wait;
+        checker.fits("stop_wait", wait, wait <= 3_600_000, "0 to 3600000")?;
+        let stories = self.stories;
+        checker.fits("stories", stories, (1..=1_000_000).contains(&stories), "1 to 1000000")?;
         let spans = [
             ("silence", self.silence),
             ("stop_lead", self.stop_lead),
@@ -136,12 +179,7 @@
 impl Settings {
     /// Options of the request state machine.
     pub fn flight(&self) -> flight::Options {
-        flight::Options {
-            attempts: self.attempts,
-            stall: self.stall,
-            probe: self.probe,
-            ..flight::Options::default()
-        }
+        flight::Options { stall: self.stall, probe: self.probe, ..flight::Options::default() }
     }
 
     /// Options of admission.
@@ -149,8 +187,10 @@
         admit::Options { limit: self.exchanges, ..admit::Options::default() }
     }
 
-    /// Options of the retry budget.
-    pub fn budget(&self) -> budget::Options {
-        budget::Options { ratio: self.retry_ratio, ..budget::Options::default() }
+    /// Options of the retry budget of a service, where there are so many entries.
+    pub fn budget(&self, entries: usize) -> budget::Options {
+        let share = |it: f64| it * RETRY_PART / entries.max(RETRY_SHARERS) as f64;
+        let burst = self.retry_slack.map_or(RETRY_BURST, share);
+        budget::Options { ratio: self.retry_ratio, burst }
     }
 }
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -1,9 +1,14 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! The targets as this entry sees them: declared, connected, live, loaded.
-
-use std::collections::{BTreeMap, HashMap};
+//! The targets as this entry sees them: declared or listed, connected, live,
+//! loaded.
+//!
+//! A declared target is reached through its agent; a listed one straight, and
+//! its agent, if it has one, only tells its load.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 use rand::rngs::StdRng;
@@ -15,11 +20,18 @@
 use sablepass_core::membership::{Members, Report};
 use sablepass_core::once::Key;
 use sablepass_core::rendezvous;
-use sablepass_edge::mesh::PeerKey;
-use sablepass_edge::platform::{Instance, Role};
+use sablepass_edge::instance::{Instance, Role};
+use sablepass_edge::mesh::{PeerKey, Wanted};
 
 /// How long a connection made for one key's owner is kept.
 const OWNER_KEEP: Millis = 60_000;
+/// How long a target is still used that the list names no more. Entries of
+/// live targets that lapse in an outage are back soon after its end; one that
+/// ended refuses connections. Less than the time in which new work must stop.
+const LAPSE: Millis = 1_200;
+/// The same while most targets of the list are missing at once, as after an
+/// outage of the list's service: they are back within about two seconds.
+const LAPSE_OF_MANY: Millis = 3_000;
 
 /// What targets are found by: kind and qualified model or service.
 pub type Served = (Kind, String);
@@ -37,6 +49,25 @@
     pub lead: Millis,
     /// Silence after which a target is not chosen.
     pub silence: Millis,
+    /// Port of the agents beside listed targets.
+    pub agent_port: Option<u16>,
+}
+
+/// How a target is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Via {
+    /// Over a connection to its agent of this incarnation.
+    Agent(PeerKey, Incarnation),
+    /// Straight, at its address.
+    Direct(SocketAddr),
+}
+
+/// A target of the instance list.
+#[derive(Clone, Debug)]
+struct Listed {
+    instance: Instance,
+    /// Since when the list names it no more.
+    missing: Option<Millis>,
 }
 
 /// A chosen target.
@@ -44,10 +75,8 @@
 pub struct Choice {
     /// Qualified name.
     pub name: String,
-    /// The connection to its agent.
-    pub peer: PeerKey,
-    /// Its agent's incarnation.
-    pub incarnation: Incarnation,
+    /// How it is reached.
+    pub via: Via,
     /// Its load when chosen.
     pub load: f64,
     /// Candidates there were.
@@ -74,6 +103,10 @@
     names: HashMap<PeerKey, String>,
     owners: BTreeMap<String, Millis>,
     leaving: Vec<String>,
+    /// Targets that are reached straight, by id.
+    listed: BTreeMap<String, Listed>,
+    /// Agents of those, by connection.
+    agents: HashMap<PeerKey, IpAddr>,
     entries: usize,
     chooser: Chooser,
 }
@@ -91,6 +124,8 @@
             names: HashMap::new(),
             owners: BTreeMap::new(),
             leaving: Vec::new(),
+            listed: BTreeMap::new(),
+            agents: HashMap::new(),
             entries: 1,
             chooser: Chooser::open(policy),
         }
@@ -108,33 +143,98 @@
 
     /// Takes a new catalogue.
     pub fn declare(&mut self, catalogue: Rc<Catalogue>) {
+        self.catalogue = catalogue;
+        self.index();
+    }
+
+    /// Takes a new instance list. Returns the targets that are gone for good.
+    pub fn list(&mut self, now: Millis, instances: &BTreeMap<String, Instance>) -> Vec<String> {
+        let entries = instances.values().filter(|it| it.role == Role::Entry).count();
+        self.entries = self.entries.max(entries);
+        let leaving = instances.iter().filter(|(_, it)| it.leaving);
+        self.leaving = leaving.map(|(name, _)| name.clone()).collect();
+        for (name, it) in instances.iter().filter(|(_, it)| it.role == Role::Target) {
+            self.members.listed(now, name, it.leaving);
+            let listed = Listed { instance: it.clone(), missing: None };
+            self.listed.insert(name.clone(), listed);
+        }
+        for (name, it) in &mut self.listed {
+            if !instances.contains_key(name) {
+                it.missing.get_or_insert(now);
+            }
+        }
+        self.lapse(now)
+    }
+
+    /// Drops targets that the list has not named for long enough.
+    pub fn lapse(&mut self, now: Millis) -> Vec<String> {
+        let missing = self.listed.values().filter(|it| it.missing.is_some()).count();
+        let many = missing * 2 > self.listed.len() && missing > 1;
+        let span = if many { LAPSE_OF_MANY } else { LAPSE };
+        let over = |it: &Listed| it.missing.is_some_and(|since| now >= since + span);
+        let gone: Vec<String> =
+            self.listed.iter().filter(|it| over(it.1)).map(|it| it.0.clone()).collect();
+        for name in &gone {
+            self.listed.remove(name);
+            self.members.unlisted(name);
+        }
+        self.index();
+        gone
+    }
+
+    /// The same, if any target is missing.
+    pub fn lapse_due(&mut self, now: Millis) -> Vec<String> {
+        let missing = self.listed.values().any(|it| it.missing.is_some());
+        if missing { self.lapse(now) } else { Vec::new() }
+    }
+
+    /// Says with how many other entries targets and budgets are shared.
+    pub fn meet(&mut self, others: usize) {
+        // An entry that is out of contact may still work.
+        self.entries = self.entries.max(others + 1);
+    }
+
+    /// Entries that there are, as far as this one knows.
+    pub fn entries(&self) -> usize {
+        self.entries
+    }
+
+    fn index(&mut self) {
         self.serving.clear();
-        for (name, it) in &catalogue.targets {
+        for (name, it) in &self.catalogue.targets {
             let served = (it.it.kind, format!("{}/{}", it.partner, it.it.serves));
             self.serving.entry(served).or_default().push(name.clone());
         }
+        for (name, it) in &self.listed {
+            let served = (Kind::Service, it.instance.serves.clone());
+            self.serving.entry(served).or_default().push(name.clone());
+        }
         let subset = |names: &Vec<String>| {
             let names = names.iter().map(String::as_str);
             let chosen = balance::subset(&self.options.me, self.options.subset, names);
             chosen.into_iter().map(str::to_owned).collect::<Vec<String>>()
         };
         self.subsets = self.serving.iter().map(|(it, names)| (it.clone(), subset(names))).collect();
-        self.catalogue = catalogue;
-    }
-
-    /// Takes a new instance list.
-    pub fn list(&mut self, instances: &BTreeMap<String, Instance>) {
-        self.entries = instances.values().filter(|it| it.role == Role::Entry).count().max(1);
-        let leaving = instances.iter().filter(|(_, it)| it.leaving);
-        self.leaving = leaving.map(|(name, _)| name.clone()).collect();
     }
 
-    /// The targets to be connected to.
-    pub fn wanted(&mut self, now: Millis) -> Vec<String> {
+    /// The processes to be connected to: agents of declared targets, and those
+    /// beside listed ones that are ranks of a group.
+    pub fn wanted(&mut self, now: Millis) -> Vec<Wanted> {
         self.owners.retain(|_, until| *until > now);
-        let mut names: Vec<String> = self.subsets.values().flatten().cloned().collect();
-        names.extend(self.owners.keys().cloned());
-        names
+        let declared = self.subsets.values().flatten().chain(self.owners.keys());
+        let declared = declared.filter(|it| self.catalogue.targets.contains_key(*it));
+        let mut wanted: Vec<Wanted> = declared.cloned().map(Wanted::Named).collect();
+        let engine = |it: &&Listed| {
+            let service = self.catalogue.services.get(&it.instance.serves);
+            service.is_some_and(|it| it.engine.is_some())
+        };
+        let beside = |port| {
+            let ips = self.listed.values().filter(engine).map(|it| it.instance.addr.ip());
+            let ips: BTreeSet<IpAddr> = ips.collect();
+            ips.into_iter().map(move |ip| Wanted::At(SocketAddr::new(ip, port)))
+        };
+        wanted.extend(self.options.agent_port.map(beside).into_iter().flatten());
+        wanted
     }
 
     /// The qualified name of what a customer of `partner` asks for.
@@ -147,6 +247,30 @@
         self.serving.contains_key(&given).then_some(given)
     }
 
+    /// Records a connection to the agent beside listed targets. False if the
+    /// endpoint is not one of those.
+    pub fn beside(&mut self, peer: PeerKey, endpoint: &str) -> bool {
+        let addr: Option<SocketAddr> = endpoint.parse().ok();
+        let Some(addr) = addr.filter(|_| self.options.agent_port.is_some()) else {
+            return false;
+        };
+        self.agents.insert(peer, addr.ip());
+        true
+    }
+
+    /// Records the heartbeat of an agent beside listed targets. False if the
+    /// connection is not to one.
+    pub fn heard_beside(&mut self, now: Millis, peer: PeerKey, report: Report) -> bool {
+        let Some(ip) = self.agents.get(&peer) else {
+            return false;
+        };
+        let there = self.listed.iter().filter(|it| it.1.instance.addr.ip() == *ip);
+        for (name, _) in there {
+            self.members.heard(now, name, report);
+        }
+        true
+    }
+
     /// Records a connection to an agent.
     pub fn up(&mut self, now: Millis, peer: PeerKey, name: &str, incarnation: Incarnation) {
         self.members.up(now, name, incarnation);
@@ -156,6 +280,7 @@
 
     /// Records the end of a connection, and returns whose it was.
     pub fn down(&mut self, peer: PeerKey) -> Option<String> {
+        self.agents.remove(&peer);
         let name = self.names.remove(&peer)?;
         self.links.remove(&name);
         self.members.down(&name);
@@ -187,6 +312,16 @@
         self.members.away(name);
     }
 
+    /// Records what a target told of its load.
+    pub fn told(&mut self, name: &str, requests: u32) {
+        self.members.told(name, requests);
+    }
+
+    /// Records that a target is better left alone until `until`.
+    pub fn rest(&mut self, name: &str, until: Millis) {
+        self.members.rest(name, until);
+    }
+
     /// Records a request sent.
     pub fn sent(&mut self, name: &str) {
         self.members.sent(name);
@@ -214,8 +349,8 @@
         let stop = self.catalogue.stops.get(name);
         let stopping = stop.is_some_and(|at| now + self.options.lead >= *at);
         let listed = self.leaving.iter().any(|it| it == name);
-        let linked = self.links.contains_key(name);
-        linked && !stopping && !listed && self.members.usable(now, name).is_some()
+        let reached = self.links.contains_key(name) || self.listed.contains_key(name);
+        reached && !stopping && !listed && self.members.usable(now, name).is_some()
     }
 
     /// Capacity and load of a model that fall to this entry: targets are
@@ -239,11 +374,17 @@
 
     fn candidate<'a>(&self, now: Millis, name: &'a str) -> Option<Candidate<'a>> {
         let member = self.members.usable(now, name)?;
-        let declared = self.catalogue.targets.get(name)?;
+        let (hall, capacity) = match self.listed.get(name) {
+            Some(it) => (&it.instance.hall, it.instance.capacity),
+            None => {
+                let declared = self.catalogue.targets.get(name)?;
+                (&declared.it.hall, declared.it.capacity)
+            }
+        };
         Some(Candidate {
             name,
-            near: declared.it.hall == self.options.hall,
-            capacity: declared.it.capacity,
+            near: *hall == self.options.hall,
+            capacity,
             own: member.own,
             others: member.others,
         })
@@ -293,8 +434,10 @@
     }
 
     fn choice(&self, name: &str, load: f64, candidates: usize) -> Option<Choice> {
-        let peer = self.link(name)?;
-        let incarnation = self.members.get(name)?.incarnation;
-        Some(Choice { name: name.to_owned(), peer, incarnation, load, candidates })
+        let via = match self.listed.get(name) {
+            Some(it) => Via::Direct(it.instance.addr),
+            None => Via::Agent(self.link(name)?, self.members.get(name)?.incarnation),
+        };
+        Some(Choice { name: name.to_owned(), via, load, candidates })
     }
 }
--- a/crates/sablepass-entry/src/trace.rs
+++ b/crates/sablepass-entry/src/trace.rs
@@ -9,9 +9,6 @@
 use sablepass_core::outcome::Failure;
 use sablepass_core::reason::Retry;
 
-/// Requests remembered.
-const KEEP: usize = 10_000;
-
 /// One line of a request's story.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -40,18 +37,25 @@
 }
 
 /// The stories of the last requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Traces {
+    /// Requests remembered.
+    keep: usize,
     stories: HashMap<RequestId, Vec<(Millis, Step)>>,
     order: VecDeque<RequestId>,
 }
 
 impl Traces {
+    /// Opens an empty memory of so many requests.
+    pub fn open(keep: usize) -> Self {
+        Self { keep, stories: HashMap::new(), order: VecDeque::new() }
+    }
+
     /// Adds a line to a request's story.
     pub fn add(&mut self, now: Millis, id: RequestId, step: Step) {
         if !self.stories.contains_key(&id) {
             self.order.push_back(id);
-            if self.order.len() > KEEP
+            if self.order.len() > self.keep
                 && let Some(oldest) = self.order.pop_front()
             {
                 self.stories.remove(&oldest);
--- a/crates/sablepass-stand/src/engine.rs
+++ b/crates/sablepass-stand/src/engine.rs
@@ -16,7 +16,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use sablepass_edge::http::StreamWriter;
+use sablepass_stand::http::StreamWriter;
 use serde_json::{Value, json};
 use tiny_http::{Method, Request};
 
--- a/crates/sablepass-edge/src/http.rs
+++ b/crates/sablepass-stand/src/http.rs
@@ -15,9 +15,6 @@
 use std::time::Duration;
 
 use chunked_transfer::Encoder;
-use sablepass_core::id::RequestId;
-use sablepass_core::outcome::Failure;
-use sablepass_core::reason::Refusal;
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
 use tiny_http::{Header, Response, Server, StatusCode};
@@ -30,8 +27,6 @@
 /// streams may be never. An empty connection gets a thread of its own, ends
 /// at once, and leaves that thread to the one that waits.
 const NUDGE: Duration = Duration::from_millis(20);
-/// The same for a server whose askers can wait a little.
-const NUDGE_RARE: Duration = Duration::from_millis(500);
 /// Bytes of an answer that the kernel holds for a caller that reads slowly. Set,
 /// since it otherwise grows to megabytes a connection.
 const SEND_BUFFER: usize = 256 * 1024;
@@ -40,11 +35,6 @@
 /// How long a write to a caller may block.
 const SEND_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Header that names the request.
-pub const REQUEST_ID: &str = "x-request-id";
-/// Header that says whether the request ran.
-pub const RAN: &str = "x-sablepass-ran";
-
 /// Why a server could not be opened.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -68,19 +58,10 @@
 
 /// Opens a server and returns it with its address.
 pub fn bind(addr: SocketAddr) -> Result<(Server, SocketAddr), Error> {
-    open(addr, NUDGE)
-}
-
-/// The same for operators' interfaces, at less cost when idle.
-pub fn bind_quiet(addr: SocketAddr) -> Result<(Server, SocketAddr), Error> {
-    open(addr, NUDGE_RARE)
-}
-
-fn open(addr: SocketAddr, nudge: Duration) -> Result<(Server, SocketAddr), Error> {
     let listener = listen(addr).context(ListenSnafu { addr })?;
     let addr = listener.local_addr().context(ListenSnafu { addr })?;
     let server = Server::from_listener(listener, None).context(ServerSnafu { addr })?;
-    spawn_nudge(addr, nudge);
+    spawn_nudge(addr, NUDGE);
     Ok((server, addr))
 }
 
@@ -113,57 +94,6 @@
     Ok(socket.into())
 }
 
-/// The error body of the callers' interface.
-#[derive(Debug, Serialize)]
-struct ErrorBody<'a> {
-    error: ErrorFields<'a>,
-}
-
-#[derive(Debug, Serialize)]
-struct ErrorFields<'a> {
-    message: String,
-    #[serde(rename = "type")]
-    kind: &'a str,
-    code: &'a str,
-    param: Option<&'a str>,
-    request_id: String,
-    ran: &'a str,
-}
-
-/// JSON text of a failure, in the usual shape of the interface.
-pub fn error_json(id: RequestId, failure: Failure) -> String {
-    let reason = failure.reason;
-    let kind = match reason.status() {
-        401 => "authentication_error",
-        403 => "permission_error",
-        429 => "rate_limit_error",
-        400..=499 => "invalid_request_error",
-        _ => "server_error",
-    };
-    let message = format!("request {}: {}", failure.ran.label(), reason.label());
-    let error = ErrorFields {
-        message,
-        kind,
-        code: reason.label(),
-        param: None,
-        request_id: id.to_string(),
-        ran: failure.ran.label(),
-    };
-    // These fields always serialize.
-    serde_json::to_string(&ErrorBody { error }).unwrap_or_default()
-}
-
-/// Seconds after which a caller may come back, for refusals that pass.
-pub fn retry_after(failure: Failure) -> Option<u32> {
-    match failure.reason {
-        // An owner comes back when its agent has been restarted.
-        Refusal::OwnerAway | Refusal::Leaving => Some(10),
-        // A key made from now on will do.
-        Refusal::KeyUncertain => Some(30),
-        it => matches!(it.status(), 429 | 503).then_some(1),
-    }
-}
-
 /// A header; names and values are made by this project and always valid.
 pub fn header(name: &str, value: &str) -> Option<Header> {
     Header::from_bytes(name.as_bytes(), value.as_bytes()).ok()
--- a/crates/sablepass-stand/src/lib.rs
+++ b/crates/sablepass-stand/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod client;
 pub mod fleet;
+pub mod http;
 pub mod process;
--- a/crates/sablepass-stand/src/main.rs
+++ b/crates/sablepass-stand/src/main.rs
@@ -28,7 +28,7 @@
     #[snafu(transparent)]
     Http {
         /// Why.
-        source: sablepass_edge::http::Error,
+        source: sablepass_stand::http::Error,
     },
     /// A socket failed.
     #[snafu(display("socket: {source}"))]
--- a/crates/sablepass-stand/src/proxy.rs
+++ b/crates/sablepass-stand/src/proxy.rs
@@ -14,7 +14,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use sablepass_edge::http;
+use sablepass_stand::http;
 use serde_json::json;
 
 use crate::{Error, web};
--- a/crates/sablepass-stand/src/web.rs
+++ b/crates/sablepass-stand/src/web.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use sablepass_edge::http;
+use sablepass_stand::http;
 use tiny_http::Request;
 
 use crate::Error;
--- a/crates/sablepass-stand/tests/faults.rs
+++ b/crates/sablepass-stand/tests/faults.rs
@@ -287,7 +287,7 @@
         let mut socket = std::net::TcpStream::connect(&addr).expect("the entry listens");
         write!(
             socket,
-            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {FARM}\r\n             content-length: {}\r\n\r\n{body}",
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {FARM}\r\ncontent-length: {}\r\n\r\n{body}",
             body.len()
         )
         .expect("written");
--- a/crates/sablepass-edge/tests/http.rs
+++ b/crates/sablepass-stand/tests/http.rs
@@ -7,7 +7,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use sablepass_edge::http;
+use sablepass_stand::http;
 
 /// Time within which every connection has been given a thread.
 const LIMIT: Duration = Duration::from_secs(5);
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use sablepass_core::config::{self, What};
-use sablepass_core::flight::{Event, Verdict};
+use sablepass_core::flight::{Event, Head, Verdict};
 use sablepass_core::id::{AttemptId, Incarnation, RequestId};
 use sablepass_core::once::{Key, Mark};
 use sablepass_core::outcome::{Failure, Ran};
@@ -63,12 +63,8 @@
 pub fn answer(body: Body) -> Result<Option<(AttemptId, Event)>, Error> {
     let (id, event) = match body {
         Body::Head(it) => {
-            let head = Event::Head {
-                status: it.status,
-                content_type: it.content_type,
-                replayed: it.replayed,
-            };
-            (attempt("head", &it.request, it.attempt)?, head)
+            let head = Head::plain(it.status, &it.content_type, it.replayed);
+            (attempt("head", &it.request, it.attempt)?, Event::Head(head))
         }
         Body::Chunk(it) => {
             let chunk = Event::Chunk { offset: it.offset, data: it.data.to_vec() };
