--- a/crates/sablepass-agent/src/main.rs
+++ b/crates/sablepass-agent/src/main.rs
@@ -8,12 +8,14 @@
 //! [`gate`]: sablepass_core::gate
 
 mod answers;
+mod engine;
 mod group;
 mod keeper;
 mod leaving;
 mod member;
 mod observer;
 mod orders;
+mod ranks;
 mod run;
 mod settings;
 mod target;
@@ -29,6 +31,7 @@
 use stakker::sync::Channel;
 use stakker::{actor_new, call, fwd_to, ret_shutdown};
 
+use crate::engine::{Ask, Engine, Heard};
 use crate::keeper::Keeper;
 use crate::observer::Observer;
 
@@ -55,7 +58,10 @@
         let (admin, operators) = admin::spawn(s, settings.node.admin, metrics.clone(), queries)?;
         println!("{}", serde_json::json!({ "peers": peers, "admin": admin }));
         slog::info!(log, "started"; "target" => %target, "peers" => %peers, "admin" => %admin);
-        call!([actor], Observer::init(settings, target, log, metrics, mesh));
+        let engine = actor_new!(s, Engine, ret_shutdown!(s));
+        let heard = fwd_to!([actor], heard() as ((Ask, Heard)));
+        call!([engine], Engine::init(target, heard));
+        call!([actor], Observer::init(settings, target, log, metrics, mesh, engine));
         Ok((actor, signals, operators))
     })
 }
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -2,29 +2,35 @@
 // SPDX-License-Identifier: Apache-2.0
 
 //! The actor beside a target that takes requests straight from entries: it
-//! reads the target's account of itself, which costs nothing from here, and
-//! tells the entries its load.
+//! reads the target's account of itself, which costs nothing from here, tells
+//! the entries its load, and keeps its rank's share of the group's map.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{self, HeaderValue};
+use sablepass_core::catalogue::Catalogue;
 use sablepass_core::id::Millis;
-use sablepass_edge::client::{self, Connection, Outgoing};
-use sablepass_edge::mesh::{self, Mesh, PeerKey};
+use sablepass_edge::instance::{Instance, Role};
+use sablepass_edge::mesh::{self, Mesh, PeerKey, Wanted};
 use sablepass_edge::telemetry::Metrics;
 use sablepass_edge::{admin, clock, runtime};
 use sablepass_platform::engine;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
 use slog::Logger;
-use stakker::{ActorOwn, CX, actor_new, after, call, fwd_to, ret_nop, ret_some_do};
+use stakker::{ActorOwn, CX, after, call, ret_some_do};
 
+use crate::engine::{Ask, Engine, Heard};
+use crate::ranks::{Do, Ranks};
 use crate::settings::Settings;
 
-/// Age beyond which the target counts as gone when it does not answer.
-const AWAY: Millis = 1_000;
+/// Time between two looks at a group that is about to switch.
+const PULSE: Duration = Duration::from_millis(50);
+/// Pulses between two readings of the counts, in which shifts of demand show.
+const COUNT_PULSES: u64 = 2;
 
 /// The last reading.
 struct Reading {
@@ -39,17 +45,18 @@
     log: Logger,
     metrics: Arc<Metrics>,
     mesh: ActorOwn<Mesh>,
+    engine: ActorOwn<Engine>,
     entries: Vec<PeerKey>,
-    connection: Option<ActorOwn<Connection>>,
-    /// Counts connections, so that a late event of an old one is known.
-    opened: u64,
-    /// When the reading under way was asked for.
-    asked: Option<Millis>,
-    status: u16,
-    body: Vec<u8>,
     reading: Option<Reading>,
     /// The target answered the last time.
     good: bool,
+    ranks: Ranks,
+    catalogue: Rc<Catalogue>,
+    /// The service that the target answers for, once it is listed.
+    service: String,
+    pulses: u64,
+    /// When the entries were last told the load.
+    told: Millis,
 }
 
 impl Observer {
@@ -61,121 +68,149 @@
         log: Logger,
         metrics: Arc<Metrics>,
         mesh: ActorOwn<Mesh>,
+        engine: ActorOwn<Engine>,
     ) -> Option<Self> {
+        // Fences grow from agent to agent by the time of day; one that is too
+        // low after a clock went back is found out by the first order.
+        let ranks = Ranks::open(log.clone(), clock::time_of_day());
         let mut observer = Self {
             settings,
             target,
             log,
             metrics,
             mesh,
+            engine,
             entries: Vec::new(),
-            connection: None,
-            opened: 0,
-            asked: None,
-            status: 0,
-            body: Vec::new(),
             reading: None,
             good: false,
+            ranks,
+            catalogue: Rc::default(),
+            service: String::new(),
+            pulses: 0,
+            told: 0,
         };
-        observer.beat(cx);
+        observer.pulse(cx);
         Some(observer)
     }
 
+    // Other processes.
+
     /// Takes an event of the mesh.
     pub fn mesh_event(&mut self, _cx: CX![], event: mesh::Event) {
         match event {
-            mesh::Event::Up(peer, it) if it.role == "entry" && it.dialled.is_none() => {
-                slog::info!(self.log, "entry up"; "entry" => it.name);
-                self.entries.push(peer);
+            mesh::Event::Up(peer, it) if it.role == Role::Entry.name() => {
+                if it.dialled.is_none() {
+                    slog::info!(self.log, "entry up"; "entry" => it.name);
+                    self.entries.push(peer);
+                }
+            }
+            mesh::Event::Up(peer, _) => {
+                let list = self.ranks.up(peer);
+                self.carry_out(list);
+            }
+            mesh::Event::Down(peer) => {
+                self.entries.retain(|it| *it != peer);
+                self.ranks.down(peer);
             }
-            mesh::Event::Down(peer) => self.entries.retain(|it| *it != peer),
-            _ => {}
+            mesh::Event::Message(peer, body) => {
+                let list = self.ranks.message(clock::now(), peer, body);
+                self.carry_out(list.unwrap_or_default());
+            }
+            mesh::Event::Config(it) => {
+                self.catalogue = it;
+                self.declare();
+            }
+            mesh::Event::Instances(it) => self.list(&it),
+            mesh::Event::Entries(_) => {}
         }
     }
 
-    fn beat(&mut self, cx: CX![]) {
-        let now = clock::now();
-        let patience = AWAY.max(self.settings.heartbeat);
-        if self.asked.is_some_and(|at| now >= at + patience) {
-            // The target is silent; a new connection tells whether it is there.
-            self.lost("no answer");
-        }
-        if self.asked.is_none() {
-            self.ask(cx, now);
+    fn list(&mut self, instances: &BTreeMap<String, Instance>) {
+        let targets = || instances.values().filter(|it| it.role == Role::Target);
+        let Some(mine) = targets().find(|it| it.addr == self.target) else { return };
+        self.service.clone_from(&mine.serves);
+        self.declare();
+        if !self.settings.keeps_maps || self.shape().is_none() {
+            return;
         }
-        after!(Duration::from_millis(self.settings.heartbeat), [cx], beat());
+        let me = self.settings.node.listen;
+        // Of two agents one dials.
+        let others = targets().filter(|it| it.serves == self.service && it.addr.ip() > me.ip());
+        let wanted = others.map(|it| Wanted::At(SocketAddr::new(it.addr.ip(), me.port())));
+        let wanted: Vec<Wanted> = wanted.collect();
+        call!([self.mesh], want(wanted));
     }
 
-    fn ask(&mut self, cx: CX![], now: Millis) {
-        if self.connection.is_none() {
-            self.connect(cx);
-        }
-        let mut head = http::Request::new(());
-        *head.uri_mut() = http::Uri::from_static(engine::REPORT_PATH);
-        if let Ok(host) = HeaderValue::from_str(&self.target.to_string()) {
-            head.headers_mut().insert(header::HOST, host);
-        }
-        self.body.clear();
-        self.asked = Some(now);
-        if let Some(it) = &self.connection {
-            call!([it], send(Outgoing { head, body: Vec::new(), echo: None }));
-        }
+    fn shape(&self) -> Option<&sablepass_core::declaration::Ranks> {
+        let service = self.catalogue.services.get(&self.service)?;
+        service.engine.as_ref()?.ranks.as_ref()
     }
 
-    fn connect(&mut self, cx: CX![]) {
-        self.opened += 1;
-        let opened = self.opened;
-        let events = fwd_to!([cx], |this, cx, it: client::Event| this.event(cx, opened, it));
-        let connection = actor_new!(cx, Connection, ret_nop!());
-        let options = client::Options::default();
-        call!([connection], Connection::init(self.target, options, events));
-        self.connection = Some(connection);
+    fn declare(&mut self) {
+        let shape = self.shape().cloned().filter(|_| self.settings.keeps_maps);
+        self.ranks.declare(shape);
     }
 
-    fn event(&mut self, _cx: CX![], opened: u64, event: client::Event) {
-        if opened != self.opened {
-            return;
-        }
-        match event {
-            client::Event::Head(head) => self.status = head.status().as_u16(),
-            client::Event::Bytes(bytes) => self.body.extend_from_slice(&bytes),
-            client::Event::End { reusable, .. } => {
-                if !reusable {
-                    self.connection = None;
-                }
-                self.answered();
-            }
-            client::Event::Closed { cause, .. } => {
-                self.connection = None;
-                if self.asked.is_some() {
-                    self.lost(&cause.to_string());
-                }
+    fn carry_out(&self, list: Vec<Do>) {
+        for it in list {
+            match it {
+                Do::Ask(ask) => call!([self.engine], ask(ask)),
+                Do::Send(peer, body) => call!([self.mesh], send(peer, body)),
             }
         }
     }
 
-    fn answered(&mut self) {
-        let Some(asked) = self.asked.take() else { return };
-        if self.status != 200 {
-            self.lost(&format!("status {}", self.status));
-            return;
+    // The target.
+
+    fn pulse(&mut self, cx: CX![]) {
+        let now = clock::now();
+        self.pulses += 1;
+        let count = self.pulses.is_multiple_of(COUNT_PULSES);
+        let active = self.ranks.is_active();
+        let due = now >= self.told + self.settings.heartbeat;
+        if due || self.ranks.is_busy() || (active && count) {
+            call!([self.engine], ask(Ask::Report));
         }
-        match engine::report(&self.body) {
-            Ok(report) => {
-                if !self.good {
-                    self.good = true;
-                    slog::info!(self.log, "target regained"; "target" => %self.target);
-                }
-                self.reading = Some(Reading { report, at: asked });
-                self.tell();
+        if active && count {
+            call!([self.engine], ask(Ask::Counts));
+            let list = self.ranks.tick(now);
+            self.carry_out(list);
+        }
+        after!(PULSE, [cx], pulse());
+    }
+
+    /// Takes the end of a call to the target.
+    pub fn heard(&mut self, _cx: CX![], (ask, heard): (Ask, Heard)) {
+        let now = clock::now();
+        match (&ask, &heard) {
+            (Ask::Report, Heard::Answer { status: 200, body }) => match engine::report(body) {
+                Ok(it) => self.report(now, it),
+                Err(e) => self.lost(&e.to_string()),
+            },
+            (Ask::Report, Heard::Answer { status, .. }) => self.lost(&format!("status {status}")),
+            (Ask::Report, Heard::Nothing) => self.lost("no answer"),
+            _ => {
+                let list = self.ranks.heard(now, &ask, &heard);
+                self.carry_out(list);
             }
-            Err(e) => self.lost(&e.to_string()),
+        }
+    }
+
+    fn report(&mut self, now: Millis, report: engine::Report) {
+        if !self.good {
+            self.good = true;
+            slog::info!(self.log, "target regained"; "target" => %self.target);
+        }
+        let list = self.ranks.report(now, report.group.clone());
+        self.carry_out(list);
+        self.reading = Some(Reading { report, at: now });
+        if now >= self.told + self.settings.heartbeat {
+            self.told = now;
+            self.tell();
         }
     }
 
     fn lost(&mut self, why: &str) {
-        self.connection = None;
-        self.asked = None;
         if self.good {
             self.good = false;
             slog::warn!(self.log, "target lost"; "target" => %self.target, "why" => why);
@@ -229,7 +264,9 @@
             admin::Ask::Request(_) => {
                 query.reply.send(admin::Reply::missing("request; ask the entry that took it"));
             }
-            admin::Ask::Group(_) => query.reply.send(admin::Reply::missing("group")),
+            admin::Ask::Group(_) => {
+                query.reply.send(admin::Reply::ok(&self.ranks.explain()));
+            }
         }
     }
 
--- /dev/null
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -0,0 +1,633 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! This agent's share of its group's expert map where the engines keep no
+//! vote: one member of the switch, and, beside rank 0, the planner.
+//!
+//! The planner is fixed: a switch takes every rank, so there is none without
+//! the first one anyway. It sums what all ranks' agents tell it, has a better
+//! map prepared where one is worth it, and proposes the step of the switch
+//! once all have prepared. Whatever it does, the switch itself is safe by the
+//! votes of [`sablepass_core::expert::barrier`].
+
+use std::collections::BTreeMap;
+
+use sablepass_core::declaration::Ranks as Shape;
+use sablepass_core::expert::barrier::{Done, Member, Message, Output, Plan, Reading};
+use sablepass_core::expert::demand::{self, Demand};
+use sablepass_core::expert::map::{self, Expert, Map};
+use sablepass_core::expert::rebalance;
+use sablepass_core::id::Millis;
+use sablepass_edge::mesh::PeerKey;
+use sablepass_platform::engine::{self, Group, Lists, Picked};
+use sablepass_wire::generated as wire;
+use sablepass_wire::generated::frame::Body;
+use slog::Logger;
+
+use crate::engine::{Ask, Heard};
+
+/// Age of a rank's counts beyond which the planner does not plan: two and a
+/// half of the intervals at which they are told.
+const FRESH: Millis = 300;
+/// How long ranks may take to prepare a map before it is given up: copying
+/// takes some tenths of a second, on a loaded link a second.
+const PREPARE: Millis = 2_500;
+/// How far ahead a switch is laid: orders and votes are there by then, so that
+/// no pass has to wait.
+const LEAD: Millis = 160;
+/// Passes that it is laid ahead at least.
+const LEAD_PASSES: u64 = 2;
+/// Intervals of the counts that make a demand.
+const MARKS: usize = 2;
+/// Likeness of two demands, one after the other, below which demand is on the
+/// move and a map for it would be for neither.
+const SETTLED: f64 = 0.97;
+/// How long the planner waits for demand to settle before it plans all the same.
+const RESTLESS: Millis = 500;
+/// By how much versions jump when ranks refuse one: another planner used more.
+const VERSION_JUMP: u64 = 1_000;
+/// Separates the layers of a rank's experts on the wire.
+const LAYER_END: u32 = 65_535;
+
+/// What is to be done.
+#[derive(Debug)]
+pub enum Do {
+    /// Call the replica.
+    Ask(Ask),
+    /// Send to an agent.
+    Send(PeerKey, Body),
+}
+
+/// What a rank last told.
+#[derive(Clone, Debug)]
+struct Rank {
+    peer: PeerKey,
+    epoch: u64,
+    at: Millis,
+    step: u64,
+    version: u64,
+    prepared: u64,
+    experts: Vec<Vec<u16>>,
+}
+
+/// A map that ranks prepare.
+struct Proposed {
+    version: u64,
+    since: Millis,
+    /// The switch to it was proposed.
+    switching: bool,
+}
+
+/// The member, and the planner beside rank 0.
+pub struct Ranks {
+    log: Logger,
+    shape: Option<Shape>,
+    /// None until the replica has told that it is a rank.
+    member: Option<Member>,
+    group: Option<Group>,
+    fence: u64,
+    ranks: BTreeMap<u16, Rank>,
+    /// Connections to other agents, of whatever group.
+    agents: Vec<PeerKey>,
+    lists: Option<Lists>,
+    counts: Vec<u64>,
+    demand: Option<Demand>,
+    /// The version being prepared at the own rank, and its map.
+    wanted: Option<(u64, Map)>,
+    proposed: Option<Proposed>,
+    /// Highest version known to be used up.
+    highest: u64,
+    restless: Option<Millis>,
+    /// When the last step was seen to begin, and milliseconds of a pass.
+    paced: Option<(Millis, u64)>,
+    pass: f64,
+}
+
+impl Ranks {
+    /// Opens without knowledge. Orders carry fences above `fence`.
+    pub fn open(log: Logger, fence: u64) -> Self {
+        Self {
+            log,
+            shape: None,
+            member: None,
+            group: None,
+            fence,
+            ranks: BTreeMap::new(),
+            agents: Vec::new(),
+            lists: None,
+            counts: Vec::new(),
+            demand: None,
+            wanted: None,
+            proposed: None,
+            highest: 0,
+            restless: None,
+            paced: None,
+            pass: 0.0,
+        }
+    }
+
+    /// Takes the declared shape of the group, if there is one.
+    pub fn declare(&mut self, shape: Option<Shape>) {
+        self.shape = shape;
+    }
+
+    /// Whether the replica is a rank of a group whose maps are kept here.
+    pub fn is_active(&self) -> bool {
+        self.shape.is_some() && self.group.is_some()
+    }
+
+    /// Whether something is under way that wants frequent readings.
+    pub fn is_busy(&self) -> bool {
+        let switching = self.member.as_ref().is_some_and(|it| !it.is_free());
+        let preparing = self.wanted.as_ref().is_some_and(|(version, _)| {
+            self.group.as_ref().is_some_and(|it| it.reading.prepared != Some(*version))
+        });
+        self.is_active() && (switching || preparing)
+    }
+
+    /// A connection to another agent came up.
+    pub fn up(&mut self, peer: PeerKey) -> Vec<Do> {
+        self.agents.push(peer);
+        self.tally(false).map(|it| Do::Send(peer, it)).into_iter().collect()
+    }
+
+    /// A connection went down.
+    pub fn down(&mut self, peer: PeerKey) {
+        self.ranks.retain(|_, it| it.peer != peer);
+        self.agents.retain(|it| *it != peer);
+    }
+
+    // The own rank.
+
+    /// Takes the replica's account of its group.
+    pub fn report(&mut self, now: Millis, group: Option<Group>) -> Vec<Do> {
+        let Some(group) = group.filter(|_| self.shape.is_some()) else {
+            self.group = None;
+            return Vec::new();
+        };
+        let before = self.group.replace(group.clone());
+        let reading = group.reading;
+        self.measure(now, reading.step);
+        let formed = before.as_ref().is_none_or(|it| it.reading.epoch != reading.epoch);
+        if formed {
+            self.formed(&group);
+        }
+        let fence = self.fence;
+        let fresh = || Member::open(group.rank, group.size, fence);
+        let member = self.member.get_or_insert_with(fresh);
+        // A group that is not complete takes no orders.
+        let outputs = if group.open { member.on_reading(reading) } else { Vec::new() };
+        let mut list = self.carry_out(outputs);
+        let old = before.map(|it| it.reading);
+        let moved = |of: fn(&Reading) -> Option<u64>| old.as_ref().and_then(of) != of(&reading);
+        if moved(|it| Some(it.version)) {
+            slog::info!(self.log, "expert map in force"; "version" => reading.version,
+                "epoch" => reading.epoch, "step" => reading.step);
+        }
+        if self
+            .lists
+            .as_ref()
+            .is_none_or(|it| (it.epoch, it.version) != (reading.epoch, reading.version))
+        {
+            list.push(Do::Ask(Ask::Lists));
+        }
+        if moved(|it| Some(it.version)) || moved(|it| it.prepared) || formed {
+            list.extend(self.tell_all());
+        }
+        list
+    }
+
+    fn formed(&mut self, group: &Group) {
+        slog::info!(self.log, "group formed"; "group" => &group.name, "rank" => group.rank,
+            "size" => group.size, "epoch" => group.reading.epoch, "open" => group.open);
+        self.wanted = None;
+        self.proposed = None;
+        self.lists = None;
+        let shape = self.shape.as_ref();
+        self.demand = shape
+            .map(|it| Demand::open(group.size.into(), it.layers as usize, it.experts as usize));
+    }
+
+    fn measure(&mut self, now: Millis, step: u64) {
+        match self.paced {
+            Some((at, last)) if step > last => {
+                let pass = now.saturating_sub(at) as f64 / (step - last) as f64;
+                self.pass = if self.pass > 0.0 { 0.7 * self.pass + 0.3 * pass } else { pass };
+                self.paced = Some((now, step));
+            }
+            Some((_, last)) if step == last => {}
+            _ => self.paced = Some((now, step)),
+        }
+    }
+
+    /// Takes the end of a call to the replica.
+    pub fn heard(&mut self, now: Millis, ask: &Ask, heard: &Heard) -> Vec<Do> {
+        match (ask, heard) {
+            (Ask::Order(_), it) => {
+                let done = match it {
+                    Heard::Answer { status, .. } => done(*status),
+                    Heard::Nothing => Done::Unknown,
+                };
+                if let Some(member) = &mut self.member {
+                    member.on_done(done);
+                }
+                vec![Do::Ask(Ask::Report)]
+            }
+            (Ask::Prepare(_), it) => {
+                self.prepared(it);
+                vec![Do::Ask(Ask::Report)]
+            }
+            (Ask::Counts, Heard::Answer { status: 200, body }) => match engine::picked(body) {
+                Ok(it) => self.picked(now, it),
+                Err(e) => self.not_decoded(&e),
+            },
+            (Ask::Lists, Heard::Answer { status: 200, body }) => match engine::lists(body) {
+                Ok(it) => {
+                    self.lists = Some(it);
+                    self.tell_all()
+                }
+                Err(e) => self.not_decoded(&e),
+            },
+            _ => Vec::new(),
+        }
+    }
+
+    fn not_decoded(&self, e: &sablepass_platform::Error) -> Vec<Do> {
+        slog::warn!(self.log, "answer not decoded"; "error" => %e);
+        Vec::new()
+    }
+
+    fn prepared(&mut self, heard: &Heard) {
+        let status = match heard {
+            Heard::Answer { status, .. } => *status,
+            // The account tells whether it was taken.
+            Heard::Nothing => return,
+        };
+        match done(status) {
+            Done::Taken | Done::Unknown => return,
+            Done::Fenced => {
+                if let Some(member) = &mut self.member {
+                    member.fenced();
+                }
+            }
+            Done::Refused => {}
+        }
+        slog::warn!(self.log, "map not prepared"; "status" => status,
+            "version" => self.wanted.as_ref().map(|it| it.0));
+        self.wanted = None;
+    }
+
+    fn picked(&mut self, now: Millis, it: Picked) -> Vec<Do> {
+        let Some(group) = &self.group else { return Vec::new() };
+        if it.epoch != group.reading.epoch {
+            return Vec::new();
+        }
+        self.counts = it.counts;
+        let rank = group.rank;
+        if rank == 0 {
+            let counts = self.counts.clone();
+            if let Some(demand) = &mut self.demand {
+                demand.told(now, 0, counts);
+            }
+            return Vec::new();
+        }
+        let planner = self.ranks.get(&0).map(|it| it.peer);
+        let tally = self.tally(true);
+        planner.zip(tally).map(|(peer, body)| Do::Send(peer, body)).into_iter().collect()
+    }
+
+    fn carry_out(&mut self, outputs: Vec<Output>) -> Vec<Do> {
+        let mut list = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Send(to, epoch, message) => {
+                    if let Some(rank) = self.ranks.get(&to) {
+                        list.push(Do::Send(rank.peer, self.barrier(epoch, message)));
+                    }
+                }
+                Output::Order { order, epoch, fence } => {
+                    slog::info!(self.log, "order"; "order" => ?order, "epoch" => epoch,
+                        "fence" => fence, "step" => self.group.as_ref().map(|it| it.reading.step));
+                    list.push(Do::Ask(Ask::Order(engine::order(order, epoch, fence))));
+                }
+            }
+        }
+        list
+    }
+
+    // Other ranks.
+
+    fn group_name(&self) -> String {
+        self.group.as_ref().map_or(String::new(), |it| it.name.clone())
+    }
+
+    fn tally(&self, counts: bool) -> Option<Body> {
+        let group = self.group.as_ref()?;
+        let lists = self.lists.as_ref().filter(|it| it.version == group.reading.version);
+        let layers = lists.map(|it| it.experts.as_slice()).unwrap_or_default();
+        let experts = layers
+            .iter()
+            .flat_map(|it| it.iter().map(|it| u32::from(*it)).chain(std::iter::once(LAYER_END)));
+        Some(Body::Tally(wire::Tally {
+            group: group.name.clone(),
+            epoch: group.reading.epoch,
+            rank: group.rank.into(),
+            step: group.reading.step,
+            version: group.reading.version,
+            prepared: group.reading.prepared.unwrap_or(0),
+            highest: self.highest,
+            counts: if counts { self.counts.clone() } else { Vec::new() },
+            experts: experts.collect(),
+        }))
+    }
+
+    fn tell_all(&self) -> Vec<Do> {
+        let Some(tally) = self.tally(false) else { return Vec::new() };
+        self.agents.iter().map(|it| Do::Send(*it, tally.clone())).collect()
+    }
+
+    fn barrier(&self, epoch: u64, message: Message) -> Body {
+        let (kind, plan) = match message {
+            Message::Switch(plan) => (0, plan),
+            Message::Vote { plan, yes: true } => (1, plan),
+            Message::Vote { plan, yes: false } => (2, plan),
+            Message::Ask(plan) => (3, plan),
+        };
+        Body::Barrier(wire::Barrier {
+            group: self.group_name(),
+            epoch,
+            rank: self.group.as_ref().map_or(0, |it| it.rank.into()),
+            kind,
+            version: plan.version,
+            step: plan.step,
+        })
+    }
+
+    /// Takes a message of another agent. None if it is not for groups.
+    pub fn message(&mut self, now: Millis, peer: PeerKey, body: Body) -> Option<Vec<Do>> {
+        match body {
+            Body::Tally(it) => Some(self.on_tally(now, peer, it)),
+            Body::Proposal(it) => Some(self.on_proposal(&it)),
+            Body::Barrier(it) => Some(self.on_barrier(&it)),
+            _ => None,
+        }
+    }
+
+    fn is_mine(&self, group: &str, epoch: u64) -> bool {
+        self.group.as_ref().is_some_and(|it| it.name == group && it.reading.epoch == epoch)
+    }
+
+    fn on_tally(&mut self, now: Millis, peer: PeerKey, it: wire::Tally) -> Vec<Do> {
+        self.highest = self.highest.max(it.highest).max(it.version).max(it.prepared);
+        if self.group.as_ref().is_none_or(|mine| mine.name != it.group) {
+            return Vec::new();
+        }
+        let Ok(rank) = u16::try_from(it.rank) else { return Vec::new() };
+        let experts = layers(&it.experts);
+        let told = Rank {
+            peer,
+            epoch: it.epoch,
+            at: now,
+            step: it.step,
+            version: it.version,
+            prepared: it.prepared,
+            experts,
+        };
+        self.ranks.insert(rank, told);
+        let mine = self.is_mine(&it.group, it.epoch);
+        if mine
+            && !it.counts.is_empty()
+            && let Some(demand) = &mut self.demand
+        {
+            demand.told(now, rank.into(), it.counts);
+        }
+        self.try_switch(now)
+    }
+
+    fn on_proposal(&mut self, it: &wire::Proposal) -> Vec<Do> {
+        let Some(shape) = self.map_shape().filter(|_| self.is_mine(&it.group, it.epoch)) else {
+            return Vec::new();
+        };
+        match Map::parse(shape, &it.map) {
+            Ok(map) => self.prepare(it.version, map),
+            Err(e) => {
+                slog::warn!(self.log, "proposed map does not fit"; "error" => %e);
+                Vec::new()
+            }
+        }
+    }
+
+    fn on_barrier(&mut self, it: &wire::Barrier) -> Vec<Do> {
+        if !self.is_mine(&it.group, it.epoch) {
+            return Vec::new();
+        }
+        let plan = Plan { version: it.version, step: it.step };
+        let message = match it.kind {
+            0 => Message::Switch(plan),
+            1 => Message::Vote { plan, yes: true },
+            2 => Message::Vote { plan, yes: false },
+            3 => Message::Ask(plan),
+            _ => return Vec::new(),
+        };
+        let (Ok(from), Some(member)) = (u16::try_from(it.rank), &mut self.member) else {
+            return Vec::new();
+        };
+        let outputs = member.on_message(from, it.epoch, message);
+        self.carry_out(outputs)
+    }
+
+    fn map_shape(&self) -> Option<map::Shape> {
+        let (shape, group) = (self.shape.as_ref()?, self.group.as_ref()?);
+        Some(map::Shape {
+            ranks: group.size.into(),
+            layers: shape.layers as usize,
+            experts: shape.experts as usize,
+            slots: shape.slots as usize,
+        })
+    }
+
+    fn prepare(&mut self, version: u64, map: Map) -> Vec<Do> {
+        let (Some(group), Some(member)) = (&self.group, &mut self.member) else {
+            return Vec::new();
+        };
+        let reading = group.reading;
+        self.highest = self.highest.max(version);
+        if version <= reading.version || !group.open || !member.is_free() {
+            return Vec::new();
+        }
+        let fence = member.next_fence();
+        slog::info!(self.log, "map to be prepared"; "version" => version, "epoch" => reading.epoch,
+            "step" => reading.step, "fence" => fence);
+        let body = engine::prepare(version, &by_rank(&map), reading.epoch, fence);
+        self.wanted = Some((version, map));
+        vec![Do::Ask(Ask::Prepare(body))]
+    }
+
+    // Time and plans.
+
+    /// Asks for missing votes, and plans beside rank 0.
+    pub fn tick(&mut self, now: Millis) -> Vec<Do> {
+        let Some(member) = &mut self.member else { return Vec::new() };
+        let outputs = member.tick();
+        let mut list = self.carry_out(outputs);
+        let planner = self.group.as_ref().is_some_and(|it| it.rank == 0 && it.open);
+        if planner {
+            if let Some(demand) = &mut self.demand {
+                demand.mark(now);
+            }
+            list.extend(self.plan(now));
+            list.extend(self.try_switch(now));
+        }
+        list
+    }
+
+    fn plan(&mut self, now: Millis) -> Vec<Do> {
+        if let Some(it) = &self.proposed {
+            if now < it.since + PREPARE {
+                return Vec::new();
+            }
+            slog::warn!(self.log, "map given up"; "version" => it.version);
+            self.highest += VERSION_JUMP;
+            self.proposed = None;
+        }
+        match self.decide(now) {
+            Some(change) => self.propose(now, &change),
+            None => Vec::new(),
+        }
+    }
+
+    fn decide(&mut self, now: Millis) -> Option<rebalance::Change> {
+        let member = self.member.as_ref().filter(|it| it.is_free())?;
+        let version = member.reading()?.version;
+        let demand = self.demand.as_ref()?;
+        if demand.age(now)? > FRESH || !self.agree_on(now, version) {
+            return None;
+        }
+        let recent = demand.recent(MARKS, 0)?;
+        let before = demand.recent(MARKS, MARKS);
+        let settled = before.is_none_or(|it| demand::likeness(&recent, &it) >= SETTLED);
+        let map = self.map_in_force()?;
+        let options = rebalance::Options::with_spare(self.shape.as_ref()?.spare as usize);
+        let change = rebalance::decide(&options, &map, &recent);
+        if change.is_none() || settled {
+            self.restless = None;
+            return change;
+        }
+        let since = *self.restless.get_or_insert(now);
+        change.filter(|_| now >= since + RESTLESS)
+    }
+
+    /// Whether all other ranks were heard of lately and have this map in force.
+    fn agree_on(&self, now: Millis, version: u64) -> bool {
+        let size = self.group.as_ref().map_or(0, |it| usize::from(it.size));
+        let epoch = self.group.as_ref().map_or(0, |it| it.reading.epoch);
+        let same = |it: &&Rank| it.version == version && it.epoch == epoch;
+        let agrees = |it: &&Rank| same(it) && now.saturating_sub(it.at) <= FRESH;
+        self.ranks.values().filter(agrees).count() + 1 >= size
+    }
+
+    fn map_in_force(&self) -> Option<Map> {
+        let shape = self.map_shape()?;
+        let mine = &self.lists.as_ref()?.experts;
+        let mut layers = vec![Vec::new(); shape.layers];
+        for rank in 0..shape.ranks {
+            let experts = match rank {
+                0 => mine,
+                _ => &self.ranks.get(&(rank as u16))?.experts,
+            };
+            for (slots, held) in layers.iter_mut().zip(experts) {
+                let held = held.iter().map(|it| Some(Expert(*it)));
+                slots.extend(held.chain(std::iter::repeat(None)).take(shape.slots));
+            }
+        }
+        Map::build(shape, &layers).ok()
+    }
+
+    fn propose(&mut self, now: Millis, change: &rebalance::Change) -> Vec<Do> {
+        let Some(group) = &self.group else { return Vec::new() };
+        let version = self.highest.max(group.reading.version) + 1;
+        slog::info!(self.log, "map proposed"; "version" => version, "epoch" => group.reading.epoch,
+            "skew" => change.before, "expected" => change.after, "moves" => change.moves);
+        let proposal = Body::Proposal(wire::Proposal {
+            group: group.name.clone(),
+            epoch: group.reading.epoch,
+            version,
+            map: change.map.encode().into(),
+        });
+        self.proposed = Some(Proposed { version, since: now, switching: false });
+        let sends = self.ranks.values().map(|it| Do::Send(it.peer, proposal.clone()));
+        let mut list: Vec<Do> = sends.collect();
+        list.extend(self.prepare(version, change.map.clone()));
+        list
+    }
+
+    /// Proposes the switch once all ranks have prepared the map.
+    fn try_switch(&mut self, _now: Millis) -> Vec<Do> {
+        let (Some(group), Some(member), Some(it)) =
+            (&self.group, &mut self.member, &mut self.proposed)
+        else {
+            return Vec::new();
+        };
+        let version = it.version;
+        let epoch = group.reading.epoch;
+        let ready = |it: &&Rank| it.prepared == version && it.epoch == epoch;
+        let others = self.ranks.values().filter(ready).count();
+        let all = group.reading.prepared == Some(version) && others + 1 == usize::from(group.size);
+        if group.reading.version == version {
+            self.proposed = None;
+            return Vec::new();
+        }
+        if !all || it.switching || !member.is_free() {
+            return Vec::new();
+        }
+        it.switching = true;
+        let steps = self.ranks.values().filter(|it| it.epoch == epoch).map(|it| it.step);
+        let known = steps.max().unwrap_or(0);
+        let ahead = if self.pass > 0.0 { (LEAD as f64 / self.pass).ceil() as u64 } else { 0 };
+        let step = known.max(group.reading.step) + ahead.max(LEAD_PASSES) + 1;
+        let plan = Plan { version, step };
+        slog::info!(self.log, "switch proposed"; "version" => version, "at" => step,
+            "step" => group.reading.step, "pass" => self.pass);
+        let outputs = member.propose(plan);
+        self.carry_out(outputs)
+    }
+
+    /// How the group stands, as this agent sees it.
+    pub fn explain(&self) -> serde_json::Value {
+        let reading = self.group.as_ref().map(|it| it.reading);
+        let recent = self.demand.as_ref().and_then(|it| it.recent(MARKS, 0));
+        let skew = self.map_in_force().zip(recent).map(|(map, it)| rebalance::mean_skew(&map, &it));
+        serde_json::json!({
+            "group": self.group_name(), "rank": self.group.as_ref().map(|it| it.rank),
+            "epoch": reading.map(|it| it.epoch), "version": reading.map(|it| it.version),
+            "step": reading.map(|it| it.step), "ranks_heard": self.ranks.len(),
+            "pass_ms": self.pass, "skew": skew,
+        })
+    }
+}
+
+fn done(status: u16) -> Done {
+    match engine::taken(status) {
+        engine::Taken::Yes => Done::Taken,
+        engine::Taken::No => Done::Refused,
+        engine::Taken::Fenced => Done::Fenced,
+    }
+}
+
+/// The experts of each rank, layer by layer.
+fn by_rank(map: &Map) -> Vec<Vec<Vec<u16>>> {
+    let rank = |layer: &map::Layer, rank: usize| {
+        let held = layer.slots_of(map::Rank(rank as u16)).filter_map(|slot| layer.expert(slot));
+        held.map(|it| it.0).collect::<Vec<u16>>()
+    };
+    let layer = |it: &map::Layer| (0..it.ranks()).map(|at| rank(it, at)).collect();
+    map.layers.iter().map(layer).collect()
+}
+
+fn layers(flat: &[u32]) -> Vec<Vec<u16>> {
+    let parts = flat.split(|it| *it == LAYER_END);
+    let mut layers: Vec<Vec<u16>> =
+        parts.map(|it| it.iter().filter_map(|it| u16::try_from(*it).ok()).collect()).collect();
+    layers.pop();
+    layers
+}
--- a/crates/sablepass-agent/src/settings.rs
+++ b/crates/sablepass-agent/src/settings.rs
@@ -39,6 +39,10 @@
     /// Milliseconds that the target may be silent within an answer. Default 60,000.
     #[serde(default = "default_read")]
     pub read: u64,
+    /// Without a gate: whether the agent keeps its rank's share of its group's
+    /// expert map. Takes engines that check fences. Default true.
+    #[serde(default = "default_gate")]
+    pub keeps_maps: bool,
 }
 
 fn default_gate() -> bool {
--- a/crates/sablepass-core/src/expert.rs
+++ b/crates/sablepass-core/src/expert.rs
@@ -4,8 +4,11 @@
 //! Where a group's experts sit, when they move, and how all ranks change to
 //! a new map in the same step.
 
+pub mod barrier;
+pub mod demand;
 pub mod drift;
 pub mod map;
 pub mod place;
 pub mod plan;
+pub mod rebalance;
 pub mod switch;
--- /dev/null
+++ b/crates/sablepass-core/src/expert/barrier.rs
@@ -0,0 +1,472 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! The switch of a group whose engines keep no vote: they can prepare a map,
+//! arm it for a step, hold a step and let it go, and they check fences.
+//!
+//! A plan names a prepared version and a step. Each member holds its rank at
+//! the step, arms the version for it, and tells all what its engine's own
+//! account then shows: yes, it is armed. A member that cannot do so first has
+//! its engine take a disarm order with a higher fence, after which nothing
+//! sent before can arm it, and then tells no. A vote never changes. The step
+//! cannot begin while any rank holds it, and a member lets it go only when
+//! all are armed, or when one said no and its own rank is disarmed. So at the
+//! step all ranks have the new map or none.
+//!
+//! Orders may be carried out late. Each carries the group's epoch and a fence
+//! above all earlier ones of its rank, so what is late meets a newer order or
+//! another epoch and is refused. Whatever a lost agent left behind stands in
+//! its engine's account; its successor bars late orders, reads that, and goes
+//! on: armed is a yes that was given, anything else becomes a no.
+
+use std::collections::BTreeMap;
+
+/// Most members of a group.
+pub const MEMBERS: u16 = 128;
+/// Plans whose vote is remembered, for members that ask late.
+const SETTLED: usize = 16;
+/// How much a fence jumps when an engine knows a higher one.
+const FENCE_JUMP: u64 = 1 << 20;
+
+/// A plan of a switch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Plan {
+    /// Version of the new map, which the ranks have prepared.
+    pub version: u64,
+    /// The first step on it. Above that of every earlier plan of the epoch.
+    pub step: u64,
+}
+
+/// An engine's account of itself, read when no order is under way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Reading {
+    /// Grows each time the group forms anew.
+    pub epoch: u64,
+    /// The last step begun.
+    pub step: u64,
+    /// Version of the map in force.
+    pub version: u64,
+    /// Version that is prepared.
+    pub prepared: Option<u64>,
+    /// The plan that it is armed for.
+    pub armed: Option<Plan>,
+    /// The step that it holds.
+    pub held: Option<u64>,
+}
+
+/// An order to the own engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Order {
+    /// Change nothing, but refuse what was sent before.
+    Bar,
+    /// Do not begin this step.
+    Hold(u64),
+    /// Take the prepared version as this step begins.
+    Arm(Plan),
+    /// Do not take this version.
+    Disarm(u64),
+    /// Begin the held step.
+    Go(u64),
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Done {
+    /// The engine took it.
+    Taken,
+    /// It did not fit the engine's state.
+    Refused,
+    /// The engine knows a higher fence.
+    Fenced,
+    /// Nobody knows; it may be carried out later.
+    Unknown,
+}
+
+/// A message between members.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Message {
+    /// Switch by this plan.
+    Switch(Plan),
+    /// The sender's vote.
+    Vote {
+        /// The plan.
+        plan: Plan,
+        /// Armed, or never to be.
+        yes: bool,
+    },
+    /// What is your vote? Whoever has none says no.
+    Ask(Plan),
+}
+
+/// What a member wants done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Output {
+    /// Send to a member, in this epoch.
+    Send(u16, u64, Message),
+    /// Give the own engine an order. The account is to be read after it.
+    Order {
+        /// The order.
+        order: Order,
+        /// The epoch that it is for.
+        epoch: u64,
+        /// Its fence.
+        fence: u64,
+    },
+}
+
+/// Votes heard on a plan.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Votes {
+    /// A bit a member.
+    yes: u128,
+    no: bool,
+}
+
+/// The plan in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Current {
+    plan: Plan,
+    vote: Option<bool>,
+    /// No is all that is left to say.
+    refusing: bool,
+    /// After a yes: the rank is disarmed, since another one said no.
+    undone: bool,
+    /// The others were told the vote.
+    told: bool,
+}
+
+/// A member's agent. Everything in here may be lost.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Member {
+    me: u16,
+    size: u16,
+    fence: u64,
+    /// The engine refuses what a predecessor sent.
+    barred: bool,
+    reading: Option<Reading>,
+    /// The reading was made after the last order.
+    fresh: bool,
+    pending: Option<Order>,
+    /// An order failed that has to be given again: at the next tick.
+    resting: bool,
+    current: Option<Current>,
+    votes: BTreeMap<Plan, Votes>,
+    /// Own votes on plans that are over.
+    settled: BTreeMap<Plan, bool>,
+    /// A plan to be refused when the current one is over.
+    asked: Option<Plan>,
+}
+
+impl Member {
+    /// Opens member `me` of `size`, whose orders carry fences above `fence`.
+    pub fn open(me: u16, size: u16, fence: u64) -> Self {
+        Self {
+            me,
+            size,
+            fence,
+            barred: false,
+            reading: None,
+            fresh: false,
+            pending: None,
+            resting: false,
+            current: None,
+            votes: BTreeMap::new(),
+            settled: BTreeMap::new(),
+            asked: None,
+        }
+    }
+
+    /// The engine's account as last read.
+    pub fn reading(&self) -> Option<&Reading> {
+        self.reading.as_ref()
+    }
+
+    /// The plan in progress.
+    pub fn plan(&self) -> Option<Plan> {
+        self.current.map(|it| it.plan)
+    }
+
+    /// Whether a new plan can be begun.
+    pub fn is_free(&self) -> bool {
+        let idle = |it: &Reading| it.armed.is_none() && it.held.is_none();
+        self.barred
+            && self.fresh
+            && self.current.is_none()
+            && self.reading.as_ref().is_some_and(idle)
+    }
+
+    /// The fence of an order that is not a part of a switch.
+    pub fn next_fence(&mut self) -> u64 {
+        self.fence += 1;
+        self.fence
+    }
+
+    /// Records that the engine knows a higher fence than that of an order.
+    pub fn fenced(&mut self) {
+        self.fence += FENCE_JUMP;
+    }
+
+    /// Begins a plan at all members, this one included.
+    pub fn propose(&mut self, plan: Plan) -> Vec<Output> {
+        let mut outputs = self.tell_all(Message::Switch(plan));
+        outputs.extend(self.on_message(self.me, self.epoch(), Message::Switch(plan)));
+        outputs
+    }
+
+    /// Takes a message of a member.
+    pub fn on_message(&mut self, from: u16, epoch: u64, message: Message) -> Vec<Output> {
+        if self.reading.is_none() || epoch != self.epoch() {
+            // Of another epoch, or too early to know. Who waits asks again.
+            return Vec::new();
+        }
+        match message {
+            Message::Switch(plan) => self.begin(plan),
+            Message::Vote { plan, yes } => {
+                let votes = self.votes.entry(plan).or_default();
+                votes.no |= !yes;
+                votes.yes |= if yes { 1 << from } else { 0 };
+            }
+            Message::Ask(plan) => return self.on_ask(from, plan),
+        }
+        self.advance()
+    }
+
+    fn begin(&mut self, plan: Plan) {
+        let known = self.settled.contains_key(&plan) || self.plan() == Some(plan);
+        if known || self.current.is_some() || !self.barred {
+            return;
+        }
+        let passed = self.settled.keys().any(|it| it.step >= plan.step);
+        self.current =
+            Some(Current { plan, vote: None, refusing: passed, undone: false, told: false });
+    }
+
+    fn on_ask(&mut self, from: u16, plan: Plan) -> Vec<Output> {
+        let current = self.current.filter(|it| it.plan == plan);
+        let in_force = self.reading.is_some_and(|it| it.version == plan.version);
+        let vote = match current {
+            Some(it) => it.vote,
+            None => self.settled.get(&plan).copied().or(in_force.then_some(true)),
+        };
+        if let Some(yes) = vote {
+            return vec![Output::Send(from, self.epoch(), Message::Vote { plan, yes })];
+        }
+        if current.is_none() {
+            self.asked = Some(plan);
+        }
+        self.advance()
+    }
+
+    /// Takes the engine's account.
+    pub fn on_reading(&mut self, reading: Reading) -> Vec<Output> {
+        if self.pending.is_some() {
+            return Vec::new();
+        }
+        let known = self.reading.map(|it| it.epoch);
+        if known.is_some_and(|it| it != reading.epoch) {
+            // The group formed anew: nothing of the old one counts.
+            self.current = None;
+            self.asked = None;
+            self.votes.clear();
+            self.settled.clear();
+        }
+        self.reading = Some(reading);
+        self.fresh = true;
+        self.advance()
+    }
+
+    /// Takes the end of an order. The account is read next.
+    pub fn on_done(&mut self, done: Done) {
+        let Some(order) = self.pending.take() else { return };
+        self.fresh = false;
+        if done == Done::Fenced {
+            self.fenced();
+        }
+        match (order, done) {
+            (Order::Bar, Done::Taken) => self.barred = true,
+            (Order::Hold(_) | Order::Arm(_), Done::Taken) => {}
+            // Whether it was carried out late is told by the account, or barred.
+            (Order::Hold(_) | Order::Arm(_), _) => self.refuse(),
+            (Order::Disarm(_), Done::Taken) => self.disarmed(),
+            (Order::Go(_), Done::Taken) | (_, Done::Fenced) => {}
+            (Order::Bar | Order::Disarm(_) | Order::Go(_), _) => self.resting = true,
+        }
+    }
+
+    fn refuse(&mut self) {
+        if let Some(it) = &mut self.current {
+            it.refusing = true;
+        }
+    }
+
+    /// Nothing sent before can arm the rank any more.
+    fn disarmed(&mut self) {
+        let Some(it) = &mut self.current else { return };
+        match it.vote {
+            None => {
+                it.vote = Some(false);
+                let plan = it.plan;
+                self.votes.entry(plan).or_default().no = true;
+            }
+            Some(true) => it.undone = true,
+            Some(false) => {}
+        }
+    }
+
+    /// Asks those whose vote is not known, and tries again what failed.
+    pub fn tick(&mut self) -> Vec<Output> {
+        self.resting = false;
+        let mut outputs = self.advance();
+        if let Some(Current { plan, vote: Some(true), undone: false, .. }) = self.current {
+            let heard = self.votes.get(&plan).map_or(0, |it| it.yes);
+            let epoch = self.epoch();
+            let unknown = self.others().filter(|it| heard & 1 << it == 0);
+            outputs.extend(unknown.map(|it| Output::Send(it, epoch, Message::Ask(plan))));
+        }
+        outputs
+    }
+
+    fn epoch(&self) -> u64 {
+        self.reading.map_or(0, |it| it.epoch)
+    }
+
+    fn others(&self) -> impl Iterator<Item = u16> + use<> {
+        let me = self.me;
+        (0..self.size).filter(move |it| *it != me)
+    }
+
+    fn tell_all(&self, message: Message) -> Vec<Output> {
+        let epoch = self.epoch();
+        self.others().map(|it| Output::Send(it, epoch, message)).collect()
+    }
+
+    /// Does what is next, as far as the account allows.
+    fn advance(&mut self) -> Vec<Output> {
+        let Some(reading) = self.reading.filter(|_| self.fresh) else { return Vec::new() };
+        if self.pending.is_some() || self.resting {
+            return Vec::new();
+        }
+        if !self.barred {
+            return vec![self.order(Order::Bar)];
+        }
+        if self.current.is_none() {
+            self.adopt(&reading);
+        }
+        let mut outputs = self.announce();
+        let order = match self.current {
+            None => reading.held.map(Order::Go),
+            Some(it) => self.next_order(&reading, it),
+        };
+        outputs.extend(self.announce());
+        outputs.extend(order.map(|it| self.order(it)));
+        let more = order.is_none() && self.current.is_none() && self.asked.is_some();
+        if more {
+            outputs.extend(self.advance());
+        }
+        outputs
+    }
+
+    /// Tells the others a vote that they were not told.
+    fn announce(&mut self) -> Vec<Output> {
+        let Some(Current { plan, vote: Some(yes), told: false, .. }) = self.current else {
+            return Vec::new();
+        };
+        if let Some(it) = &mut self.current {
+            it.told = true;
+        }
+        self.tell_all(Message::Vote { plan, yes })
+    }
+
+    fn order(&mut self, order: Order) -> Output {
+        self.pending = Some(order);
+        Output::Order { order, epoch: self.epoch(), fence: self.next_fence() }
+    }
+
+    /// Takes up what the account shows of a plan that is not known: armed is
+    /// a yes, which may have been given. What was asked for is refused.
+    fn adopt(&mut self, reading: &Reading) {
+        let open =
+            |plan, vote, refusing| Current { plan, vote, refusing, undone: false, told: false };
+        if let Some(plan) = reading.armed {
+            self.current = Some(open(plan, None, false));
+        } else if let Some(plan) = self.asked.take() {
+            let over = self.settled.contains_key(&plan) || reading.version == plan.version;
+            if !over {
+                self.current = Some(open(plan, None, true));
+            }
+        }
+    }
+
+    fn next_order(&mut self, reading: &Reading, it: Current) -> Option<Order> {
+        match it.vote {
+            None => self.next_before_vote(reading, it),
+            Some(true) => self.next_after_yes(reading, it),
+            Some(false) => self.next_after_no(reading, it),
+        }
+    }
+
+    fn next_before_vote(&mut self, reading: &Reading, it: Current) -> Option<Order> {
+        let Plan { version, step } = it.plan;
+        let armed = reading.armed == Some(it.plan);
+        if armed || reading.version == version {
+            self.vote_yes(it.plan);
+            return self.next_after_yes(reading, Current { vote: Some(true), ..it });
+        }
+        let late = reading.step >= step || reading.prepared != Some(version);
+        let busy = reading.armed.is_some() || reading.held.is_some_and(|it| it != step);
+        if it.refusing || late || busy {
+            return Some(Order::Disarm(version));
+        }
+        if reading.held.is_none() {
+            return Some(Order::Hold(step));
+        }
+        Some(Order::Arm(it.plan))
+    }
+
+    fn vote_yes(&mut self, plan: Plan) {
+        if let Some(it) = &mut self.current {
+            it.vote = Some(true);
+        }
+        self.votes.entry(plan).or_default().yes |= 1 << self.me;
+    }
+
+    fn next_after_yes(&mut self, reading: &Reading, it: Current) -> Option<Order> {
+        let Plan { version, step } = it.plan;
+        if reading.version == version {
+            self.settle(it.plan, true);
+            return reading.held.map(Order::Go);
+        }
+        let votes = self.votes.get(&it.plan).copied().unwrap_or_default();
+        if votes.no {
+            if !it.undone {
+                return Some(Order::Disarm(version));
+            }
+            if reading.held == Some(step) {
+                return Some(Order::Go(step));
+            }
+            self.settle(it.plan, true);
+            return None;
+        }
+        let all = votes.yes.count_ones() == u32::from(self.size);
+        (all && reading.held == Some(step)).then_some(Order::Go(step))
+    }
+
+    fn next_after_no(&mut self, reading: &Reading, it: Current) -> Option<Order> {
+        if reading.held == Some(it.plan.step) {
+            return Some(Order::Go(it.plan.step));
+        }
+        self.settle(it.plan, false);
+        None
+    }
+
+    /// A plan is over for this member.
+    fn settle(&mut self, plan: Plan, vote: bool) {
+        self.current = None;
+        self.settled.insert(plan, vote);
+        while self.settled.len() > SETTLED {
+            self.settled.pop_first();
+        }
+        let settled = &self.settled;
+        self.votes.retain(|it, _| *it > plan || settled.contains_key(it));
+    }
+}
--- /dev/null
+++ b/crates/sablepass-core/src/expert/rebalance.rs
@@ -0,0 +1,102 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! Whether a group needs a new map now, and which one its ranks can prepare.
+//!
+//! A preparation brings few new experts to a rank. Within that bound, each
+//! layer takes small steps from the map in force until it is even enough.
+
+use crate::expert::map::{Layer, Map, Rank};
+use crate::expert::place;
+
+/// Small steps of a layer at most: a layer of 16 ranks takes about 20.
+const STEPS: usize = 200;
+
+/// When to change, and how far.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// New experts that one preparation may bring to a rank in a layer.
+    pub spare: usize,
+    /// Mean skew of the layers from which a new map is looked for. Default
+    /// 1.3: below it little of a pass is left to gain.
+    pub trigger: f64,
+    /// Skew at which a layer is even enough. Default 1.12: each further step
+    /// loads more weights than it saves time.
+    pub goal: f64,
+    /// Mean skew that a new map must save. Default 0.12: a switch has the
+    /// group pass 15% slower while weights are copied.
+    pub least_gain: f64,
+    /// Choices in the demand below which it is not believed. Default 2,000:
+    /// some ten for each expert of a layer.
+    pub least_counts: f64,
+}
+
+impl Options {
+    /// The defaults, for a bound on new experts.
+    pub fn with_spare(spare: usize) -> Self {
+        Self { spare, trigger: 1.3, goal: 1.12, least_gain: 0.12, least_counts: 2_000.0 }
+    }
+}
+
+/// A map to change to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The map.
+    pub map: Map,
+    /// Mean skew of the layers before.
+    pub before: f64,
+    /// The same after.
+    pub after: f64,
+    /// Experts that ranks have to load.
+    pub moves: usize,
+}
+
+/// Mean skew of a map's layers under a demand.
+pub fn mean_skew(map: &Map, demand: &[Vec<f64>]) -> f64 {
+    let skews = map.skews(demand);
+    skews.iter().sum::<f64>() / skews.len().max(1) as f64
+}
+
+/// A better map, if there is one that is worth the change.
+pub fn decide(options: &Options, map: &Map, demand: &[Vec<f64>]) -> Option<Change> {
+    let counts: f64 = demand.iter().flatten().sum();
+    if counts < options.least_counts {
+        return None;
+    }
+    let before = mean_skew(map, demand);
+    if before < options.trigger {
+        return None;
+    }
+    let mut new = map.clone();
+    for (layer, tokens) in new.layers.iter_mut().zip(demand) {
+        *layer = even_out(options, layer, tokens);
+    }
+    let after = mean_skew(&new, demand);
+    let moves = new.moves_from(map);
+    (before - after >= options.least_gain).then_some(Change { map: new, before, after, moves })
+}
+
+/// Small steps of a layer that keep within the bound on new experts.
+fn even_out(options: &Options, start: &Layer, tokens: &[f64]) -> Layer {
+    let mut layer = start.clone();
+    for _ in 0..STEPS {
+        if layer.skew(tokens) <= options.goal {
+            break;
+        }
+        let Some(change) = place::best_change(&layer, tokens) else { break };
+        let mut next = layer.clone();
+        if !change.apply(&mut next) || !fits(options, start, &next) {
+            break;
+        }
+        layer = next;
+    }
+    layer
+}
+
+fn fits(options: &Options, start: &Layer, next: &Layer) -> bool {
+    (0..next.ranks()).all(|rank| {
+        let rank = Rank(rank as u16);
+        let held = next.slots_of(rank).filter_map(|slot| next.expert(slot));
+        held.filter(|it| !start.holds(rank, *it)).count() <= options.spare
+    })
+}
--- a/crates/sablepass-wire/src/frame.rs
+++ b/crates/sablepass-wire/src/frame.rs
@@ -99,5 +99,8 @@
         Body::Pull(_) => "pull",
         Body::Delta(_) => "delta",
         Body::Ballot(_) => "ballot",
+        Body::Tally(_) => "tally",
+        Body::Proposal(_) => "proposal",
+        Body::Barrier(_) => "barrier",
     }
 }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -41,6 +41,12 @@
         Delta(super::Delta),
         #[prost(message, tag = "15")]
         Ballot(super::Ballot),
+        #[prost(message, tag = "16")]
+        Tally(super::Tally),
+        #[prost(message, tag = "17")]
+        Proposal(super::Proposal),
+        #[prost(message, tag = "18")]
+        Barrier(super::Barrier),
     }
 }
 /// First frame in each direction of a connection.
@@ -271,3 +277,62 @@
     #[prost(fixed64, tag = "8")]
     pub floor: u64,
 }
+/// What the agent of a rank tells the agents of its group: who it is, what its
+/// rank holds, and which experts its requests chose.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Tally {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(uint32, tag = "3")]
+    pub rank: u32,
+    /// The last step begun.
+    #[prost(uint64, tag = "4")]
+    pub step: u64,
+    /// Version of the map in force.
+    #[prost(uint64, tag = "5")]
+    pub version: u64,
+    /// Version that is prepared; 0 for none.
+    #[prost(uint64, tag = "6")]
+    pub prepared: u64,
+    /// Highest version that this agent knows to be used up.
+    #[prost(uint64, tag = "7")]
+    pub highest: u64,
+    /// Choices since the replica started, layer by layer; empty when not told.
+    #[prost(uint64, repeated, tag = "8")]
+    pub counts: ::prost::alloc::vec::Vec<u64>,
+    /// Experts of this rank, layer by layer; layers are separated by 65535.
+    #[prost(uint32, repeated, tag = "9")]
+    pub experts: ::prost::alloc::vec::Vec<u32>,
+}
+/// A map that the ranks of a group are to prepare.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Proposal {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    #[prost(bytes = "bytes", tag = "4")]
+    pub map: ::prost::bytes::Bytes,
+}
+/// One message of the switch of a group whose engines keep no vote.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Barrier {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// The sender's rank.
+    #[prost(uint32, tag = "3")]
+    pub rank: u32,
+    /// 0 switch, 1 vote yes, 2 vote no, 3 ask.
+    #[prost(uint32, tag = "4")]
+    pub kind: u32,
+    #[prost(uint64, tag = "5")]
+    pub version: u64,
+    #[prost(uint64, tag = "6")]
+    pub step: u64,
+}
