--- a/crates/sablepass-core/src/expert/rebalance.rs
+++ b/crates/sablepass-core/src/expert/rebalance.rs
@@ -18,13 +18,13 @@
     /// New experts that one preparation may bring to a rank in a layer.
     pub spare: usize,
     /// Mean skew of the layers from which a new map is looked for. Default
-    /// 1.3: below it little of a pass is left to gain.
+    /// 1.5: below it copies cost more than a pass gains.
     pub trigger: f64,
-    /// Skew at which a layer is even enough. Default 1.12: each further step
+    /// Skew at which a layer is even enough. Default 1.15: each further step
     /// loads more weights than it saves time.
     pub goal: f64,
-    /// Mean skew that a new map must save. Default 0.12: a switch has the
-    /// group pass 15% slower while weights are copied.
+    /// Mean skew that a new map must save. Default 0.25: a switch has the
+    /// group pass 15% slower while weights are copied, for a while.
     pub least_gain: f64,
     /// Choices in the demand below which it is not believed. Default 2,000:
     /// some ten for each expert of a layer.
@@ -34,7 +34,7 @@
 impl Options {
     /// The defaults, for a bound on new experts.
     pub fn with_spare(spare: usize) -> Self {
-        Self { spare, trigger: 1.3, goal: 1.12, least_gain: 0.12, least_counts: 2_000.0 }
+        Self { spare, trigger: 1.5, goal: 1.15, least_gain: 0.25, least_counts: 2_000.0 }
     }
 }
 
