--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -455,7 +455,7 @@
         if version <= reading.version || !group.open || !member.is_free() {
             return Vec::new();
         }
-        let fence = member.next_fence();
+        let fence = member.want(version);
         slog::info!(self.log, "map to be prepared"; "version" => version, "epoch" => reading.epoch,
             "step" => reading.step, "fence" => fence);
         let body = engine::prepare(version, &by_rank(&map), reading.epoch, fence);
--- a/crates/sablepass-core/src/expert/barrier.rs
+++ b/crates/sablepass-core/src/expert/barrier.rs
@@ -141,6 +141,8 @@
     me: u16,
     size: u16,
     fence: u64,
+    /// The version that this agent itself had prepared last.
+    wanted: u64,
     /// The engine refuses what a predecessor sent.
     barred: bool,
     reading: Option<Reading>,
@@ -153,8 +155,13 @@
     votes: BTreeMap<Plan, Votes>,
     /// Own votes on plans that are over.
     settled: BTreeMap<Plan, bool>,
-    /// A plan to be refused when the current one is over.
+    /// A plan that somebody waits for and that is not the current one: it is
+    /// barred and refused, whatever becomes of the current one.
     asked: Option<Plan>,
+    /// The plan that the order under way bars.
+    barring: Option<Plan>,
+    /// Plans that were barred and whose refusal is to be told.
+    refused: Vec<Plan>,
 }
 
 impl Member {
@@ -164,6 +171,7 @@
             me,
             size,
             fence,
+            wanted: 0,
             barred: false,
             reading: None,
             fresh: false,
@@ -173,6 +181,8 @@
             votes: BTreeMap::new(),
             settled: BTreeMap::new(),
             asked: None,
+            barring: None,
+            refused: Vec::new(),
         }
     }
 
@@ -195,8 +205,15 @@
             && self.reading.as_ref().is_some_and(idle)
     }
 
-    /// The fence of an order that is not a part of a switch.
-    pub fn next_fence(&mut self) -> u64 {
+    /// Records that this agent has a version prepared, and gives the fence of
+    /// that order. A plan for any other version is refused: its proposal was
+    /// meant for a predecessor, whose votes are not known here.
+    pub fn want(&mut self, version: u64) -> u64 {
+        self.wanted = version;
+        self.next_fence()
+    }
+
+    fn next_fence(&mut self) -> u64 {
         self.fence += 1;
         self.fence
     }
@@ -232,8 +249,13 @@
     }
 
     fn begin(&mut self, plan: Plan) {
+        let barred = self.asked == Some(plan) || self.barring == Some(plan);
         let known = self.settled.contains_key(&plan) || self.plan() == Some(plan);
-        if known || self.current.is_some() || !self.barred {
+        if known || barred || self.current.is_some() || !self.barred {
+            return;
+        }
+        if plan.version != self.wanted {
+            self.asked = Some(plan);
             return;
         }
         let passed = self.settled.keys().any(|it| it.step >= plan.step);
@@ -267,6 +289,7 @@
             // The group formed anew: nothing of the old one counts.
             self.current = None;
             self.asked = None;
+            self.refused.clear();
             self.votes.clear();
             self.settled.clear();
         }
@@ -279,6 +302,10 @@
     pub fn on_done(&mut self, done: Done) {
         let Some(order) = self.pending.take() else { return };
         self.fresh = false;
+        if let Some(plan) = self.barring.take() {
+            self.barred_plan(plan, done);
+            return;
+        }
         if done == Done::Fenced {
             self.fenced();
         }
@@ -293,6 +320,18 @@
         }
     }
 
+    fn barred_plan(&mut self, plan: Plan, done: Done) {
+        match done {
+            Done::Taken => {
+                self.asked = self.asked.filter(|it| *it != plan);
+                self.remember(plan, false);
+                self.refused.push(plan);
+            }
+            Done::Fenced => self.fenced(),
+            Done::Refused | Done::Unknown => self.resting = true,
+        }
+    }
+
     fn refuse(&mut self) {
         if let Some(it) = &mut self.current {
             it.refusing = true;
@@ -358,16 +397,36 @@
             Some(it) => self.next_order(&reading, it),
         };
         outputs.extend(self.announce());
+        let order = order.or_else(|| self.next_bar(&reading));
         outputs.extend(order.map(|it| self.order(it)));
-        let more = order.is_none() && self.current.is_none() && self.asked.is_some();
-        if more {
-            outputs.extend(self.advance());
-        }
         outputs
     }
 
+    /// The order that bars a plan which somebody waits for. The rank is not
+    /// armed for it, and what it is armed for stays as it is.
+    fn next_bar(&mut self, reading: &Reading) -> Option<Order> {
+        let plan = self.asked?;
+        let known = self.settled.contains_key(&plan) || self.plan() == Some(plan);
+        let other = self.plan().is_some_and(|it| it.version == plan.version);
+        if known || other || reading.version == plan.version {
+            self.asked = None;
+            return None;
+        }
+        self.barring = Some(plan);
+        Some(Order::Disarm(plan.version))
+    }
+
     /// Tells the others a vote that they were not told.
     fn announce(&mut self) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        for plan in std::mem::take(&mut self.refused) {
+            outputs.extend(self.tell_all(Message::Vote { plan, yes: false }));
+        }
+        outputs.extend(self.announce_vote());
+        outputs
+    }
+
+    fn announce_vote(&mut self) -> Vec<Output> {
         let Some(Current { plan, vote: Some(yes), told: false, .. }) = self.current else {
             return Vec::new();
         };
@@ -383,18 +442,15 @@
     }
 
     /// Takes up what the account shows of a plan that is not known: armed is
-    /// a yes, which may have been given. What was asked for is refused.
+    /// a yes, which may have been given.
     fn adopt(&mut self, reading: &Reading) {
-        let open =
-            |plan, vote, refusing| Current { plan, vote, refusing, undone: false, told: false };
-        if let Some(plan) = reading.armed {
-            self.current = Some(open(plan, None, false));
-        } else if let Some(plan) = self.asked.take() {
-            let over = self.settled.contains_key(&plan) || reading.version == plan.version;
-            if !over {
-                self.current = Some(open(plan, None, true));
-            }
-        }
+        self.current = reading.armed.map(|plan| Current {
+            plan,
+            vote: None,
+            refusing: false,
+            undone: false,
+            told: false,
+        });
     }
 
     fn next_order(&mut self, reading: &Reading, it: Current) -> Option<Order> {
@@ -462,6 +518,10 @@
     /// A plan is over for this member.
     fn settle(&mut self, plan: Plan, vote: bool) {
         self.current = None;
+        self.remember(plan, vote);
+    }
+
+    fn remember(&mut self, plan: Plan, vote: bool) {
         self.settled.insert(plan, vote);
         while self.settled.len() > SETTLED {
             self.settled.pop_first();
