Pass votes on, and dial again what is not connected in time

An opening packet that a full queue drops is sent again only after seconds.

Change: a member tells all the votes that it knows, not only its own, and asks everybody while one is missing. A link that is not made in 600 ms is closed and dialled anew.

--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -104,7 +104,8 @@
                     self.entries.push(peer);
                 }
             }
-            mesh::Event::Up(peer, _) => {
+            mesh::Event::Up(peer, it) => {
+                slog::info!(self.log, "agent up"; "agent" => it.name);
                 let list = self.ranks.up(peer);
                 self.carry_out(list);
             }
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -347,11 +347,10 @@
     }
 
     fn barrier(&self, epoch: u64, message: Message) -> Body {
-        let (kind, plan) = match message {
-            Message::Switch(plan) => (0, plan),
-            Message::Vote { plan, yes: true } => (1, plan),
-            Message::Vote { plan, yes: false } => (2, plan),
-            Message::Ask(plan) => (3, plan),
+        let (kind, plan, yes, no) = match message {
+            Message::Switch(plan) => (0, plan, 0, false),
+            Message::Votes { plan, yes, no } => (1, plan, yes, no),
+            Message::Ask(plan) => (2, plan, 0, false),
         };
         Body::Barrier(wire::Barrier {
             group: self.group_name(),
@@ -360,6 +359,8 @@
             kind,
             version: plan.version,
             step: plan.step,
+            yes: yes.to_be_bytes().to_vec().into(),
+            no,
         })
     }
 
@@ -424,9 +425,11 @@
         let plan = Plan { version: it.version, step: it.step };
         let message = match it.kind {
             0 => Message::Switch(plan),
-            1 => Message::Vote { plan, yes: true },
-            2 => Message::Vote { plan, yes: false },
-            3 => Message::Ask(plan),
+            1 => match <[u8; 16]>::try_from(&it.yes[..]) {
+                Ok(yes) => Message::Votes { plan, yes: u128::from_be_bytes(yes), no: it.no },
+                Err(_) => return Vec::new(),
+            },
+            2 => Message::Ask(plan),
             _ => return Vec::new(),
         };
         let (Ok(from), Some(member)) = (u16::try_from(it.rank), &mut self.member) else {
--- a/crates/sablepass-core/src/expert/barrier.rs
+++ b/crates/sablepass-core/src/expert/barrier.rs
@@ -87,14 +87,17 @@
 pub enum Message {
     /// Switch by this plan.
     Switch(Plan),
-    /// The sender's vote.
-    Vote {
+    /// The votes that the sender knows, its own among them. Anybody may pass
+    /// them on, so two members need no connection to learn of each other.
+    Votes {
         /// The plan.
         plan: Plan,
-        /// Armed, or never to be.
-        yes: bool,
+        /// Members that are armed, a bit each.
+        yes: u128,
+        /// One member is never to be.
+        no: bool,
     },
-    /// What is your vote? Whoever has none says no.
+    /// Which votes do you know? Whoever has none says no.
     Ask(Plan),
 }
 
@@ -238,10 +241,10 @@
         }
         match message {
             Message::Switch(plan) => self.begin(plan),
-            Message::Vote { plan, yes } => {
+            Message::Votes { plan, yes, no } => {
                 let votes = self.votes.entry(plan).or_default();
-                votes.no |= !yes;
-                votes.yes |= if yes { 1 << from } else { 0 };
+                votes.yes |= yes;
+                votes.no |= no;
             }
             Message::Ask(plan) => return self.on_ask(from, plan),
         }
@@ -271,7 +274,7 @@
             None => self.settled.get(&plan).copied().or(in_force.then_some(true)),
         };
         if let Some(yes) = vote {
-            return vec![Output::Send(from, self.epoch(), Message::Vote { plan, yes })];
+            return vec![Output::Send(from, self.epoch(), self.known(plan, yes))];
         }
         if current.is_none() {
             self.asked = Some(plan);
@@ -279,6 +282,13 @@
         self.advance()
     }
 
+    /// The votes known on a plan, with the own one.
+    fn known(&self, plan: Plan, yes: bool) -> Message {
+        let votes = self.votes.get(&plan).copied().unwrap_or_default();
+        let mine = if yes { 1 << self.me } else { 0 };
+        Message::Votes { plan, yes: votes.yes | mine, no: votes.no || !yes }
+    }
+
     /// Takes the engine's account.
     pub fn on_reading(&mut self, reading: Reading) -> Vec<Output> {
         if self.pending.is_some() {
@@ -358,9 +368,9 @@
         let mut outputs = self.advance();
         if let Some(Current { plan, vote: Some(true), undone: false, .. }) = self.current {
             let heard = self.votes.get(&plan).map_or(0, |it| it.yes);
-            let epoch = self.epoch();
-            let unknown = self.others().filter(|it| heard & 1 << it == 0);
-            outputs.extend(unknown.map(|it| Output::Send(it, epoch, Message::Ask(plan))));
+            if heard.count_ones() < u32::from(self.size) {
+                outputs.extend(self.tell_all(Message::Ask(plan)));
+            }
         }
         outputs
     }
@@ -420,7 +430,7 @@
     fn announce(&mut self) -> Vec<Output> {
         let mut outputs = Vec::new();
         for plan in std::mem::take(&mut self.refused) {
-            outputs.extend(self.tell_all(Message::Vote { plan, yes: false }));
+            outputs.extend(self.tell_all(self.known(plan, false)));
         }
         outputs.extend(self.announce_vote());
         outputs
@@ -433,7 +443,7 @@
         if let Some(it) = &mut self.current {
             it.told = true;
         }
-        self.tell_all(Message::Vote { plan, yes })
+        self.tell_all(self.known(plan, yes))
     }
 
     fn order(&mut self, order: Order) -> Output {
--- a/crates/sablepass-core/tests/barrier.rs
+++ b/crates/sablepass-core/tests/barrier.rs
@@ -251,8 +251,10 @@
             }
             Action::Deliver(from, to, epoch, message) => {
                 let message = match message {
-                    Message::Vote { plan, .. } if limits.mutation == Mutation::ChangesVote => {
-                        Message::Vote { plan, yes: true }
+                    Message::Votes { plan, yes, no: true }
+                        if limits.mutation == Mutation::ChangesVote =>
+                    {
+                        Message::Votes { plan, yes: yes | 1 << from, no: false }
                     }
                     other => other,
                 };
--- a/crates/sablepass-edge/src/link.rs
+++ b/crates/sablepass-edge/src/link.rs
@@ -9,7 +9,7 @@
 use sablepass_wire::frame::{self, Codec};
 use sablepass_wire::generated::frame::Body;
 use snafu::Snafu;
-use stakker::{CX, Fwd, fwd_to, stop};
+use stakker::{CX, Fwd, after, fwd_to, stop};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
@@ -21,6 +21,9 @@
 const READ_SIZE: usize = 64 * 1024;
 /// Bytes that may wait to be sent before a peer counts as stuck.
 const SEND_LIMIT: usize = 32 << 20;
+/// Time in which a connection must be made: some round trips, and less than a
+/// kernel waits before it sends a lost opening packet again.
+const CONNECT: Duration = Duration::from_millis(600);
 /// Time after which bytes that are not acknowledged end a connection.
 const UNACKED: Duration = Duration::from_secs(3);
 /// Time without a word after which the other side is probed: the least that a kernel takes.
@@ -46,6 +49,9 @@
         /// Why.
         source: frame::Error,
     },
+    /// It was not made in time.
+    #[snafu(display("no answer in time"))]
+    ConnectTime,
     /// The peer does not read.
     #[snafu(display("the peer does not read"))]
     Stuck,
@@ -68,6 +74,7 @@
     codec: Codec,
     owner: Fwd<Event>,
     metrics: Arc<Metrics>,
+    connected: bool,
 }
 
 impl Link {
@@ -87,7 +94,8 @@
                 let mut tcp = TcpStreamBuf::new();
                 tcp.init(source);
                 tcp.set_nodelay(true);
-                Some(Self { tcp, codec: Codec::open(), owner, metrics })
+                after!(CONNECT, [cx], check_connected());
+                Some(Self { tcp, codec: Codec::open(), owner, metrics, connected: false })
             }
             Err(source) => {
                 owner.fwd(Event::Closed(Cause::Socket { source }));
@@ -113,7 +121,14 @@
         self.flush(cx);
     }
 
+    fn check_connected(&mut self, cx: CX![]) {
+        if !self.connected {
+            self.close(cx, Cause::ConnectTime);
+        }
+    }
+
     fn ready(&mut self, cx: CX![], ready: Ready) {
+        self.connected |= ready.is_writable() || ready.is_readable();
         if ready.is_writable() {
             self.flush(cx);
         }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -328,11 +328,17 @@
     /// The sender's rank.
     #[prost(uint32, tag = "3")]
     pub rank: u32,
-    /// 0 switch, 1 vote yes, 2 vote no, 3 ask.
+    /// 0 switch, 1 votes, 2 ask.
     #[prost(uint32, tag = "4")]
     pub kind: u32,
     #[prost(uint64, tag = "5")]
     pub version: u64,
     #[prost(uint64, tag = "6")]
     pub step: u64,
+    /// Of votes: ranks known to be armed, 16 big-endian bytes with a bit a rank.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub yes: ::prost::bytes::Bytes,
+    /// Of votes: a rank refused.
+    #[prost(bool, tag = "8")]
+    pub no: bool,
 }
