Give unanswered orders again; let agents that start anew meet

Change: a hold, arm or prepare order that goes unanswered is given again with a higher fence; a switch that is over and not in force is given up at once; the planner tells its tally twice a second; one pull of a revision at a time.

--- a/crates/sablepass-agent/src/engine.rs
+++ b/crates/sablepass-agent/src/engine.rs
@@ -13,8 +13,9 @@
 use sablepass_platform::engine;
 use stakker::{ActorOwn, CX, Fwd, actor_new, after, call, fwd_to, ret_nop};
 
-/// How long a call may take: it does not leave the machine.
-const CALL_TIME: Duration = Duration::from_millis(400);
+/// How long a call may take. It does not leave the machine, and an answer
+/// comes within some milliseconds or not at all.
+const CALL_TIME: Duration = Duration::from_millis(120);
 /// Calls that wait at most; readings beyond it are not made.
 const QUEUE: usize = 16;
 
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -34,7 +34,12 @@
 const PREPARE: Millis = 2_500;
 /// How far ahead a switch is laid: orders and votes are there by then, so that
 /// no pass has to wait.
-const LEAD: Millis = 160;
+const LEAD: Millis = 110;
+/// Ticks between two tallies of the planner to all, so that an agent which was
+/// not ready for one gets the next.
+const TELL_TICKS: u64 = 5;
+/// How often the order to prepare a map is given again when it goes unanswered.
+const PREPARES: u32 = 4;
 /// Passes that it is laid ahead at least.
 const LEAD_PASSES: u64 = 2;
 /// Intervals of the counts that make a demand.
@@ -70,6 +75,14 @@
     experts: Vec<Vec<u16>>,
 }
 
+/// A map that the own rank is to prepare.
+struct Wanted {
+    version: u64,
+    map: Map,
+    /// Orders given for it.
+    orders: u32,
+}
+
 /// A map that ranks prepare.
 struct Proposed {
     version: u64,
@@ -92,8 +105,9 @@
     lists: Option<Lists>,
     counts: Vec<u64>,
     demand: Option<Demand>,
-    /// The version being prepared at the own rank, and its map.
-    wanted: Option<(u64, Map)>,
+    /// The map being prepared at the own rank.
+    wanted: Option<Wanted>,
+    ticks: u64,
     proposed: Option<Proposed>,
     /// Highest version known to be used up.
     highest: u64,
@@ -118,6 +132,7 @@
             counts: Vec::new(),
             demand: None,
             wanted: None,
+            ticks: 0,
             proposed: None,
             highest: 0,
             restless: None,
@@ -139,8 +154,8 @@
     /// Whether something is under way that wants frequent readings.
     pub fn is_busy(&self) -> bool {
         let switching = self.member.as_ref().is_some_and(|it| !it.is_free());
-        let preparing = self.wanted.as_ref().is_some_and(|(version, _)| {
-            self.group.as_ref().is_some_and(|it| it.reading.prepared != Some(*version))
+        let preparing = self.wanted.as_ref().is_some_and(|wanted| {
+            self.group.as_ref().is_some_and(|it| it.reading.prepared != Some(wanted.version))
         });
         self.is_active() && (switching || preparing)
     }
@@ -234,8 +249,9 @@
                 vec![Do::Ask(Ask::Report)]
             }
             (Ask::Prepare(_), it) => {
-                self.prepared(it);
-                vec![Do::Ask(Ask::Report)]
+                let mut list = self.prepared(it);
+                list.push(Do::Ask(Ask::Report));
+                list
             }
             (Ask::Counts, Heard::Answer { status: 200, body }) => match engine::picked(body) {
                 Ok(it) => self.picked(now, it),
@@ -257,24 +273,27 @@
         Vec::new()
     }
 
-    fn prepared(&mut self, heard: &Heard) {
-        let status = match heard {
-            Heard::Answer { status, .. } => *status,
-            // The account tells whether it was taken.
-            Heard::Nothing => return,
+    fn prepared(&mut self, heard: &Heard) -> Vec<Do> {
+        let done = match heard {
+            Heard::Answer { status, .. } => done(*status),
+            Heard::Nothing => Done::Unknown,
         };
-        match done(status) {
-            Done::Taken | Done::Unknown => return,
+        match done {
+            Done::Taken => return Vec::new(),
+            // It may be carried out late; one with a higher fence bars it.
+            Done::Unknown => return self.order_prepare(),
             Done::Fenced => {
                 if let Some(member) = &mut self.member {
                     member.fenced();
                 }
+                return self.order_prepare();
             }
             Done::Refused => {}
         }
-        slog::warn!(self.log, "map not prepared"; "status" => status,
-            "version" => self.wanted.as_ref().map(|it| it.0));
+        slog::warn!(self.log, "map not prepared"; "done" => ?done,
+            "version" => self.wanted.as_ref().map(|it| it.version));
         self.wanted = None;
+        Vec::new()
     }
 
     fn picked(&mut self, now: Millis, it: Picked) -> Vec<Do> {
@@ -385,6 +404,7 @@
         }
         let Ok(rank) = u16::try_from(it.rank) else { return Vec::new() };
         let experts = layers(&it.experts);
+        let known = self.ranks.get(&rank).is_some_and(|it| it.peer == peer);
         let told = Rank {
             peer,
             epoch: it.epoch,
@@ -402,7 +422,11 @@
         {
             demand.told(now, rank.into(), it.counts);
         }
-        self.try_switch(now)
+        let mut list = self.try_switch(now);
+        if !known {
+            list.extend(self.tally(false).map(|it| Do::Send(peer, it)));
+        }
+        list
     }
 
     fn on_proposal(&mut self, it: &wire::Proposal) -> Vec<Do> {
@@ -458,11 +482,25 @@
         if version <= reading.version || !group.open || !member.is_free() {
             return Vec::new();
         }
+        self.wanted = Some(Wanted { version, map, orders: 0 });
+        self.order_prepare()
+    }
+
+    fn order_prepare(&mut self) -> Vec<Do> {
+        let (Some(group), Some(member), Some(wanted)) =
+            (&self.group, &mut self.member, &mut self.wanted)
+        else {
+            return Vec::new();
+        };
+        wanted.orders += 1;
+        if wanted.orders > PREPARES {
+            return Vec::new();
+        }
+        let (version, epoch) = (wanted.version, group.reading.epoch);
         let fence = member.want(version);
-        slog::info!(self.log, "map to be prepared"; "version" => version, "epoch" => reading.epoch,
-            "step" => reading.step, "fence" => fence);
-        let body = engine::prepare(version, &by_rank(&map), reading.epoch, fence);
-        self.wanted = Some((version, map));
+        slog::info!(self.log, "map to be prepared"; "version" => version, "epoch" => epoch,
+            "step" => group.reading.step, "fence" => fence, "orders" => wanted.orders);
+        let body = engine::prepare(version, &by_rank(&wanted.map), epoch, fence);
         vec![Do::Ask(Ask::Prepare(body))]
     }
 
@@ -480,17 +518,27 @@
             }
             list.extend(self.plan(now));
             list.extend(self.try_switch(now));
+            self.ticks += 1;
+            if self.ticks.is_multiple_of(TELL_TICKS) {
+                list.extend(self.tell_all());
+            }
         }
         list
     }
 
     fn plan(&mut self, now: Millis) -> Vec<Do> {
         if let Some(it) = &self.proposed {
-            if now < it.since + PREPARE {
+            let late = now >= it.since + PREPARE;
+            let free = self.member.as_ref().is_some_and(Member::is_free);
+            // A switch that was proposed and is over has failed: this version is not in force.
+            if !late && !(it.switching && free) {
                 return Vec::new();
             }
-            slog::warn!(self.log, "map given up"; "version" => it.version);
-            self.highest += VERSION_JUMP;
+            slog::warn!(self.log, "map given up"; "version" => it.version, "late" => late,
+                "switching" => it.switching);
+            if late {
+                self.highest += VERSION_JUMP;
+            }
             self.proposed = None;
         }
         match self.decide(now) {
--- a/crates/sablepass-core/src/expert/barrier.rs
+++ b/crates/sablepass-core/src/expert/barrier.rs
@@ -321,9 +321,10 @@
         }
         match (order, done) {
             (Order::Bar, Done::Taken) => self.barred = true,
-            (Order::Hold(_) | Order::Arm(_), Done::Taken) => {}
-            // Whether it was carried out late is told by the account, or barred.
-            (Order::Hold(_) | Order::Arm(_), _) => self.refuse(),
+            // What went unanswered is given again, if the account does not
+            // show it. The later one bars the earlier.
+            (Order::Hold(_) | Order::Arm(_), Done::Taken | Done::Unknown) => {}
+            (Order::Hold(_) | Order::Arm(_), Done::Refused) => self.refuse(),
             (Order::Disarm(_), Done::Taken) => self.disarmed(),
             (Order::Go(_), Done::Taken) | (_, Done::Fenced) => {}
             (Order::Bar | Order::Disarm(_) | Order::Go(_), _) => self.resting = true,
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -40,6 +40,9 @@
 const RETRY_FIRST: Millis = 100;
 /// Longest wait before a failed read is made again: an outage ends unseen for that long.
 const RETRY_LAST: Millis = 800;
+/// Time in which a peer answers a pull: some round trips and the transfer of a
+/// large document over a slow link.
+const PULL_TIME: Millis = 250;
 /// Least time between two reads of declarations, so that a burst of changes
 /// does not become a burst of calls.
 const WATCH_PACE: Millis = 50;
@@ -58,11 +61,23 @@
     whole: bool,
     /// When the next call is due.
     next: Millis,
+    /// The last pull: when, and from which revision. The same is not asked of
+    /// a second peer while the first may still answer.
+    pulled: Option<(Millis, u64)>,
 }
 
 impl Source {
     fn open(store: Store, reader: ActorOwn<Reader>, whole: bool) -> Self {
-        Self { store, reader, ordered: None, good: false, failures: 0, whole, next: 0 }
+        Self {
+            store,
+            reader,
+            ordered: None,
+            good: false,
+            failures: 0,
+            whole,
+            next: 0,
+            pulled: None,
+        }
     }
 
     fn order(&mut self, now: Millis, wait: Duration) {
@@ -72,6 +87,14 @@
         call!([self.reader], order(order));
     }
 
+    fn may_pull(&mut self, now: Millis, after: u64) -> bool {
+        let waits = self.pulled.is_some_and(|(at, from)| from == after && now < at + PULL_TIME);
+        if !waits {
+            self.pulled = Some((now, after));
+        }
+        !waits
+    }
+
     /// When a failed call is made again. Spread, so that processes which
     /// failed together do not come back together.
     fn retry_at(&mut self, now: Millis) -> Millis {
@@ -225,7 +248,9 @@
             if let Some(reason) = ignored {
                 self.metrics.ignored(reason);
             }
-            if let Compare::Pull(after) = compare {
+            if let Compare::Pull(after) = compare
+                && self.source(what).may_pull(now, after)
+            {
                 pulls.push(wire::Pull { after, what: what as u32 });
             }
         }
