Refuse at once while a group is not complete, and say when to come back

Change: agents tell that their group is not complete; entries refuse at once with 2.4 s to come back; a stream that has begun waits for the group within its caller's patience.

--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -57,6 +57,8 @@
     pulses: u64,
     /// When the entries were last told the load.
     told: Millis,
+    /// Whether they were told that the group is not complete.
+    told_closed: bool,
 }
 
 impl Observer {
@@ -88,6 +90,7 @@
             service: String::new(),
             pulses: 0,
             told: 0,
+            told_closed: false,
         };
         observer.pulse(cx);
         Some(observer)
@@ -205,12 +208,20 @@
         let list = self.ranks.report(now, report.group.clone());
         self.carry_out(list);
         self.reading = Some(Reading { report, at: now });
-        if now >= self.told + self.settings.heartbeat {
+        let closed = self.is_closed();
+        if now >= self.told + self.settings.heartbeat || closed != self.told_closed {
             self.told = now;
+            self.told_closed = closed;
             self.tell();
         }
     }
 
+    /// Its group is not complete, so that nothing sent there runs.
+    fn is_closed(&self) -> bool {
+        let group = self.reading.as_ref().and_then(|it| it.report.group.as_ref());
+        group.is_some_and(|it| !it.open)
+    }
+
     fn lost(&mut self, why: &str) {
         if self.good {
             self.good = false;
@@ -229,7 +240,7 @@
             engine_load: load,
             load_age: u32::try_from(age).unwrap_or(u32::MAX),
             leaving: false,
-            away: false,
+            away: self.is_closed(),
         });
         for peer in &self.entries {
             call!([self.mesh], send(*peer, report.clone()));
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -180,11 +180,22 @@
         let stalled = now.saturating_sub(member.alive) >= self.silence * STALLED;
         let lost = match member.source {
             Source::Heartbeats => silent || stalled || member.report.away,
-            Source::Listing => now < member.rests,
+            Source::Listing => now < member.rests || self.is_closed(now, member),
         };
         (!lost && !member.leaving).then_some(member)
     }
 
+    /// Whether a listed target's agent said lately that it takes no work, as
+    /// when its group is not complete. Word of a silent agent does not count.
+    fn is_closed(&self, now: Millis, member: &Member) -> bool {
+        member.report.away && now.saturating_sub(member.heard) < self.silence
+    }
+
+    /// Whether a target is known and takes no work for now.
+    pub fn closed(&self, now: Millis, name: &str) -> bool {
+        self.get(name).is_some_and(|it| !it.leaving && self.is_closed(now, it))
+    }
+
     /// The agent, in whatever state.
     pub fn get(&self, name: &str) -> Option<&Member> {
         self.members.get(name)
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -127,6 +127,8 @@
         SlowRequest = 46, "slow-request";
         /// The target's answer is not one to this request.
         WrongAnswer = 47, "wrong-answer";
+        /// The group of engines that serves the model is not complete.
+        GroupClosed = 48, "group-closed";
         /// The headers are longer than the limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -191,6 +193,7 @@
             Self::EngineBroke | Self::AnswerGap | Self::AnswerTooLarge | Self::WrongAnswer => 502,
             Self::Saturated
             | Self::NoConfiguration
+            | Self::GroupClosed
             | Self::TargetFull
             | Self::Misdirected
             | Self::ProcessLimit
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -43,6 +43,9 @@
 const TICK: Duration = Duration::from_millis(25);
 /// How long a request waits for a connection to the owner of its key.
 const OWNER_WAIT: Millis = 2_000;
+/// How long a stream that has begun waits for a target that can go on with it.
+/// Callers give up a stream that is silent for two seconds or more.
+const RESUME_WAIT: Millis = 1_700;
 /// How long a stopping entry stays after its last answer, so that it is read.
 const LINGER: Duration = Duration::from_millis(200);
 
@@ -170,9 +173,13 @@
         open.waiting = None;
         match choice {
             Some(choice) => self.send(cx, now, id, &choice),
+            None if open.begun && now < open.spoke + RESUME_WAIT => open.waiting = Some(now),
             None => {
-                let keyed = open.owner.is_some();
-                let reason = if keyed { Refusal::OwnerAway } else { Refusal::NoTarget };
+                let reason = match (&open.owner, self.targets.closed(now, &open.served)) {
+                    (Some(_), _) => Refusal::OwnerAway,
+                    (None, true) => Refusal::GroupClosed,
+                    (None, false) => Refusal::NoTarget,
+                };
                 let actions = open.flight.refuse(reason);
                 self.act(cx, id, actions);
             }
--- a/crates/sablepass-entry/src/routes.rs
+++ b/crates/sablepass-entry/src/routes.rs
@@ -24,6 +24,11 @@
 /// this process knows nothing yet: about what a list takes to arrive.
 const LATER: &str = "0.4";
 
+/// Seconds after which a caller may come back while a group is not complete: a
+/// rank that was replaced is back in about that time, and callers wait for a
+/// third of their time at most.
+const REFORMED: &str = "2.4";
+
 /// Reads a request.
 pub fn parse(options: &Options, it: Incoming) -> Result<Call, Refused> {
     let arrived = clock::now();
@@ -99,6 +104,7 @@
         return None;
     }
     Some(match it.reason {
+        Refusal::GroupClosed => REFORMED,
         Refusal::NoTarget | Refusal::NoConfiguration | Refusal::Stopping => LATER,
         _ => SOON,
     })
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -412,6 +412,12 @@
         self.choice(&name, load, candidates)
     }
 
+    /// Whether what serves is there and closed: its group is not complete.
+    pub fn closed(&self, now: Millis, served: &Served) -> bool {
+        let names = self.serving.get(served);
+        names.is_some_and(|it| it.iter().any(|name| self.members.closed(now, name)))
+    }
+
     /// The owner of a key among all declared targets, whether connected or not.
     pub fn owner(&self, served: &Served, key: &Key) -> Option<String> {
         let names = self.serving.get(served)?;
