Give orders up after 50 ms; lay switches further ahead while they go unanswered

Small refinements from a skew of 1.5 made such switches more often.

Change: an order is given again after 50 ms; the switch lies 150 ms further ahead for 5 s after one went unanswered; trigger 1.7, least gain 0.35.

--- a/crates/sablepass-agent/src/engine.rs
+++ b/crates/sablepass-agent/src/engine.rs
@@ -13,9 +13,11 @@
 use sablepass_platform::engine;
 use stakker::{ActorOwn, CX, Fwd, actor_new, after, call, fwd_to, ret_nop};
 
-/// How long a call may take. It does not leave the machine, and an answer
-/// comes within some milliseconds or not at all.
+/// How long a reading may take. It does not leave the machine.
 const CALL_TIME: Duration = Duration::from_millis(120);
+/// How long an order may take: an answer comes within some milliseconds or not
+/// at all, and while it is waited for a step may be held.
+const ORDER_TIME: Duration = Duration::from_millis(50);
 /// Calls that wait at most; readings beyond it are not made.
 const QUEUE: usize = 16;
 
@@ -100,6 +102,10 @@
             self.connect(cx);
         }
         let outgoing = self.outgoing(&ask);
+        let limit = match ask {
+            Ask::Order(_) | Ask::Prepare(_) => ORDER_TIME,
+            Ask::Report | Ask::Counts | Ask::Lists => CALL_TIME,
+        };
         self.current = Some(ask);
         self.status = 0;
         self.body.clear();
@@ -108,7 +114,7 @@
         if let Some(it) = &self.connection {
             call!([it], send(outgoing));
         }
-        after!(CALL_TIME, [cx], check_time(number));
+        after!(limit, [cx], check_time(number));
     }
 
     fn outgoing(&self, ask: &Ask) -> Outgoing {
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -35,6 +35,11 @@
 /// How far ahead a switch is laid: orders and votes are there by then, so that
 /// no pass has to wait.
 const LEAD: Millis = 110;
+/// How much further ahead it is laid while orders go unanswered, so that they
+/// can be given again before the step is held.
+const LEAD_UNANSWERED: Millis = 150;
+/// How long an unanswered order counts as a sign of more.
+const UNANSWERED: Millis = 5_000;
 /// Ticks between two tallies of the planner to all, so that an agent which was
 /// not ready for one gets the next.
 const TELL_TICKS: u64 = 5;
@@ -108,6 +113,8 @@
     /// The map being prepared at the own rank.
     wanted: Option<Wanted>,
     ticks: u64,
+    /// When an order last went unanswered.
+    unanswered: Option<Millis>,
     proposed: Option<Proposed>,
     /// Highest version known to be used up.
     highest: u64,
@@ -133,6 +140,7 @@
             demand: None,
             wanted: None,
             ticks: 0,
+            unanswered: None,
             proposed: None,
             highest: 0,
             restless: None,
@@ -241,7 +249,10 @@
             (Ask::Order(_), it) => {
                 let done = match it {
                     Heard::Answer { status, .. } => done(*status),
-                    Heard::Nothing => Done::Unknown,
+                    Heard::Nothing => {
+                        self.unanswered = Some(now);
+                        Done::Unknown
+                    }
                 };
                 if let Some(member) = &mut self.member {
                     member.on_done(done);
@@ -613,7 +624,7 @@
     }
 
     /// Proposes the switch once all ranks have prepared the map.
-    fn try_switch(&mut self, _now: Millis) -> Vec<Do> {
+    fn try_switch(&mut self, now: Millis) -> Vec<Do> {
         let (Some(group), Some(member), Some(it)) =
             (&self.group, &mut self.member, &mut self.proposed)
         else {
@@ -634,7 +645,9 @@
         it.switching = true;
         let steps = self.ranks.values().filter(|it| it.epoch == epoch).map(|it| it.step);
         let known = steps.max().unwrap_or(0);
-        let ahead = if self.pass > 0.0 { (LEAD as f64 / self.pass).ceil() as u64 } else { 0 };
+        let shaky = self.unanswered.is_some_and(|at| now < at + UNANSWERED);
+        let lead = if shaky { LEAD + LEAD_UNANSWERED } else { LEAD };
+        let ahead = if self.pass > 0.0 { (lead as f64 / self.pass).ceil() as u64 } else { 0 };
         let step = known.max(group.reading.step) + ahead.max(LEAD_PASSES) + 1;
         let plan = Plan { version, step };
         slog::info!(self.log, "switch proposed"; "version" => version, "at" => step,
--- a/crates/sablepass-core/src/expert/rebalance.rs
+++ b/crates/sablepass-core/src/expert/rebalance.rs
@@ -18,12 +18,13 @@
     /// New experts that one preparation may bring to a rank in a layer.
     pub spare: usize,
     /// Mean skew of the layers from which a new map is looked for. Default
-    /// 1.5: below it copies cost more than a pass gains.
+    /// 1.7: below it a pass is within its limit at any load that is admitted, and
+    /// each switch may hold a step.
     pub trigger: f64,
     /// Skew at which a layer is even enough. Default 1.15: each further step
     /// loads more weights than it saves time.
     pub goal: f64,
-    /// Mean skew that a new map must save. Default 0.25: a switch has the
+    /// Mean skew that a new map must save. Default 0.35: a switch has the
     /// group pass 15% slower while weights are copied, for a while.
     pub least_gain: f64,
     /// Choices in the demand below which it is not believed. Default 2,000:
@@ -34,7 +35,7 @@
 impl Options {
     /// The defaults, for a bound on new experts.
     pub fn with_spare(spare: usize) -> Self {
-        Self { spare, trigger: 1.5, goal: 1.15, least_gain: 0.25, least_counts: 2_000.0 }
+        Self { spare, trigger: 1.7, goal: 1.15, least_gain: 0.35, least_counts: 2_000.0 }
     }
 }
 
