Connect agents to their group whichever of configuration and list comes first

Cause: after all processes were killed, agents that got the instance list before the configuration never dialled their group: the list does not change again. The planner heard of no rank and made no map from then on.

Change: both events lead to the same step. The planner says what keeps it from planning, once a second has passed.

--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -52,6 +52,7 @@
     good: bool,
     ranks: Ranks,
     catalogue: Rc<Catalogue>,
+    instances: Rc<BTreeMap<String, Instance>>,
     /// The service that the target answers for, once it is listed.
     service: String,
     pulses: u64,
@@ -87,6 +88,7 @@
             good: false,
             ranks,
             catalogue: Rc::default(),
+            instances: Rc::default(),
             service: String::new(),
             pulses: 0,
             told: 0,
@@ -122,19 +124,27 @@
             }
             mesh::Event::Config(it) => {
                 self.catalogue = it;
-                self.declare();
+                self.meet_group();
+            }
+            mesh::Event::Instances(it) => {
+                self.instances = it;
+                self.meet_group();
             }
-            mesh::Event::Instances(it) => self.list(&it),
             mesh::Event::Entries(_) => {}
         }
     }
 
-    fn list(&mut self, instances: &BTreeMap<String, Instance>) {
+    /// Declares the group that the target is a rank of, and connects to its
+    /// agents. Configuration and list come in either order.
+    fn meet_group(&mut self) {
+        let instances = self.instances.clone();
         let targets = || instances.values().filter(|it| it.role == Role::Target);
         let Some(mine) = targets().find(|it| it.addr == self.target) else { return };
         self.service.clone_from(&mine.serves);
-        self.declare();
-        if !self.settings.keeps_maps || self.shape().is_none() {
+        let shape = self.shape().cloned().filter(|_| self.settings.keeps_maps);
+        let is_rank = shape.is_some();
+        self.ranks.declare(shape);
+        if !is_rank {
             return;
         }
         let me = self.settings.node.listen;
@@ -150,11 +160,6 @@
         service.engine.as_ref()?.ranks.as_ref()
     }
 
-    fn declare(&mut self) {
-        let shape = self.shape().cloned().filter(|_| self.settings.keeps_maps);
-        self.ranks.declare(shape);
-    }
-
     fn carry_out(&self, list: Vec<Do>) {
         for it in list {
             match it {
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -43,6 +43,8 @@
 /// Ticks between two tallies of the planner to all, so that an agent which was
 /// not ready for one gets the next.
 const TELL_TICKS: u64 = 5;
+/// How long an obstacle to planning lasts before a line says so.
+const OBSTACLE: Millis = 1_000;
 /// How often the order to prepare a map is given again when it goes unanswered.
 const PREPARES: u32 = 4;
 /// Passes that it is laid ahead at least.
@@ -80,6 +82,19 @@
     experts: Vec<Vec<u16>>,
 }
 
+/// What keeps the planner from planning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Obstacle {
+    /// The own rank is not free for a new plan.
+    Switching,
+    /// A rank's counts are missing or old.
+    OldCounts,
+    /// A rank was not heard of lately, or has another map in force.
+    RankMissing,
+    /// What the ranks hold makes no map.
+    NoMap,
+}
+
 /// A map that the own rank is to prepare.
 struct Wanted {
     version: u64,
@@ -119,6 +134,8 @@
     /// Highest version known to be used up.
     highest: u64,
     restless: Option<Millis>,
+    /// What keeps the planner from planning, since when, and whether that was said.
+    obstacle: Option<(Obstacle, Millis, bool)>,
     /// When the last step was seen to begin, and milliseconds of a pass.
     paced: Option<(Millis, u64)>,
     pass: f64,
@@ -144,6 +161,7 @@
             proposed: None,
             highest: 0,
             restless: None,
+            obstacle: None,
             paced: None,
             pass: 0.0,
         }
@@ -558,13 +576,53 @@
         }
     }
 
+    /// Why the planner cannot plan, if so.
+    fn obstacle(&self, now: Millis) -> Option<Obstacle> {
+        let Some(member) = self.member.as_ref().filter(|it| it.is_free()) else {
+            return Some(Obstacle::Switching);
+        };
+        let version = member.reading().map_or(0, |it| it.version);
+        let age = self.demand.as_ref().and_then(|it| it.age(now));
+        if age.is_none_or(|it| it > FRESH) {
+            return Some(Obstacle::OldCounts);
+        }
+        if !self.agree_on(now, version) {
+            return Some(Obstacle::RankMissing);
+        }
+        self.map_in_force().is_none().then_some(Obstacle::NoMap)
+    }
+
+    /// Says what has kept the planner from planning for a while, once.
+    fn note_obstacle(&mut self, now: Millis, obstacle: Option<Obstacle>) {
+        let Some(it) = obstacle else {
+            self.obstacle = None;
+            return;
+        };
+        let (known, since, told) = *self.obstacle.get_or_insert((it, now, false));
+        if known != it {
+            self.obstacle = Some((it, now, false));
+        } else if !told && now >= since + OBSTACLE {
+            let ranks: Vec<u16> = self.silent_ranks(now);
+            slog::warn!(self.log, "planner waits"; "why" => ?it, "silent_ranks" => ?ranks,
+                "member" => ?self.member.as_ref().map(|it| (it.plan(), it.reading().copied())));
+            self.obstacle = Some((it, since, true));
+        }
+    }
+
+    fn silent_ranks(&self, now: Millis) -> Vec<u16> {
+        let size = self.group.as_ref().map_or(0, |it| it.size);
+        let fresh =
+            |rank: &u16| self.ranks.get(rank).is_some_and(|it| now.saturating_sub(it.at) <= FRESH);
+        (1..size).filter(|it| !fresh(it)).collect()
+    }
+
     fn decide(&mut self, now: Millis) -> Option<rebalance::Change> {
-        let member = self.member.as_ref().filter(|it| it.is_free())?;
-        let version = member.reading()?.version;
-        let demand = self.demand.as_ref()?;
-        if demand.age(now)? > FRESH || !self.agree_on(now, version) {
+        let obstacle = self.obstacle(now);
+        self.note_obstacle(now, obstacle);
+        if obstacle.is_some() {
             return None;
         }
+        let demand = self.demand.as_ref()?;
         let recent = demand.recent(MARKS, 0)?;
         let before = demand.recent(MARKS, MARKS);
         let settled = before.is_none_or(|it| demand::likeness(&recent, &it) >= SETTLED);
