Test maps with real agents beside a stand-in group

A group of engines that keep no vote stands in on loopback addresses of its own. Four tests: maps follow demand, with list or configuration first; agents killed, paused and left without answers while maps change. No step may begin on two maps.

--- a/crates/sablepass-stand/src/lib.rs
+++ b/crates/sablepass-stand/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod http;
 pub mod keys;
 pub mod process;
+pub mod ranks;
 pub mod replica;
 pub mod site;
--- a/crates/sablepass-stand/src/site.rs
+++ b/crates/sablepass-stand/src/site.rs
@@ -4,6 +4,7 @@
 //! A small site of the users' platform: the store, replicas and entries that
 //! send requests straight to them.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -87,6 +88,22 @@
         self.entries.len() - 1
     }
 
+    /// Starts an agent beside a target, at an address and port of its own.
+    pub fn add_agent(&mut self, at: SocketAddr, target: SocketAddr) -> Process {
+        let seeds: Vec<String> = self.entries.iter().map(|it| it.addr("peers")).collect();
+        let name = format!("agent-{}", at.ip());
+        let text = format!(
+            "target = \"http://{target}\"\ngate = false\nheartbeat = 100\n\
+             [node]\nname = {name:?}\nhall = \"ba-1\"\nlisten = \"{at}\"\nadmin = \"{}:0\"\n\
+             platform = \"http://{}\"\nform = \"keys\"\nseeds = {seeds:?}\ndigest_every = 100\n",
+            at.ip(),
+            self.store.addr
+        );
+        let path = self.dir.join(format!("{name}.toml"));
+        std::fs::write(&path, text).expect("settings can be written");
+        Process::spawn("sablepass-agent", &["--config", &path.to_string_lossy()])
+    }
+
     /// Waits until every entry is ready and can use so many targets.
     pub fn settle(&self, targets: usize) {
         for entry in &self.entries {
--- /dev/null
+++ b/crates/sablepass-stand/tests/ranks.rs
@@ -0,0 +1,142 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! Expert maps on the users' platform: real agents beside the ranks of a
+//! stand-in group. The judge is the group: no step begins on two maps.
+
+use std::net::SocketAddr;
+
+use sablepass_stand::client::wait_for;
+use sablepass_stand::process::Process;
+use sablepass_stand::ranks::{self, Group};
+use sablepass_stand::site::Site;
+
+/// Ranks of the group.
+const RANKS: usize = 4;
+
+struct Fleet {
+    site: Site,
+    group: Group,
+    agents: Vec<Process>,
+    port: u16,
+}
+
+/// A group with an agent beside each rank. The list is there before the agents
+/// and the configuration comes after them, or the other way round.
+fn fleet(list_first: bool) -> Fleet {
+    let site = Site::open(0);
+    let group = Group::spawn(RANKS);
+    let port = ranks::free_port(RANKS);
+    let mut fleet = Fleet { site, group, agents: Vec::new(), port };
+    let list = |it: &Fleet| {
+        for rank in 0..RANKS {
+            it.site.store.put(&format!("servers/i-{rank}"), &it.group.entry(rank));
+        }
+    };
+    let configure = |it: &Fleet| {
+        it.site.configure(&Group::configuration(2));
+    };
+    if list_first { list(&fleet) } else { configure(&fleet) }
+    fleet.site.add_entry(&format!("agent_port = {port}"));
+    for rank in 0..RANKS {
+        fleet.start_agent(rank);
+    }
+    for it in &fleet.agents {
+        wait_for("an agent has what there is", || {
+            let status = sablepass_stand::client::control(&it.addr("admin"), "GET", "/status", "");
+            let listed = status["instances"].as_u64().unwrap_or(0) > 0;
+            if list_first { listed } else { status["revision"].as_u64() > Some(0) }
+        });
+    }
+    if list_first { configure(&fleet) } else { list(&fleet) }
+    fleet
+}
+
+impl Fleet {
+    fn start_agent(&mut self, rank: usize) {
+        let at = SocketAddr::new(ranks::loopback(rank), self.port);
+        let agent = self.site.add_agent(at, self.group.addrs[rank]);
+        if rank < self.agents.len() {
+            self.agents[rank] = agent;
+        } else {
+            self.agents.push(agent);
+        }
+    }
+
+    /// Waits for a map that spreads an expert over most ranks.
+    fn wait_for_spread(&self, expert: u64) {
+        let what = format!("expert {expert} is spread");
+        wait_for(&what, || self.group.holders(expert) >= 3 && self.group.version().is_some());
+    }
+
+    fn check(&self) {
+        assert_eq!(self.group.broken(), Vec::<u64>::new(), "steps began on two maps");
+    }
+}
+
+#[test]
+fn verify_maps_follow_demand() {
+    for list_first in [true, false] {
+        let fleet = fleet(list_first);
+        fleet.wait_for_spread(0);
+        let before = fleet.group.version();
+        fleet.group.shift(5);
+        fleet.wait_for_spread(5);
+        assert!(fleet.group.version() > before);
+        fleet.check();
+    }
+}
+
+#[test]
+fn verify_agent_killed_while_maps_change() {
+    let mut fleet = fleet(true);
+    for round in 0..6 {
+        fleet.group.shift(round % 8);
+        let rank = (round as usize) % RANKS;
+        let busy = |it: &Fleet| it.group.progress().1;
+        wait_for("a switch is under way or done", || {
+            busy(&fleet) || fleet.group.holders(round % 8) >= 3
+        });
+        fleet.agents[rank].kill();
+        fleet.start_agent(rank);
+        let (step, _) = fleet.group.progress();
+        wait_for("the group goes on", || fleet.group.progress().0 > step + 5);
+        fleet.check();
+    }
+    fleet.group.shift(7);
+    fleet.wait_for_spread(7);
+    fleet.check();
+}
+
+#[test]
+fn verify_agent_paused_while_maps_change() {
+    let fleet = fleet(true);
+    fleet.wait_for_spread(0);
+    for round in 1..4 {
+        fleet.group.shift(round);
+        fleet.agents[round as usize].pause();
+        let (step, _) = fleet.group.progress();
+        // The group makes its steps, or stands at one that is held.
+        wait_for("steps or a hold", || {
+            let (now, held) = fleet.group.progress();
+            held || now > step + 20
+        });
+        fleet.agents[round as usize].wake();
+        fleet.wait_for_spread(round);
+        fleet.check();
+    }
+}
+
+#[test]
+fn verify_rank_that_takes_no_orders_delays_only() {
+    let fleet = fleet(true);
+    fleet.wait_for_spread(0);
+    fleet.group.deafen(Some(2));
+    fleet.group.shift(4);
+    let (step, _) = fleet.group.progress();
+    wait_for("the group goes on", || fleet.group.progress().0 > step + 50);
+    fleet.check();
+    fleet.group.deafen(None);
+    fleet.wait_for_spread(4);
+    fleet.check();
+}
