Share one short caller between the platform reader and the engine reader

reader.rs (entry) and agent/src/engine.rs held the same code: dial, write, read one answer on a limit, close. caller.rs holds it once; both keep only what they ask and what they make of the answer.

--- a/crates/sablepass-agent/src/engine.rs
+++ b/crates/sablepass-agent/src/engine.rs
@@ -8,10 +8,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::header::{self, HeaderValue};
-use sablepass_edge::client::{self, Connection, Outgoing};
+use sablepass_edge::caller::{self, Answer, Call, Caller};
 use sablepass_platform::engine;
-use stakker::{ActorOwn, CX, Fwd, actor_new, after, call, fwd_to, ret_nop};
+use stakker::{ActorOwn, CX, Fwd, actor_new, call, fwd_to, ret_nop};
 
 /// How long a reading may take. It does not leave the machine.
 const CALL_TIME: Duration = Duration::from_millis(120);
@@ -20,6 +19,8 @@
 const ORDER_TIME: Duration = Duration::from_millis(50);
 /// Calls that wait at most; readings beyond it are not made.
 const QUEUE: usize = 16;
+/// Longest answer: the counts of some thousand experts.
+const ANSWER_LIMIT: usize = 4 << 20;
 
 /// A call.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,155 +37,67 @@
     Prepare(Vec<u8>),
 }
 
-/// How a call ended.
-#[derive(Debug)]
-pub enum Heard {
-    /// With an answer.
-    Answer {
-        /// HTTP status.
-        status: u16,
-        /// Its body.
-        body: Vec<u8>,
-    },
-    /// Without: nobody knows whether an order was taken.
-    Nothing,
+impl Ask {
+    fn is_order(&self) -> bool {
+        matches!(self, Self::Order(_) | Self::Prepare(_))
+    }
+
+    fn call(&self) -> Call {
+        match self {
+            Self::Report => Call::get(engine::REPORT_PATH, CALL_TIME),
+            Self::Counts => Call::get(engine::PICKED_PATH, CALL_TIME),
+            Self::Lists => Call::get(engine::LISTS_PATH, CALL_TIME),
+            Self::Order(body) | Self::Prepare(body) => {
+                Call::post(engine::ORDER_PATH, body.clone(), ORDER_TIME)
+            }
+        }
+    }
 }
 
+/// How a call ended. Without an answer, nobody knows whether an order was taken.
+pub type Heard = Result<Answer, caller::Error>;
+
 /// The actor.
 pub struct Engine {
-    target: SocketAddr,
     owner: Fwd<(Ask, Heard)>,
-    connection: Option<ActorOwn<Connection>>,
-    /// Counts connections, so that a late event of an old one is known.
-    opened: u64,
+    caller: ActorOwn<Caller>,
     waiting: VecDeque<Ask>,
     current: Option<Ask>,
-    /// Counts calls, for their time limits.
-    calls: u64,
-    status: u16,
-    body: Vec<u8>,
 }
 
 impl Engine {
     /// Opens without a connection.
-    pub fn init(_cx: CX![], target: SocketAddr, owner: Fwd<(Ask, Heard)>) -> Option<Self> {
-        Some(Self {
-            target,
-            owner,
-            connection: None,
-            opened: 0,
-            waiting: VecDeque::new(),
-            current: None,
-            calls: 0,
-            status: 0,
-            body: Vec::new(),
-        })
+    pub fn init(cx: CX![], target: SocketAddr, owner: Fwd<(Ask, Heard)>) -> Option<Self> {
+        let caller = actor_new!(cx, Caller, ret_nop!());
+        let answers = fwd_to!([cx], heard() as (Heard));
+        call!([caller], Caller::init(target, ANSWER_LIMIT, answers));
+        Some(Self { owner, caller, waiting: VecDeque::new(), current: None })
     }
 
     /// Makes a call after those before it. A reading that already waits is
     /// not made twice.
-    pub fn ask(&mut self, cx: CX![], it: Ask) {
-        let order = matches!(it, Ask::Order(_) | Ask::Prepare(_));
-        let skip = !order && (self.waiting.contains(&it) || self.waiting.len() >= QUEUE);
-        if skip {
+    pub fn ask(&mut self, _cx: CX![], it: Ask) {
+        let skip = self.waiting.contains(&it) || self.waiting.len() >= QUEUE;
+        if skip && !it.is_order() {
             return;
         }
         self.waiting.push_back(it);
-        self.next(cx);
+        self.next();
     }
 
-    fn next(&mut self, cx: CX![]) {
+    fn next(&mut self) {
         if self.current.is_some() {
             return;
         }
         let Some(ask) = self.waiting.pop_front() else { return };
-        if self.connection.is_none() {
-            self.connect(cx);
-        }
-        let outgoing = self.outgoing(&ask);
-        let limit = match ask {
-            Ask::Order(_) | Ask::Prepare(_) => ORDER_TIME,
-            Ask::Report | Ask::Counts | Ask::Lists => CALL_TIME,
-        };
+        call!([self.caller], call(ask.call()));
         self.current = Some(ask);
-        self.status = 0;
-        self.body.clear();
-        self.calls += 1;
-        let number = self.calls;
-        if let Some(it) = &self.connection {
-            call!([it], send(outgoing));
-        }
-        after!(limit, [cx], check_time(number));
-    }
-
-    fn outgoing(&self, ask: &Ask) -> Outgoing {
-        let path = match ask {
-            Ask::Report => engine::REPORT_PATH,
-            Ask::Counts => engine::PICKED_PATH,
-            Ask::Lists => engine::LISTS_PATH,
-            Ask::Order(_) | Ask::Prepare(_) => engine::ORDER_PATH,
-        };
-        let mut head = http::Request::new(());
-        *head.uri_mut() = http::Uri::from_static(path);
-        let fields = head.headers_mut();
-        if let Ok(host) = HeaderValue::from_str(&self.target.to_string()) {
-            fields.insert(header::HOST, host);
-        }
-        let body = match ask {
-            Ask::Order(body) | Ask::Prepare(body) => body.clone(),
-            Ask::Report | Ask::Counts | Ask::Lists => Vec::new(),
-        };
-        if !body.is_empty() {
-            fields.insert(header::CONTENT_LENGTH, body.len().into());
-            let json = HeaderValue::from_static("application/json");
-            fields.insert(header::CONTENT_TYPE, json);
-            *head.method_mut() = http::Method::POST;
-        }
-        Outgoing { head, body, echo: None }
-    }
-
-    fn connect(&mut self, cx: CX![]) {
-        self.opened += 1;
-        let opened = self.opened;
-        let events = fwd_to!([cx], |this, cx, it: client::Event| this.event(cx, opened, it));
-        let connection = actor_new!(cx, Connection, ret_nop!());
-        let options = client::Options::default();
-        call!([connection], Connection::init(self.target, options, events));
-        self.connection = Some(connection);
-    }
-
-    fn check_time(&mut self, cx: CX![], number: u64) {
-        if self.calls == number && self.current.is_some() {
-            self.connection = None;
-            self.end(cx, Heard::Nothing);
-        }
-    }
-
-    fn event(&mut self, cx: CX![], opened: u64, event: client::Event) {
-        if opened != self.opened {
-            return;
-        }
-        match event {
-            client::Event::Head(head) => self.status = head.status().as_u16(),
-            client::Event::Bytes(bytes) => self.body.extend_from_slice(&bytes),
-            client::Event::End { reusable, .. } => {
-                if !reusable {
-                    self.connection = None;
-                }
-                let (status, body) = (self.status, std::mem::take(&mut self.body));
-                self.end(cx, Heard::Answer { status, body });
-            }
-            client::Event::Closed { .. } => {
-                self.connection = None;
-                self.end(cx, Heard::Nothing);
-            }
-        }
     }
 
-    fn end(&mut self, cx: CX![], heard: Heard) {
+    fn heard(&mut self, _cx: CX![], heard: Heard) {
         if let Some(ask) = self.current.take() {
             self.owner.fwd((ask, heard));
         }
-        self.next(cx);
+        self.next();
     }
 }
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -13,6 +13,7 @@
 
 use sablepass_core::catalogue::Catalogue;
 use sablepass_core::id::Millis;
+use sablepass_edge::caller::Answer;
 use sablepass_edge::instance::{Instance, Role};
 use sablepass_edge::mesh::{self, Mesh, PeerKey, Wanted};
 use sablepass_edge::telemetry::Metrics;
@@ -192,12 +193,12 @@
     pub fn heard(&mut self, _cx: CX![], (ask, heard): (Ask, Heard)) {
         let now = clock::now();
         match (&ask, &heard) {
-            (Ask::Report, Heard::Answer { status: 200, body }) => match engine::report(body) {
+            (Ask::Report, Ok(Answer { status: 200, body })) => match engine::report(body) {
                 Ok(it) => self.report(now, it),
                 Err(e) => self.lost(&e.to_string()),
             },
-            (Ask::Report, Heard::Answer { status, .. }) => self.lost(&format!("status {status}")),
-            (Ask::Report, Heard::Nothing) => self.lost("no answer"),
+            (Ask::Report, Ok(it)) => self.lost(&format!("status {}", it.status)),
+            (Ask::Report, Err(e)) => self.lost(&e.to_string()),
             _ => {
                 let list = self.ranks.heard(now, &ask, &heard);
                 self.carry_out(list);
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -18,6 +18,7 @@
 use sablepass_core::expert::map::{self, Expert, Map};
 use sablepass_core::expert::rebalance;
 use sablepass_core::id::Millis;
+use sablepass_edge::caller::Answer;
 use sablepass_edge::mesh::PeerKey;
 use sablepass_platform::engine::{self, Group, Lists, Picked};
 use sablepass_wire::generated as wire;
@@ -266,8 +267,8 @@
         match (ask, heard) {
             (Ask::Order(_), it) => {
                 let done = match it {
-                    Heard::Answer { status, .. } => done(*status),
-                    Heard::Nothing => {
+                    Ok(it) => done(it.status),
+                    Err(_) => {
                         self.unanswered = Some(now);
                         Done::Unknown
                     }
@@ -282,11 +283,11 @@
                 list.push(Do::Ask(Ask::Report));
                 list
             }
-            (Ask::Counts, Heard::Answer { status: 200, body }) => match engine::picked(body) {
+            (Ask::Counts, Ok(Answer { status: 200, body })) => match engine::picked(body) {
                 Ok(it) => self.picked(now, it),
                 Err(e) => self.not_decoded(&e),
             },
-            (Ask::Lists, Heard::Answer { status: 200, body }) => match engine::lists(body) {
+            (Ask::Lists, Ok(Answer { status: 200, body })) => match engine::lists(body) {
                 Ok(it) => {
                     self.lists = Some(it);
                     self.tell_all()
@@ -304,8 +305,8 @@
 
     fn prepared(&mut self, heard: &Heard) -> Vec<Do> {
         let done = match heard {
-            Heard::Answer { status, .. } => done(*status),
-            Heard::Nothing => Done::Unknown,
+            Ok(it) => done(it.status),
+            Err(_) => Done::Unknown,
         };
         match done {
             Done::Taken => return Vec::new(),
@@ -560,7 +561,8 @@
             let late = now >= it.since + PREPARE;
             let free = self.member.as_ref().is_some_and(Member::is_free);
             // A switch that was proposed and is over has failed: this version is not in force.
-            if !late && !(it.switching && free) {
+            let over = it.switching && free;
+            if !late && !over {
                 return Vec::new();
             }
             slog::warn!(self.log, "map given up"; "version" => it.version, "late" => late,
--- a/crates/sablepass-core/tests/barrier.rs
+++ b/crates/sablepass-core/tests/barrier.rs
@@ -439,7 +439,8 @@
         LARGE,
     ];
     for limits in &settings {
-        let (states, all) = search(limits, setting("SABLEPASS_STATES", MOST)).unwrap_or_else(|e| panic!("{e}"));
+        let (states, all) =
+            search(limits, setting("SABLEPASS_STATES", MOST)).unwrap_or_else(|e| panic!("{e}"));
         println!(
             "{} members, {} crashes, {} plans: {states} states, all: {all}",
             limits.members,
--- a/crates/sablepass-edge/src/lib.rs
+++ b/crates/sablepass-edge/src/lib.rs
@@ -7,6 +7,7 @@
 //! membership; it moves bytes and asks `sablepass-core`.
 
 pub mod admin;
+pub mod caller;
 pub mod cli;
 pub mod client;
 pub mod clock;
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -10,14 +10,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{self, HeaderValue};
 use sablepass_core::config::{Delta, Document, Version, What};
 use sablepass_platform::{config, replica, store};
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
-use stakker::{ActorOwn, CX, Fwd, actor_new, after, call, fwd_to, ret_nop};
+use stakker::{ActorOwn, CX, Fwd, actor_new, call, fwd_to, ret_nop};
 
-use crate::client::{self, Connection, Outgoing};
+use crate::caller::{self, Answer, Call, Caller};
 use crate::instance::{Instance, Role};
 use crate::telemetry::Metrics;
 
@@ -30,15 +29,12 @@
 /// Why a read failed.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    /// The connection ended before the answer was whole.
+    /// There was no whole answer.
     #[snafu(display("call: {source}"))]
     Call {
         /// Why.
-        source: client::Cause,
+        source: caller::Error,
     },
-    /// No answer in time.
-    #[snafu(display("call: no answer in time"))]
-    Time,
     /// The service refused.
     #[snafu(display("call: status {status}"))]
     Status {
@@ -51,9 +47,6 @@
         /// The revision.
         after: u64,
     },
-    /// The answer is too long.
-    #[snafu(display("answer: longer than {ANSWER_LIMIT} bytes"))]
-    TooLong,
     /// The answer is not of the expected shape.
     #[snafu(display("answer: {source}"))]
     Answer {
@@ -111,11 +104,8 @@
 }
 
 /// The read under way.
-struct Call {
-    number: u64,
+struct Reading {
     order: Order,
-    status: u16,
-    body: Vec<u8>,
     /// Items of the pages before, and the revision of the first one.
     pages: Option<(u64, Vec<store::Change>)>,
 }
@@ -124,73 +114,37 @@
 pub struct Reader {
     what: What,
     form: Form,
-    addr: SocketAddr,
     owner: Fwd<Read>,
     metrics: Arc<Metrics>,
-    connection: Option<ActorOwn<Connection>>,
-    /// Counts connections, so that a late event of an old one is known.
-    opened: u64,
-    call: Option<Call>,
-    calls: u64,
+    caller: ActorOwn<Caller>,
+    reading: Option<Reading>,
 }
 
 impl Reader {
     /// Opens a reader that has made no call.
     pub fn init(
-        _cx: CX![],
+        cx: CX![],
         what: What,
         form: Form,
         addr: SocketAddr,
         metrics: Arc<Metrics>,
         owner: Fwd<Read>,
     ) -> Option<Self> {
-        let (connection, call) = (None, None);
-        Some(Self { what, form, addr, owner, metrics, connection, opened: 0, call, calls: 0 })
+        let caller = actor_new!(cx, Caller, ret_nop!());
+        let answers = fwd_to!([cx], heard() as (Result<Answer, caller::Error>));
+        call!([caller], Caller::init(addr, ANSWER_LIMIT, answers));
+        Some(Self { what, form, owner, metrics, caller, reading: None })
     }
 
     /// Makes a read. One that is still under way is given up.
-    pub fn order(&mut self, cx: CX![], order: Order) {
-        if self.call.is_some() {
-            self.connection = None;
-        }
-        self.calls += 1;
-        let number = self.calls;
-        self.call = Some(Call { number, order, status: 0, body: Vec::new(), pages: None });
-        self.send(cx, None);
+    pub fn order(&mut self, _cx: CX![], order: Order) {
+        self.reading = Some(Reading { order, pages: None });
+        self.send(order, None);
     }
 
-    fn send(&mut self, cx: CX![], page_after: Option<String>) {
-        let Some(call) = &self.call else { return };
-        let path = self.path(call.order, page_after.as_deref());
-        let (number, wait) = (call.number, call.order.wait);
-        let mut head = http::Request::new(());
-        match path.parse() {
-            Ok(uri) => *head.uri_mut() = uri,
-            Err(_) => {
-                self.fail(Error::Status { status: 0 });
-                return;
-            }
-        }
-        if let Ok(host) = HeaderValue::from_str(&self.addr.to_string()) {
-            head.headers_mut().insert(header::HOST, host);
-        }
-        if self.connection.is_none() {
-            self.connect(cx);
-        }
-        if let Some(it) = &self.connection {
-            call!([it], send(Outgoing { head, body: Vec::new(), echo: None }));
-        }
-        after!(wait + CALL_TIME, [cx], check_time(number));
-    }
-
-    fn connect(&mut self, cx: CX![]) {
-        self.opened += 1;
-        let opened = self.opened;
-        let events = fwd_to!([cx], |this, cx, it: client::Event| this.event(cx, opened, it));
-        let connection = actor_new!(cx, Connection, ret_nop!());
-        let options = client::Options::default();
-        call!([connection], Connection::init(self.addr, options, events));
-        self.connection = Some(connection);
+    fn send(&self, order: Order, page_after: Option<&str>) {
+        let call = Call::get(self.path(order, page_after), order.wait + CALL_TIME);
+        call!([self.caller], call(call));
     }
 
     fn path(&self, order: Order, page_after: Option<&str>) -> String {
@@ -206,60 +160,28 @@
         }
     }
 
-    fn check_time(&mut self, _cx: CX![], number: u64) {
-        if self.call.as_ref().is_some_and(|it| it.number == number) {
-            self.connection = None;
-            self.fail(Error::Time);
-        }
-    }
-
-    fn event(&mut self, cx: CX![], opened: u64, event: client::Event) {
-        if opened != self.opened {
-            return;
-        }
-        match event {
-            client::Event::Head(head) => {
-                if let Some(call) = &mut self.call {
-                    call.status = head.status().as_u16();
-                }
-            }
-            client::Event::Bytes(bytes) => {
-                let Some(call) = &mut self.call else { return };
-                call.body.extend_from_slice(&bytes);
-                if call.body.len() > ANSWER_LIMIT {
-                    self.connection = None;
-                    self.fail(Error::TooLong);
-                }
-            }
-            client::Event::End { reusable, .. } => {
-                if !reusable {
-                    self.connection = None;
-                }
-                self.answered(cx);
-            }
-            client::Event::Closed { cause, .. } => {
-                self.connection = None;
-                self.fail(Error::Call { source: cause });
+    fn heard(&mut self, _cx: CX![], result: Result<Answer, caller::Error>) {
+        let Some(reading) = self.reading.take() else { return };
+        let order = reading.order;
+        let Answer { status, body } = match result {
+            Ok(it) => it,
+            Err(source) => {
+                self.report(Err(Error::Call { source }));
+                return;
             }
-        }
-    }
-
-    fn answered(&mut self, cx: CX![]) {
-        let Some(mut call) = self.call.take() else { return };
-        let body = std::mem::take(&mut call.body);
-        let (status, order) = (call.status, call.order);
+        };
         if status == store::HISTORY_GONE {
-            self.fail(Error::History { after: order.after });
+            self.report(Err(Error::History { after: order.after }));
             return;
         }
         if status != 200 {
-            self.fail(Error::Status { status });
+            self.report(Err(Error::Status { status }));
             return;
         }
         let result = match self.form {
             Form::Changes => changes(order, &body),
             Form::Keys if order.whole => match store::page(&body) {
-                Ok(page) => match self.add_page(cx, call, page) {
+                Ok(page) => match self.add_page(reading, page) {
                     Some(it) => Ok(it),
                     None => return,
                 },
@@ -267,25 +189,23 @@
             },
             Form::Keys => self.watched(order, &body),
         };
-        match result {
-            Ok(it) => self.report(Ok(it)),
-            Err(e) => self.fail(e),
-        }
+        self.report(result);
     }
 
     /// Takes a page in. The batch, if it was the last; else the next is asked for.
     /// Pages are no snapshot: what changed since the first is watched from there.
-    fn add_page(&mut self, cx: CX![], mut call: Call, page: store::Page) -> Option<Batch> {
+    fn add_page(&mut self, mut reading: Reading, page: store::Page) -> Option<Batch> {
+        let order = reading.order;
         let last = page.items.last().map(|it| it.key.clone());
-        let (revision, items) = call.pages.get_or_insert((page.revision, Vec::new()));
+        let (revision, items) = reading.pages.get_or_insert((page.revision, Vec::new()));
         items.extend(page.items);
         if page.more && last.is_some() {
-            self.call = Some(call);
-            self.send(cx, last);
+            self.reading = Some(reading);
+            self.send(order, last.as_deref());
             return None;
         }
         let (revision, items) = (*revision, std::mem::take(items));
-        Some(self.batch(true, call.order.after.min(revision), revision, items))
+        Some(self.batch(true, order.after.min(revision), revision, items))
     }
 
     fn watched(&self, order: Order, body: &[u8]) -> Result<Batch, Error> {
@@ -305,12 +225,7 @@
         Batch { whole, delta: Delta { after, revision, documents }, problems }
     }
 
-    fn fail(&mut self, e: Error) {
-        self.report(Err(e));
-    }
-
     fn report(&mut self, result: Result<Batch, Error>) {
-        self.call = None;
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         self.metrics.reads.with_label_values(&[name(self.what), outcome]).inc();
         self.owner.fwd(Read { what: self.what, result });
--- a/crates/sablepass-stand/tests/ranks.rs
+++ b/crates/sablepass-stand/tests/ranks.rs
@@ -36,7 +36,11 @@
     let configure = |it: &Fleet| {
         it.site.configure(&Group::configuration(2));
     };
-    if list_first { list(&fleet) } else { configure(&fleet) }
+    if list_first {
+        list(&fleet)
+    } else {
+        configure(&fleet)
+    }
     fleet.site.add_entry(&format!("agent_port = {port}"));
     for rank in 0..RANKS {
         fleet.start_agent(rank);
@@ -48,7 +52,11 @@
             if list_first { listed } else { status["revision"].as_u64() > Some(0) }
         });
     }
-    if list_first { configure(&fleet) } else { list(&fleet) }
+    if list_first {
+        configure(&fleet)
+    } else {
+        list(&fleet)
+    }
     fleet
 }
 
