Keep requests and experts off a rank that tells it is slow

A pass waits for the slowest rank, and neither the map nor the choice of target knew of it. Ranks tell their pace, so agents now pass it on: the planner weighs a rank's load by it and may take a replica away there for nothing in return; entries leave a slow target out while another has room.

--- a/crates/sablepass-agent/src/leaving.rs
+++ b/crates/sablepass-agent/src/leaving.rs
@@ -57,6 +57,7 @@
             load_age,
             leaving: self.gate.leaving(),
             away: self.away.is_some(),
+            slow: false,
         });
         for peer in &self.entries {
             self.send(Some(*peer), report.clone());
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use sablepass_core::catalogue::Catalogue;
+use sablepass_core::expert::map::Paces;
 use sablepass_core::id::Millis;
 use sablepass_edge::caller::Answer;
 use sablepass_edge::instance::{Instance, Role};
@@ -59,8 +60,17 @@
     pulses: u64,
     /// When the entries were last told the load.
     told: Millis,
-    /// Whether they were told that the group is not complete.
-    told_closed: bool,
+    /// What they were told of the rank.
+    told_state: State,
+}
+
+/// How a rank stands, for those that choose targets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct State {
+    /// Its group is not complete, so that nothing sent there runs.
+    closed: bool,
+    /// It takes much longer than it should, and its group waits for it.
+    slow: bool,
 }
 
 impl Observer {
@@ -93,7 +103,7 @@
             service: String::new(),
             pulses: 0,
             told: 0,
-            told_closed: false,
+            told_state: State::default(),
         };
         observer.pulse(cx);
         Some(observer)
@@ -214,18 +224,27 @@
         let list = self.ranks.report(now, report.group.clone());
         self.carry_out(list);
         self.reading = Some(Reading { report, at: now });
-        let closed = self.is_closed();
-        if now >= self.told + self.settings.heartbeat || closed != self.told_closed {
+        let state = self.state();
+        if state.slow != self.told_state.slow {
+            slog::info!(self.log, "pace changed"; "slow" => state.slow,
+                "pace" => self.group().map(|it| it.pace));
+        }
+        if now >= self.told + self.settings.heartbeat || state != self.told_state {
             self.told = now;
-            self.told_closed = closed;
+            self.told_state = state;
             self.tell();
         }
     }
 
-    /// Its group is not complete, so that nothing sent there runs.
-    fn is_closed(&self) -> bool {
-        let group = self.reading.as_ref().and_then(|it| it.report.group.as_ref());
-        group.is_some_and(|it| !it.open)
+    fn group(&self) -> Option<&engine::Group> {
+        self.reading.as_ref().and_then(|it| it.report.group.as_ref())
+    }
+
+    fn state(&self) -> State {
+        State {
+            closed: self.group().is_some_and(|it| !it.open),
+            slow: self.group().is_some_and(|it| it.pace >= Paces::SLOW),
+        }
     }
 
     fn lost(&mut self, why: &str) {
@@ -246,7 +265,8 @@
             engine_load: load,
             load_age: u32::try_from(age).unwrap_or(u32::MAX),
             leaving: false,
-            away: self.is_closed(),
+            away: self.state().closed,
+            slow: self.state().slow,
         });
         for peer in &self.entries {
             call!([self.mesh], send(*peer, report.clone()));
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -15,7 +15,7 @@
 use sablepass_core::declaration::Ranks as Shape;
 use sablepass_core::expert::barrier::{Done, Member, Message, Output, Plan, Reading};
 use sablepass_core::expert::demand::{self, Demand};
-use sablepass_core::expert::map::{self, Expert, Map};
+use sablepass_core::expert::map::{self, Expert, Map, Paces};
 use sablepass_core::expert::rebalance;
 use sablepass_core::id::Millis;
 use sablepass_edge::caller::Answer;
@@ -59,6 +59,8 @@
 const RESTLESS: Millis = 500;
 /// By how much versions jump when ranks refuse one: another planner used more.
 const VERSION_JUMP: u64 = 1_000;
+/// Thousandths, as paces are told on the wire.
+const PACE_UNIT: f64 = 1_000.0;
 /// Separates the layers of a rank's experts on the wire.
 const LAYER_END: u32 = 65_535;
 
@@ -81,6 +83,7 @@
     version: u64,
     prepared: u64,
     experts: Vec<Vec<u16>>,
+    pace: f64,
 }
 
 /// What keeps the planner from planning.
@@ -387,6 +390,7 @@
             highest: self.highest,
             counts: if counts { self.counts.clone() } else { Vec::new() },
             experts: experts.collect(),
+            pace: (group.pace * PACE_UNIT).round() as u32,
         }))
     }
 
@@ -443,6 +447,7 @@
             version: it.version,
             prepared: it.prepared,
             experts,
+            pace: f64::from(it.pace) / PACE_UNIT,
         };
         self.ranks.insert(rank, told);
         let mine = self.is_mine(&it.group, it.epoch);
@@ -630,7 +635,7 @@
         let settled = before.is_none_or(|it| demand::likeness(&recent, &it) >= SETTLED);
         let map = self.map_in_force()?;
         let options = rebalance::Options::with_spare(self.shape.as_ref()?.spare as usize);
-        let change = rebalance::decide(&options, &map, &recent);
+        let change = rebalance::decide(&options, &map, &recent, &self.paces());
         if change.is_none() || settled {
             self.restless = None;
             return change;
@@ -648,6 +653,14 @@
         self.ranks.values().filter(agrees).count() + 1 >= size
     }
 
+    /// The ranks' paces, as last told.
+    fn paces(&self) -> Paces {
+        let size = self.group.as_ref().map_or(0, |it| it.size);
+        let mine = self.group.as_ref().map_or(1.0, |it| it.pace);
+        let other = |rank: u16| self.ranks.get(&rank).map_or(1.0, |it| it.pace);
+        Paces::new((0..size).map(|rank| if rank == 0 { mine } else { other(rank) }))
+    }
+
     fn map_in_force(&self) -> Option<Map> {
         let shape = self.map_shape()?;
         let mine = &self.lists.as_ref()?.experts;
@@ -669,7 +682,8 @@
         let Some(group) = &self.group else { return Vec::new() };
         let version = self.highest.max(group.reading.version) + 1;
         slog::info!(self.log, "map proposed"; "version" => version, "epoch" => group.reading.epoch,
-            "skew" => change.before, "expected" => change.after, "moves" => change.moves);
+            "skew" => change.before, "expected" => change.after, "moves" => change.moves,
+            "paces" => ?self.paces());
         let proposal = Body::Proposal(wire::Proposal {
             group: group.name.clone(),
             epoch: group.reading.epoch,
@@ -720,7 +734,10 @@
     pub fn explain(&self) -> serde_json::Value {
         let reading = self.group.as_ref().map(|it| it.reading);
         let recent = self.demand.as_ref().and_then(|it| it.recent(MARKS, 0));
-        let skew = self.map_in_force().zip(recent).map(|(map, it)| rebalance::mean_skew(&map, &it));
+        let skew = self
+            .map_in_force()
+            .zip(recent)
+            .map(|(map, it)| rebalance::mean_lag(&map, &it, &self.paces()));
         serde_json::json!({
             "group": self.group_name(), "rank": self.group.as_ref().map(|it| it.rank),
             "epoch": reading.map(|it| it.epoch), "version": reading.map(|it| it.version),
--- a/crates/sablepass-core/src/balance.rs
+++ b/crates/sablepass-core/src/balance.rs
@@ -56,6 +56,8 @@
     pub own: u32,
     /// Requests of others there, by the agent's last report.
     pub others: u32,
+    /// It takes much longer than it should, and others wait for it.
+    pub slow: bool,
 }
 
 impl Candidate<'_> {
@@ -82,27 +84,25 @@
         Self { policy, turn: 0 }
     }
 
-    /// Index of the chosen candidate. Near ones are preferred until all of
-    /// them are full; then any hall will do.
+    /// Index of the chosen candidate. Slow ones are left out while another has
+    /// room. Near ones are preferred until all of them are full; then any hall
+    /// will do.
     pub fn choose(
         &mut self,
         rng: &mut impl Rng,
         prefix: Option<&str>,
         candidates: &[Candidate<'_>],
     ) -> Option<usize> {
+        let all = 0..candidates.len();
+        let healthy = |it: &usize| !candidates[*it].slow && !candidates[*it].full();
+        let pool = all.clone().filter(healthy).collect();
+        let pool = first_of([pool, all.collect()]);
         if self.policy == Policy::Even {
-            return least_of_all(rng, candidates);
+            return least_of_all(rng, &pool, candidates);
         }
-        let near: Vec<usize> = (0..candidates.len())
-            .filter(|&it| candidates[it].near && !candidates[it].full())
-            .collect();
-        let open: Vec<usize> = if near.is_empty() {
-            let free: Vec<usize> =
-                (0..candidates.len()).filter(|&it| !candidates[it].full()).collect();
-            if free.is_empty() { (0..candidates.len()).collect() } else { free }
-        } else {
-            near
-        };
+        let free: Vec<usize> = pool.iter().copied().filter(|&it| !candidates[it].full()).collect();
+        let near = free.iter().copied().filter(|&it| candidates[it].near).collect();
+        let open = first_of([near, free, pool]);
         if open.is_empty() {
             return None;
         }
@@ -132,11 +132,16 @@
     best
 }
 
-/// The least loaded candidate; of several, any one.
-fn least_of_all(rng: &mut impl Rng, candidates: &[Candidate<'_>]) -> Option<usize> {
-    let least = candidates.iter().map(Candidate::load).min_by(f64::total_cmp)?;
-    let ties: Vec<usize> =
-        (0..candidates.len()).filter(|&it| candidates[it].load() <= least).collect();
+/// The first that is not empty; else none.
+fn first_of<const N: usize>(lists: [Vec<usize>; N]) -> Vec<usize> {
+    lists.into_iter().find(|it| !it.is_empty()).unwrap_or_default()
+}
+
+/// The least loaded of a pool; of several, any one.
+fn least_of_all(rng: &mut impl Rng, pool: &[usize], candidates: &[Candidate<'_>]) -> Option<usize> {
+    let load = |it: usize| candidates[it].load();
+    let least = pool.iter().map(|&it| load(it)).min_by(f64::total_cmp)?;
+    let ties: Vec<usize> = pool.iter().copied().filter(|&it| load(it) <= least).collect();
     Some(ties[rng.random_range(0..ties.len())])
 }
 
--- a/crates/sablepass-core/src/expert/map.rs
+++ b/crates/sablepass-core/src/expert/map.rs
@@ -177,6 +177,16 @@
         true
     }
 
+    /// Empties a slot, under the same rule.
+    pub fn clear(&mut self, slot: Slot) -> bool {
+        let Some(old) = self.expert(slot).filter(|it| self.replicas(*it) > 1) else {
+            return false;
+        };
+        self.replicas[usize::from(old.0)] -= 1;
+        self.slots[slot.0] = EMPTY;
+        true
+    }
+
     fn set(&mut self, slot: Slot, it: Expert) {
         if let Some(old) = self.expert(slot) {
             self.replicas[usize::from(old.0)] -= 1;
@@ -199,6 +209,19 @@
         skew(&self.rank_loads(tokens))
     }
 
+    /// The rank that takes longest relative to the mean load: `skew`, where
+    /// ranks differ in pace.
+    pub fn lag(&self, tokens: &[f64], paces: &Paces) -> f64 {
+        let loads = self.rank_loads(tokens);
+        let total: f64 = loads.iter().sum();
+        if total <= 0.0 {
+            return 1.0;
+        }
+        let time = |(rank, load): (usize, &f64)| load * paces.of(Rank(rank as u16));
+        let most = loads.iter().enumerate().map(time).fold(0.0, f64::max);
+        most * loads.len() as f64 / total
+    }
+
     /// Slots whose expert differs: each is one loading of weights.
     pub fn moves_from(&self, old: &Self) -> usize {
         let changed = |rank: usize| {
@@ -210,6 +233,30 @@
     }
 }
 
+/// How long each rank takes for the same work; 1 is a healthy one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Paces(Vec<f64>);
+
+impl Paces {
+    /// Pace from which a rank is slow: requests go elsewhere, and a replica of
+    /// an expert there may go for nothing in return. A healthy rank tells 1; a
+    /// quarter more is as much as a loaded machine's measure may be off.
+    pub const SLOW: f64 = 1.25;
+    /// A pace that is believed at most: one beyond it may be a fault of its report.
+    const MOST: f64 = 16.0;
+
+    /// Takes them rank by rank. Those left out are 1, as are those below 1.
+    pub fn new(paces: impl IntoIterator<Item = f64>) -> Self {
+        let believed = |it: f64| if it.is_finite() { it.clamp(1.0, Self::MOST) } else { 1.0 };
+        Self(paces.into_iter().map(believed).collect())
+    }
+
+    /// The pace of a rank.
+    pub fn of(&self, rank: Rank) -> f64 {
+        self.0.get(usize::from(rank.0)).copied().unwrap_or(1.0)
+    }
+}
+
 /// Largest value relative to the mean.
 pub fn skew(loads: &[f64]) -> f64 {
     let total: f64 = loads.iter().sum();
--- a/crates/sablepass-core/src/expert/place.rs
+++ b/crates/sablepass-core/src/expert/place.rs
@@ -6,7 +6,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use crate::expert::map::{Error, Expert, Layer, Map, Rank, Shape, Slot};
+use crate::expert::map::{Error, Expert, Layer, Map, Paces, Rank, Shape, Slot};
 
 /// Sharpness of the potential that small steps descend. The load of the
 /// worst rank alone does not tell which of two steps is the better start.
@@ -126,6 +126,8 @@
     Put(Slot, Expert),
     /// Exchange two slots.
     Swap(Slot, Slot),
+    /// Empty a slot.
+    Drop(Slot),
 }
 
 impl Change {
@@ -134,6 +136,7 @@
         match self {
             Self::Put(..) => 1,
             Self::Swap(..) => 2,
+            Self::Drop(..) => 0,
         }
     }
 
@@ -142,40 +145,45 @@
         match self {
             Self::Put(slot, it) => layer.put(slot, it),
             Self::Swap(a, b) => layer.swap(a, b),
+            Self::Drop(slot) => layer.clear(slot),
         }
     }
 }
 
-/// The best small step for a layer's worst rank, by potential gained for
+/// The best small step for a layer's slowest rank, by potential gained for
 /// each loading of weights; none if nothing helps.
-pub fn best_change(layer: &Layer, tokens: &[f64]) -> Option<Change> {
+pub fn best_change(layer: &Layer, tokens: &[f64], paces: &Paces) -> Option<Change> {
     let loads = layer.rank_loads(tokens);
     let mean = loads.iter().sum::<f64>() / loads.len() as f64;
     if mean <= 0.0 {
         return None;
     }
-    let worst = (0..loads.len()).max_by(|a, b| loads[*a].total_cmp(&loads[*b]))?;
+    let time = |rank: usize| loads[rank] * paces.of(Rank(rank as u16));
+    let worst = (0..loads.len()).max_by(|a, b| time(*a).total_cmp(&time(*b)))?;
     let mut others: Vec<usize> = (0..loads.len()).filter(|it| *it != worst).collect();
-    others.sort_by(|a, b| loads[*a].total_cmp(&loads[*b]));
+    others.sort_by(|a, b| time(*a).total_cmp(&time(*b)));
     others.truncate(LIGHTEST);
     let worst = Rank(worst as u16);
-    let view = View { layer, tokens, loads, mean };
+    let view = View { layer, tokens, paces, loads, mean };
     let mut best: Option<(f64, Change)> = None;
+    let mut weigh = |change: Change| {
+        let Some(gain) = view.gain(change) else { return };
+        let gain = gain / change.moves().max(1) as f64;
+        if gain > LEAST_GAIN && best.is_none_or(|it| gain > it.0) {
+            best = Some((gain, change));
+        }
+    };
     for from in layer.slots_of(worst) {
         let Some(hot) = layer.expert(from) else {
             continue;
         };
+        if paces.of(worst) >= Paces::SLOW {
+            weigh(Change::Drop(from));
+        }
         for rank in others.iter().map(|it| Rank(*it as u16)) {
             for to in layer.slots_of(rank) {
-                for change in [Change::Put(to, hot), Change::Swap(from, to)] {
-                    let Some(gain) = view.gain(change) else {
-                        continue;
-                    };
-                    let gain = gain / change.moves() as f64;
-                    if gain > LEAST_GAIN && best.is_none_or(|it| gain > it.0) {
-                        best = Some((gain, change));
-                    }
-                }
+                weigh(Change::Put(to, hot));
+                weigh(Change::Swap(from, to));
             }
         }
     }
@@ -186,6 +194,7 @@
 struct View<'a> {
     layer: &'a Layer,
     tokens: &'a [f64],
+    paces: &'a Paces,
     loads: Vec<f64>,
     mean: f64,
 }
@@ -195,8 +204,9 @@
         self.tokens[usize::from(it.0)] / f64::from(replicas)
     }
 
-    fn term(&self, load: f64) -> f64 {
-        (load / self.mean).powi(SHARPNESS)
+    fn term(&self, rank: usize, load: f64) -> f64 {
+        let time = load * self.paces.of(Rank(rank as u16));
+        (time / self.mean).powi(SHARPNESS)
     }
 
     /// Potential lost by a change; none if it is not allowed.
@@ -244,10 +254,22 @@
                 add(ra, sy - sx);
                 add(rb, sx - sy);
             }
+            Change::Drop(from) => {
+                let old = layer.expert(from)?;
+                let count = layer.replicas(old);
+                if count < 2 {
+                    return None;
+                }
+                let (before, after) = (self.share(old, count), self.share(old, count - 1));
+                add(layer.rank(from), -before);
+                for slot in layer.slots_with(old).filter(|it| *it != from) {
+                    add(layer.rank(slot), after - before);
+                }
+            }
         }
         let change = |(rank, by): &(usize, f64)| {
             let load = self.loads[*rank];
-            self.term(load) - self.term((load + by).max(0.0))
+            self.term(*rank, load) - self.term(*rank, (load + by).max(0.0))
         };
         Some(new.iter().map(change).sum())
     }
--- a/crates/sablepass-core/src/expert/plan.rs
+++ b/crates/sablepass-core/src/expert/plan.rs
@@ -9,7 +9,7 @@
 //! delays as much work as `move_cost` steps.
 
 use crate::expert::drift::Estimate;
-use crate::expert::map::{Layer, Map};
+use crate::expert::map::{Layer, Map, Paces};
 use crate::expert::place;
 
 /// Most small steps tried for one layer: with each one, a rank that was the
@@ -173,7 +173,7 @@
         if left * options.skew_weight < options.move_cost * options.move_weight {
             break;
         }
-        let Some(change) = place::best_change(&current, tokens) else { break };
+        let Some(change) = place::best_change(&current, tokens, &Paces::default()) else { break };
         if !change.apply(&mut current) {
             break;
         }
--- a/crates/sablepass-core/src/expert/rebalance.rs
+++ b/crates/sablepass-core/src/expert/rebalance.rs
@@ -6,7 +6,7 @@
 //! A preparation brings few new experts to a rank. Within that bound, each
 //! layer takes small steps from the map in force until it is even enough.
 
-use crate::expert::map::{Layer, Map, Rank};
+use crate::expert::map::{Layer, Map, Paces, Rank};
 use crate::expert::place;
 
 /// Small steps of a layer at most: a layer of 16 ranks takes about 20.
@@ -52,39 +52,40 @@
     pub moves: usize,
 }
 
-/// Mean skew of a map's layers under a demand.
-pub fn mean_skew(map: &Map, demand: &[Vec<f64>]) -> f64 {
-    let skews = map.skews(demand);
-    skews.iter().sum::<f64>() / skews.len().max(1) as f64
+/// Mean lag of a map's layers under a demand: their skew, where all ranks
+/// have the same pace.
+pub fn mean_lag(map: &Map, demand: &[Vec<f64>], paces: &Paces) -> f64 {
+    let lags = map.layers.iter().zip(demand).map(|(layer, it)| layer.lag(it, paces));
+    lags.sum::<f64>() / map.layers.len().max(1) as f64
 }
 
 /// A better map, if there is one that is worth the change.
-pub fn decide(options: &Options, map: &Map, demand: &[Vec<f64>]) -> Option<Change> {
+pub fn decide(options: &Options, map: &Map, demand: &[Vec<f64>], paces: &Paces) -> Option<Change> {
     let counts: f64 = demand.iter().flatten().sum();
     if counts < options.least_counts {
         return None;
     }
-    let before = mean_skew(map, demand);
+    let before = mean_lag(map, demand, paces);
     if before < options.trigger {
         return None;
     }
     let mut new = map.clone();
     for (layer, tokens) in new.layers.iter_mut().zip(demand) {
-        *layer = even_out(options, layer, tokens);
+        *layer = even_out(options, layer, tokens, paces);
     }
-    let after = mean_skew(&new, demand);
+    let after = mean_lag(&new, demand, paces);
     let moves = new.moves_from(map);
     (before - after >= options.least_gain).then_some(Change { map: new, before, after, moves })
 }
 
 /// Small steps of a layer that keep within the bound on new experts.
-fn even_out(options: &Options, start: &Layer, tokens: &[f64]) -> Layer {
+fn even_out(options: &Options, start: &Layer, tokens: &[f64], paces: &Paces) -> Layer {
     let mut layer = start.clone();
     for _ in 0..STEPS {
-        if layer.skew(tokens) <= options.goal {
+        if layer.lag(tokens, paces) <= options.goal {
             break;
         }
-        let Some(change) = place::best_change(&layer, tokens) else { break };
+        let Some(change) = place::best_change(&layer, tokens, paces) else { break };
         let mut next = layer.clone();
         if !change.apply(&mut next) || !fits(options, start, &next) {
             break;
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -26,6 +26,8 @@
     pub leaving: bool,
     /// The target refuses connections.
     pub away: bool,
+    /// It takes much longer than it should, and others wait for it.
+    pub slow: bool,
     /// Time since the engine last answered its agent; none if it is not asked.
     pub engine_age: Option<Millis>,
 }
--- a/crates/sablepass-core/tests/expert.rs
+++ b/crates/sablepass-core/tests/expert.rs
@@ -7,9 +7,10 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sablepass_core::expert::drift::{self, Estimate};
-use sablepass_core::expert::map::{Error, Expert, Map, Shape, skew};
+use sablepass_core::expert::map::{Error, Expert, Map, Paces, Rank, Shape, skew};
 use sablepass_core::expert::place;
 use sablepass_core::expert::plan::{self, Decision, Options, Reason};
+use sablepass_core::expert::rebalance;
 
 const SHAPE: Shape = Shape { ranks: 8, layers: 3, experts: 16, slots: 3 };
 
@@ -80,7 +81,8 @@
         let tokens = random_tokens(&mut rng, SHAPE);
         let mut map = Map::even(SHAPE).expect("built");
         for _ in 0..50 {
-            let Some(change) = place::best_change(&map.layers[0], &tokens[0]) else {
+            let Some(change) = place::best_change(&map.layers[0], &tokens[0], &Paces::default())
+            else {
                 break;
             };
             assert!(change.apply(&mut map.layers[0]), "an impossible change was proposed");
@@ -183,3 +185,45 @@
 fn verify_skew_of_nothing_is_even() {
     assert!((skew(&[0.0, 0.0]) - 1.0).abs() < f64::EPSILON);
 }
+
+/// Changes a map as often as that is found worth it, and returns how often.
+fn settle(map: &mut Map, tokens: &[Vec<f64>], paces: &Paces) -> usize {
+    let options = rebalance::Options::with_spare(2);
+    let mut changes = 0;
+    while let Some(change) = rebalance::decide(&options, map, tokens, paces) {
+        // Reading it back checks every rule of a map.
+        assert_eq!(Map::parse(map.shape, &change.map.encode()).as_ref(), Ok(&change.map));
+        *map = change.map;
+        changes += 1;
+        assert!(changes < 20, "changes without end");
+    }
+    changes
+}
+
+#[test]
+fn verify_work_leaves_a_slow_rank() {
+    let shape = Shape { ranks: 16, layers: 4, experts: 64, slots: 5 };
+    for seed in 0..20 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let tokens = random_tokens(&mut rng, shape);
+        let mut map = Map::even(shape).expect("built");
+        settle(&mut map, &tokens, &Paces::default());
+        let slow = rng.random_range(0..shape.ranks);
+        let pace = [2.0, 4.0, 8.0][seed as usize % 3];
+        let paces = Paces::new((0..shape.ranks).map(|it| if it == slow { pace } else { 1.0 }));
+        let before = rebalance::mean_lag(&map, &tokens, &paces);
+        settle(&mut map, &tokens, &paces);
+        let after = rebalance::mean_lag(&map, &tokens, &paces);
+        assert!(after < 1.7, "seed {seed}, rank {slow} at {pace}: {before} to {after}");
+        // Its work comes back when it is healthy, or the rest do without it.
+        settle(&mut map, &tokens, &Paces::default());
+        assert!(rebalance::mean_lag(&map, &tokens, &Paces::default()) < 1.7);
+    }
+}
+
+#[test]
+fn verify_odd_paces_are_not_believed() {
+    let paces = Paces::new([f64::NAN, -1.0, 0.0, 1e300, f64::INFINITY]);
+    let seen: Vec<f64> = (0..6).map(|it| paces.of(Rank(it))).collect();
+    assert_eq!(seen, [1.0, 1.0, 1.0, 16.0, 1.0, 1.0]);
+}
--- a/crates/sablepass-core/tests/membership.rs
+++ b/crates/sablepass-core/tests/membership.rs
@@ -7,7 +7,7 @@
 use sablepass_core::membership::{Members, Report};
 
 fn report(in_flight: u32, leaving: bool) -> Report {
-    Report { in_flight, capacity: 16, leaving, away: false, engine_age: None }
+    Report { in_flight, capacity: 16, leaving, away: false, slow: false, engine_age: None }
 }
 
 #[test]
--- a/crates/sablepass-core/tests/routing.rs
+++ b/crates/sablepass-core/tests/routing.rs
@@ -12,7 +12,7 @@
 use sablepass_core::reason::Refusal;
 
 fn candidate(name: &str, near: bool, own: u32) -> Candidate<'_> {
-    Candidate { name, near, capacity: 10, own, others: 0 }
+    Candidate { name, near, capacity: 10, own, others: 0, slow: false }
 }
 
 fn choose(policy: Policy, prefix: Option<&str>, all: &[Candidate<'_>]) -> usize {
@@ -34,6 +34,20 @@
     assert_eq!(Chooser::open(Policy::Affinity).choose(&mut rng, None, &[]), None);
 }
 
+#[test]
+fn verify_slow_targets_are_left_out_while_others_have_room() {
+    let policies =
+        [Policy::RoundRobin, Policy::LeastLoad, Policy::TwoChoices, Policy::Affinity, Policy::Even];
+    for policy in policies {
+        let slow = Candidate { slow: true, ..candidate("a", true, 0) };
+        let room = [slow.clone(), candidate("b", false, 9)];
+        assert_eq!(choose(policy, Some("p"), &room), 1, "{policy:?}");
+        let full = [slow.clone(), candidate("b", false, 10)];
+        assert_eq!(choose(policy, Some("p"), &full), 0, "{policy:?}");
+        assert_eq!(choose(policy, Some("p"), &[slow]), 0, "{policy:?}");
+    }
+}
+
 #[test]
 fn verify_least_load_and_two_choices() {
     let all = [candidate("a", true, 5), candidate("b", true, 1), candidate("c", true, 3)];
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -387,6 +387,7 @@
             capacity,
             own: member.own,
             others: member.others,
+            slow: member.report.slow,
         })
     }
 
--- a/crates/sablepass-stand/src/ranks.rs
+++ b/crates/sablepass-stand/src/ranks.rs
@@ -49,6 +49,8 @@
     orders: u64,
     /// A rank leaves every order unanswered while this is set.
     deaf: Option<usize>,
+    /// How long each rank takes for the same work.
+    paces: Vec<f64>,
     /// Steps that began on two maps.
     broken: Vec<u64>,
 }
@@ -94,6 +96,7 @@
             hot: 0,
             orders: 0,
             deaf: None,
+            paces: vec![1.0; ranks],
             broken: Vec::new(),
         };
         let mut group = Self { addrs: Vec::new(), state: Arc::new(Mutex::new(state)) };
@@ -131,6 +134,16 @@
         self.lock().deaf = rank;
     }
 
+    /// Has a rank take so many times as long for the same work.
+    pub fn slow(&self, rank: usize, pace: f64) {
+        self.lock().paces[rank] = pace;
+    }
+
+    /// How many experts a rank holds.
+    pub fn held_by(&self, rank: usize) -> usize {
+        self.lock().ranks[rank].experts.len()
+    }
+
     /// Version in force at every rank; none while they differ.
     pub fn version(&self) -> Option<u64> {
         let state = self.lock();
@@ -238,7 +251,7 @@
         let it = &state.ranks[rank];
         let armed = it.armed.map(|(version, step)| json!({ "version": version, "step": step }));
         json!({
-            "queued": 0, "active": 1, "size": state.ranks.len(), "step": state.step,
+            "queued": 0, "active": 1, "pace": state.paces[rank], "size": state.ranks.len(), "step": state.step,
             "group": { "name": "g", "epoch": state.epoch, "rank": rank, "state": "open" },
             "map": it.version, "prepared": it.prepared.as_ref().map(|it| it.0), "armed": armed,
             "held": it.held,
--- a/crates/sablepass-stand/tests/ranks.rs
+++ b/crates/sablepass-stand/tests/ranks.rs
@@ -148,3 +148,15 @@
     fleet.wait_for_spread(4);
     fleet.check();
 }
+
+#[test]
+fn verify_work_leaves_a_slow_rank() {
+    let fleet = fleet(true);
+    fleet.wait_for_spread(0);
+    let before = fleet.group.held_by(1);
+    fleet.group.slow(1, 8.0);
+    wait_for("the slow rank holds fewer experts", || {
+        fleet.group.held_by(1) < before && fleet.group.version().is_some()
+    });
+    fleet.check();
+}
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -132,6 +132,7 @@
         capacity: it.capacity,
         leaving: it.leaving,
         away: it.away,
+        slow: it.slow,
         // The agent of a plain service has no reading, which it says by the greatest age.
         engine_age: (it.load_age != u32::MAX).then_some(it.load_age.into()),
     }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -201,6 +201,9 @@
     /// The target refuses connections.
     #[prost(bool, tag = "6")]
     pub away: bool,
+    /// The target takes much longer than it should, and others wait for it.
+    #[prost(bool, tag = "7")]
+    pub slow: bool,
 }
 /// What configuration a process holds.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -305,6 +308,10 @@
     /// Experts of this rank, layer by layer; layers are separated by 65535.
     #[prost(uint32, repeated, tag = "9")]
     pub experts: ::prost::alloc::vec::Vec<u32>,
+    /// How long the rank takes for the same work, in thousandths of a healthy
+    /// one's time; 0 when not told.
+    #[prost(uint32, tag = "10")]
+    pub pace: u32,
 }
 /// A map that the ranks of a group are to prepare.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
