Move the planner of a group's maps into a module of its own

ranks.rs had 774 lines with two jobs: the member beside its own rank, and the planner. Code moved as it was; visibility and imports apart nothing changed.

--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -14,8 +14,8 @@
 
 use sablepass_core::declaration::Ranks as Shape;
 use sablepass_core::expert::barrier::{Done, Member, Message, Output, Plan, Reading};
-use sablepass_core::expert::demand::{self, Demand};
-use sablepass_core::expert::map::{self, Expert, Map, Paces};
+use sablepass_core::expert::demand::Demand;
+use sablepass_core::expert::map::{self, Map};
 use sablepass_core::expert::rebalance;
 use sablepass_core::id::Millis;
 use sablepass_edge::caller::Answer;
@@ -26,39 +26,15 @@
 use slog::Logger;
 
 use crate::engine::{Ask, Heard};
+use crate::ranks::planner::Obstacle;
+
+mod planner;
 
-/// Age of a rank's counts beyond which the planner does not plan: two and a
-/// half of the intervals at which they are told.
-const FRESH: Millis = 300;
-/// How long ranks may take to prepare a map before it is given up: copying
-/// takes some tenths of a second, on a loaded link a second.
-const PREPARE: Millis = 2_500;
-/// How far ahead a switch is laid: orders and votes are there by then, so that
-/// no pass has to wait.
-const LEAD: Millis = 110;
-/// How much further ahead it is laid while orders go unanswered, so that they
-/// can be given again before the step is held.
-const LEAD_UNANSWERED: Millis = 150;
-/// How long an unanswered order counts as a sign of more.
-const UNANSWERED: Millis = 5_000;
 /// Ticks between two tallies of the planner to all, so that an agent which was
 /// not ready for one gets the next.
 const TELL_TICKS: u64 = 5;
-/// How long an obstacle to planning lasts before a line says so.
-const OBSTACLE: Millis = 1_000;
 /// How often the order to prepare a map is given again when it goes unanswered.
 const PREPARES: u32 = 4;
-/// Passes that it is laid ahead at least.
-const LEAD_PASSES: u64 = 2;
-/// Intervals of the counts that make a demand.
-const MARKS: usize = 2;
-/// Likeness of two demands, one after the other, below which demand is on the
-/// move and a map for it would be for neither.
-const SETTLED: f64 = 0.97;
-/// How long the planner waits for demand to settle before it plans all the same.
-const RESTLESS: Millis = 500;
-/// By how much versions jump when ranks refuse one: another planner used more.
-const VERSION_JUMP: u64 = 1_000;
 /// Thousandths, as paces are told on the wire.
 const PACE_UNIT: f64 = 1_000.0;
 /// Separates the layers of a rank's experts on the wire.
@@ -86,19 +62,6 @@
     pace: f64,
 }
 
-/// What keeps the planner from planning.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Obstacle {
-    /// The own rank is not free for a new plan.
-    Switching,
-    /// A rank's counts are missing or old.
-    OldCounts,
-    /// A rank was not heard of lately, or has another map in force.
-    RankMissing,
-    /// What the ranks hold makes no map.
-    NoMap,
-}
-
 /// A map that the own rank is to prepare.
 struct Wanted {
     version: u64,
@@ -561,179 +524,10 @@
         list
     }
 
-    fn plan(&mut self, now: Millis) -> Vec<Do> {
-        if let Some(it) = &self.proposed {
-            let late = now >= it.since + PREPARE;
-            let free = self.member.as_ref().is_some_and(Member::is_free);
-            // A switch that was proposed and is over has failed: this version is not in force.
-            let over = it.switching && free;
-            if !late && !over {
-                return Vec::new();
-            }
-            slog::warn!(self.log, "map given up"; "version" => it.version, "late" => late,
-                "switching" => it.switching);
-            if late {
-                self.highest += VERSION_JUMP;
-            }
-            self.proposed = None;
-        }
-        match self.decide(now) {
-            Some(change) => self.propose(now, &change),
-            None => Vec::new(),
-        }
-    }
-
-    /// Why the planner cannot plan, if so.
-    fn obstacle(&self, now: Millis) -> Option<Obstacle> {
-        let Some(member) = self.member.as_ref().filter(|it| it.is_free()) else {
-            return Some(Obstacle::Switching);
-        };
-        let version = member.reading().map_or(0, |it| it.version);
-        let age = self.demand.as_ref().and_then(|it| it.age(now));
-        if age.is_none_or(|it| it > FRESH) {
-            return Some(Obstacle::OldCounts);
-        }
-        if !self.agree_on(now, version) {
-            return Some(Obstacle::RankMissing);
-        }
-        self.map_in_force().is_none().then_some(Obstacle::NoMap)
-    }
-
-    /// Says what has kept the planner from planning for a while, once.
-    fn note_obstacle(&mut self, now: Millis, obstacle: Option<Obstacle>) {
-        let Some(it) = obstacle else {
-            self.obstacle = None;
-            return;
-        };
-        let (known, since, told) = *self.obstacle.get_or_insert((it, now, false));
-        if known != it {
-            self.obstacle = Some((it, now, false));
-        } else if !told && now >= since + OBSTACLE {
-            let ranks: Vec<u16> = self.silent_ranks(now);
-            slog::warn!(self.log, "planner waits"; "why" => ?it, "silent_ranks" => ?ranks,
-                "member" => ?self.member.as_ref().map(|it| (it.plan(), it.reading().copied())));
-            self.obstacle = Some((it, since, true));
-        }
-    }
-
-    fn silent_ranks(&self, now: Millis) -> Vec<u16> {
-        let size = self.group.as_ref().map_or(0, |it| it.size);
-        let fresh =
-            |rank: &u16| self.ranks.get(rank).is_some_and(|it| now.saturating_sub(it.at) <= FRESH);
-        (1..size).filter(|it| !fresh(it)).collect()
-    }
-
-    fn decide(&mut self, now: Millis) -> Option<rebalance::Change> {
-        let obstacle = self.obstacle(now);
-        self.note_obstacle(now, obstacle);
-        if obstacle.is_some() {
-            return None;
-        }
-        let demand = self.demand.as_ref()?;
-        let recent = demand.recent(MARKS, 0)?;
-        let before = demand.recent(MARKS, MARKS);
-        let settled = before.is_none_or(|it| demand::likeness(&recent, &it) >= SETTLED);
-        let map = self.map_in_force()?;
-        let options = rebalance::Options::with_spare(self.shape.as_ref()?.spare as usize);
-        let change = rebalance::decide(&options, &map, &recent, &self.paces());
-        if change.is_none() || settled {
-            self.restless = None;
-            return change;
-        }
-        let since = *self.restless.get_or_insert(now);
-        change.filter(|_| now >= since + RESTLESS)
-    }
-
-    /// Whether all other ranks were heard of lately and have this map in force.
-    fn agree_on(&self, now: Millis, version: u64) -> bool {
-        let size = self.group.as_ref().map_or(0, |it| usize::from(it.size));
-        let epoch = self.group.as_ref().map_or(0, |it| it.reading.epoch);
-        let same = |it: &&Rank| it.version == version && it.epoch == epoch;
-        let agrees = |it: &&Rank| same(it) && now.saturating_sub(it.at) <= FRESH;
-        self.ranks.values().filter(agrees).count() + 1 >= size
-    }
-
-    /// The ranks' paces, as last told.
-    fn paces(&self) -> Paces {
-        let size = self.group.as_ref().map_or(0, |it| it.size);
-        let mine = self.group.as_ref().map_or(1.0, |it| it.pace);
-        let other = |rank: u16| self.ranks.get(&rank).map_or(1.0, |it| it.pace);
-        Paces::new((0..size).map(|rank| if rank == 0 { mine } else { other(rank) }))
-    }
-
-    fn map_in_force(&self) -> Option<Map> {
-        let shape = self.map_shape()?;
-        let mine = &self.lists.as_ref()?.experts;
-        let mut layers = vec![Vec::new(); shape.layers];
-        for rank in 0..shape.ranks {
-            let experts = match rank {
-                0 => mine,
-                _ => &self.ranks.get(&(rank as u16))?.experts,
-            };
-            for (slots, held) in layers.iter_mut().zip(experts) {
-                let held = held.iter().map(|it| Some(Expert(*it)));
-                slots.extend(held.chain(std::iter::repeat(None)).take(shape.slots));
-            }
-        }
-        Map::build(shape, &layers).ok()
-    }
-
-    fn propose(&mut self, now: Millis, change: &rebalance::Change) -> Vec<Do> {
-        let Some(group) = &self.group else { return Vec::new() };
-        let version = self.highest.max(group.reading.version) + 1;
-        slog::info!(self.log, "map proposed"; "version" => version, "epoch" => group.reading.epoch,
-            "skew" => change.before, "expected" => change.after, "moves" => change.moves,
-            "paces" => ?self.paces());
-        let proposal = Body::Proposal(wire::Proposal {
-            group: group.name.clone(),
-            epoch: group.reading.epoch,
-            version,
-            map: change.map.encode().into(),
-        });
-        self.proposed = Some(Proposed { version, since: now, switching: false });
-        let sends = self.ranks.values().map(|it| Do::Send(it.peer, proposal.clone()));
-        let mut list: Vec<Do> = sends.collect();
-        list.extend(self.prepare(version, change.map.clone()));
-        list
-    }
-
-    /// Proposes the switch once all ranks have prepared the map.
-    fn try_switch(&mut self, now: Millis) -> Vec<Do> {
-        let (Some(group), Some(member), Some(it)) =
-            (&self.group, &mut self.member, &mut self.proposed)
-        else {
-            return Vec::new();
-        };
-        let version = it.version;
-        let epoch = group.reading.epoch;
-        let ready = |it: &&Rank| it.prepared == version && it.epoch == epoch;
-        let others = self.ranks.values().filter(ready).count();
-        let all = group.reading.prepared == Some(version) && others + 1 == usize::from(group.size);
-        if group.reading.version == version {
-            self.proposed = None;
-            return Vec::new();
-        }
-        if !all || it.switching || !member.is_free() {
-            return Vec::new();
-        }
-        it.switching = true;
-        let steps = self.ranks.values().filter(|it| it.epoch == epoch).map(|it| it.step);
-        let known = steps.max().unwrap_or(0);
-        let shaky = self.unanswered.is_some_and(|at| now < at + UNANSWERED);
-        let lead = if shaky { LEAD + LEAD_UNANSWERED } else { LEAD };
-        let ahead = if self.pass > 0.0 { (lead as f64 / self.pass).ceil() as u64 } else { 0 };
-        let step = known.max(group.reading.step) + ahead.max(LEAD_PASSES) + 1;
-        let plan = Plan { version, step };
-        slog::info!(self.log, "switch proposed"; "version" => version, "at" => step,
-            "step" => group.reading.step, "pass" => self.pass);
-        let outputs = member.propose(plan);
-        self.carry_out(outputs)
-    }
-
     /// How the group stands, as this agent sees it.
     pub fn explain(&self) -> serde_json::Value {
         let reading = self.group.as_ref().map(|it| it.reading);
-        let recent = self.demand.as_ref().and_then(|it| it.recent(MARKS, 0));
+        let recent = self.demand.as_ref().and_then(|it| it.recent(planner::MARKS, 0));
         let skew = self
             .map_in_force()
             .zip(recent)
