Tell agents the bounds of maps, not the whole configuration

An agent beside a listed target needs four numbers of the configuration: layers, experts, slots and spare of its group.

Change: entries tell these to the agents they connect to, with the revision, and again when the configuration changes; the newest revision counts. Such agents hold no configuration.

--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -11,8 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sablepass_core::catalogue::Catalogue;
-use sablepass_core::expert::map::Paces;
+use sablepass_core::expert::map::{Bounds, Paces};
 use sablepass_core::id::Millis;
 use sablepass_edge::caller::Answer;
 use sablepass_edge::instance::{Instance, Role};
@@ -20,8 +19,8 @@
 use sablepass_edge::telemetry::Metrics;
 use sablepass_edge::{admin, clock, runtime};
 use sablepass_platform::engine;
-use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
+use sablepass_wire::{convert, generated as wire};
 use slog::Logger;
 use stakker::{ActorOwn, CX, after, call, ret_some_do};
 
@@ -53,7 +52,8 @@
     /// The target answered the last time.
     good: bool,
     ranks: Ranks,
-    catalogue: Rc<Catalogue>,
+    /// What entries told of the maps of services, with the revision that says so.
+    bounds: BTreeMap<String, (u64, Bounds)>,
     instances: Rc<BTreeMap<String, Instance>>,
     /// The service that the target answers for, once it is listed.
     service: String,
@@ -98,7 +98,7 @@
             reading: None,
             good: false,
             ranks,
-            catalogue: Rc::default(),
+            bounds: BTreeMap::new(),
             instances: Rc::default(),
             service: String::new(),
             pulses: 0,
@@ -129,33 +129,53 @@
                 self.entries.retain(|it| *it != peer);
                 self.ranks.down(peer);
             }
+            mesh::Event::Message(_, Body::Bounds(it)) => self.take_bounds(it),
             mesh::Event::Message(peer, body) => {
                 let list = self.ranks.message(clock::now(), peer, body);
                 self.carry_out(list.unwrap_or_default());
             }
-            mesh::Event::Config(it) => {
-                self.catalogue = it;
-                self.meet_group();
-            }
             mesh::Event::Instances(it) => {
                 self.instances = it;
                 self.meet_group();
             }
-            mesh::Event::Entries(_) => {}
+            // Entries tell what is needed of the configuration.
+            mesh::Event::Config(_) | mesh::Event::Entries(_) => {}
         }
     }
 
+    /// Takes what an entry told of a service, unless another one told it by a
+    /// later configuration.
+    fn take_bounds(&mut self, it: wire::Bounds) {
+        let told = match convert::parse_bounds(&it) {
+            Ok(told) => told,
+            Err(e) => {
+                slog::warn!(self.log, "bounds ignored"; "service" => it.service, "error" => %e);
+                return;
+            }
+        };
+        let known = self.bounds.get(&it.service);
+        if known.is_some_and(|known| known.0 >= it.revision) {
+            return;
+        }
+        if known.is_none_or(|known| known.1 != told) {
+            slog::info!(self.log, "bounds of maps"; "service" => &it.service,
+                "revision" => it.revision, "bounds" => ?told);
+        }
+        self.bounds.insert(it.service, (it.revision, told));
+        self.meet_group();
+    }
+
     /// Declares the group that the target is a rank of, and connects to its
-    /// agents. Configuration and list come in either order.
+    /// agents. Bounds and list come in either order.
     fn meet_group(&mut self) {
         let instances = self.instances.clone();
         let targets = || instances.values().filter(|it| it.role == Role::Target);
         let Some(mine) = targets().find(|it| it.addr == self.target) else { return };
         self.service.clone_from(&mine.serves);
-        let shape = self.shape().cloned().filter(|_| self.settings.keeps_maps);
-        let is_rank = shape.is_some();
-        self.ranks.declare(shape);
-        if !is_rank {
+        let bounds = self.bounds.get(&self.service).map(|it| it.1);
+        let bounds = bounds.filter(|_| self.settings.keeps_maps);
+        self.ranks.declare(bounds);
+        if bounds.is_none() {
             return;
         }
         let me = self.settings.node.listen;
@@ -166,11 +186,6 @@
         call!([self.mesh], want(wanted));
     }
 
-    fn shape(&self) -> Option<&sablepass_core::declaration::Ranks> {
-        let service = self.catalogue.services.get(&self.service)?;
-        service.engine.as_ref()?.ranks.as_ref()
-    }
-
     fn carry_out(&self, list: Vec<Do>) {
         for it in list {
             match it {
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -12,10 +12,9 @@
 
 use std::collections::BTreeMap;
 
-use sablepass_core::declaration::Ranks as Shape;
 use sablepass_core::expert::barrier::{Done, Member, Message, Output, Plan, Reading};
 use sablepass_core::expert::demand::{self, Demand};
-use sablepass_core::expert::map::{self, Map};
+use sablepass_core::expert::map::{self, Bounds, Map};
 use sablepass_core::expert::rebalance;
 use sablepass_core::id::Millis;
 use sablepass_edge::caller::Answer;
@@ -88,7 +87,7 @@
 /// The member, and the planner beside rank 0.
 pub struct Ranks {
     log: Logger,
-    shape: Option<Shape>,
+    bounds: Option<Bounds>,
     /// None until the replica has told that it is a rank.
     member: Option<Member>,
     group: Option<Group>,
@@ -126,7 +125,7 @@
     pub fn open(log: Logger, hall: String, fence: u64) -> Self {
         Self {
             log,
-            shape: None,
+            bounds: None,
             member: None,
             group: None,
             fence,
@@ -150,14 +149,14 @@
         }
     }
 
-    /// Takes the declared shape of the group, if there is one.
-    pub fn declare(&mut self, shape: Option<Shape>) {
-        self.shape = shape;
+    /// Takes what is declared of the group's maps, if the target is a rank of one.
+    pub fn declare(&mut self, bounds: Option<Bounds>) {
+        self.bounds = bounds;
     }
 
     /// Whether the replica is a rank of a group whose maps are kept here.
     pub fn is_active(&self) -> bool {
-        self.shape.is_some() && self.group.is_some()
+        self.bounds.is_some() && self.group.is_some()
     }
 
     /// Whether something is under way that wants frequent readings.
@@ -192,7 +191,7 @@
 
     /// Takes the replica's account of its group.
     pub fn report(&mut self, now: Millis, group: Option<Group>) -> Vec<Do> {
-        let Some(group) = group.filter(|_| self.shape.is_some()) else {
+        let Some(group) = group.filter(|_| self.bounds.is_some()) else {
             self.group = None;
             return Vec::new();
         };
@@ -234,8 +233,8 @@
         self.wanted = None;
         self.proposed = None;
         self.lists = None;
-        let shape = self.shape.as_ref();
-        self.demand = shape
+        let bounds = self.bounds.as_ref();
+        self.demand = bounds
             .map(|it| Demand::open(group.size.into(), it.layers as usize, it.experts as usize));
     }
 
@@ -541,12 +540,12 @@
     }
 
     fn map_shape(&self) -> Option<map::Shape> {
-        let (shape, group) = (self.shape.as_ref()?, self.group.as_ref()?);
+        let (bounds, group) = (self.bounds.as_ref()?, self.group.as_ref()?);
         Some(map::Shape {
             ranks: group.size.into(),
-            layers: shape.layers as usize,
-            experts: shape.experts as usize,
-            slots: shape.slots as usize,
+            layers: bounds.layers as usize,
+            experts: bounds.experts as usize,
+            slots: bounds.slots as usize,
         })
     }
 
--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -127,7 +127,7 @@
         let before = demand.recent(MARKS, MARKS);
         let settled = before.is_none_or(|it| demand::likeness(&recent, &it) >= SETTLED);
         let map = self.map_in_force()?;
-        let options = rebalance::Options::with_spare(self.shape.as_ref()?.spare as usize);
+        let options = rebalance::Options::with_spare(self.bounds.as_ref()?.spare as usize);
         let change = rebalance::decide(&options, &map, &recent, &self.paces());
         if change.is_none() || settled {
             self.restless = None;
--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use snafu::Snafu;
 
+use crate::expert::map::Bounds;
 use crate::id::Millis;
 use crate::route::Route;
 
@@ -258,6 +259,13 @@
     pub form: f64,
 }
 
+impl Ranks {
+    /// What this says of the group's maps.
+    pub fn bounds(&self) -> Bounds {
+        Bounds { layers: self.layers, experts: self.experts, slots: self.slots, spare: self.spare }
+    }
+}
+
 /// A service and what its targets take.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/crates/sablepass-core/src/expert/map.rs
+++ b/crates/sablepass-core/src/expert/map.rs
@@ -233,6 +233,19 @@
     }
 }
 
+/// What the declaration of a service says of the maps of its groups.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Layers that are placed one by one.
+    pub layers: u32,
+    /// Experts a layer.
+    pub experts: u32,
+    /// Slots of a rank in a layer.
+    pub slots: u32,
+    /// Experts of a layer that one preparation may bring to a rank.
+    pub spare: u32,
+}
+
 /// How long each rank takes for the same work; 1 is a healthy one.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Paces(Vec<f64>);
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -244,6 +244,9 @@
         ];
         let mut pulls = Vec::new();
         for (what, digest) in theirs {
+            if !self.is_held(what) {
+                continue;
+            }
             let (compare, ignored) = self.source(what).store.compare(digest);
             if let Some(reason) = ignored {
                 self.metrics.ignored(reason);
@@ -419,6 +422,13 @@
         Duration::from_millis(wait)
     }
 
+    /// Whether this process holds a copy of what a service has. Agents beside
+    /// listed targets need next to nothing of a configuration that may be large
+    /// and change often; entries tell them that.
+    fn is_held(&self, what: What) -> bool {
+        !matches!((self.node.form, self.role, what), (Form::Keys, Role::Agent, What::Declarations))
+    }
+
     fn on_duty(&self, now: Millis, what: What) -> bool {
         match (self.node.form, self.role, what) {
             (Form::Changes, _, What::Declarations) => self.ranks_as_reader(now),
--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -14,6 +14,7 @@
 mod dialect;
 mod direct;
 mod openai;
+mod peers;
 mod pool;
 mod router;
 mod routes;
--- /dev/null
+++ b/crates/sablepass-entry/src/peers.rs
@@ -0,0 +1,161 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! The router towards other processes: agents, entries, and what they spread.
+
+use std::time::Duration;
+
+use sablepass_core::declaration::{Limits, Service};
+use sablepass_core::flight::Event;
+use sablepass_core::id::{AttemptId, RequestId};
+use sablepass_core::reason::{Ignored, Refusal};
+use sablepass_edge::mesh::{self, Introduction, PeerKey};
+use sablepass_edge::{clock, server};
+use sablepass_wire::convert;
+use sablepass_wire::generated::frame::Body;
+use stakker::{CX, call};
+
+use crate::router::{Open, Router};
+
+impl Router {
+    /// Takes an event of the mesh.
+    pub fn mesh_event(&mut self, cx: CX![], event: mesh::Event) {
+        match event {
+            mesh::Event::Up(peer, it) => self.up(cx, peer, &it),
+            mesh::Event::Down(peer) => self.down(cx, peer),
+            mesh::Event::Message(peer, body) => self.message(cx, peer, body),
+            mesh::Event::Config(catalogue) => {
+                if let Some(it) = catalogue.limits {
+                    call!([self.server], limit(limits(it)));
+                }
+                self.targets.declare(catalogue);
+                self.want(cx);
+                self.tell_bounds();
+            }
+            mesh::Event::Instances(instances) => {
+                let gone = self.targets.list(clock::now(), &instances);
+                self.forget(&gone);
+                self.want(cx);
+            }
+            mesh::Event::Entries(names) => {
+                self.targets.meet(names.len());
+                let entries = self.targets.entries();
+                let burst = self.settings.budget(entries).burst;
+                self.budgets.values_mut().for_each(|it| it.limit(burst));
+            }
+        }
+    }
+
+    pub(crate) fn forget(&mut self, targets: &[String]) {
+        for target in targets {
+            slog::info!(self.log, "target gone"; "target" => target);
+            self.pool.leave(target);
+        }
+    }
+
+    pub(crate) fn want(&mut self, _cx: CX![]) {
+        let wanted = self.targets.wanted(clock::now());
+        call!([self.mesh], want(wanted));
+    }
+
+    fn up(&mut self, cx: CX![], peer: PeerKey, it: &Introduction) {
+        let Some(endpoint) = it.dialled.as_ref().filter(|_| it.role == "agent") else {
+            return;
+        };
+        if self.targets.beside(peer, endpoint) {
+            self.bounds().into_iter().for_each(|it| call!([self.mesh], send(peer, it)));
+            return;
+        }
+        self.targets.up(clock::now(), peer, &it.name, it.incarnation);
+        slog::info!(self.log, "target up"; "target" => &it.name);
+        for id in self.requests_at(&it.name) {
+            self.event(cx, id, 0, Event::LinkUp(it.incarnation));
+        }
+    }
+
+    /// What the agents beside listed targets need of the configuration.
+    fn bounds(&self) -> Vec<Body> {
+        let catalogue = self.targets.catalogue();
+        let ranks = |it: &Service| Some(it.engine.as_ref()?.ranks.as_ref()?.bounds());
+        let told = |(name, it): (&String, &Service)| {
+            Some(convert::bounds(name, catalogue.revision, ranks(it)?))
+        };
+        catalogue.services.iter().filter_map(told).collect()
+    }
+
+    /// Tells all of them. A line of some ten bytes for each service, however
+    /// large the configuration is.
+    fn tell_bounds(&self) {
+        for body in self.bounds() {
+            for peer in self.targets.agents() {
+                call!([self.mesh], send(peer, body.clone()));
+            }
+        }
+    }
+
+    fn down(&mut self, cx: CX![], peer: PeerKey) {
+        let Some(name) = self.targets.down(peer) else {
+            return;
+        };
+        slog::info!(self.log, "target down"; "target" => &name);
+        for id in self.requests_at(&name) {
+            self.event(cx, id, 0, Event::LinkDown);
+        }
+    }
+
+    fn requests_at(&self, target: &str) -> Vec<RequestId> {
+        let there = |it: &Open| it.flight.target() == Some(target);
+        self.open.iter().filter(|(_, it)| there(it)).map(|(id, _)| *id).collect()
+    }
+
+    fn message(&mut self, cx: CX![], peer: PeerKey, body: Body) {
+        if let Body::Report(it) = &body
+            && self.targets.heard_beside(clock::now(), peer, convert::report(it))
+        {
+            return;
+        }
+        let Some(name) = self.targets.name(peer).map(str::to_owned) else {
+            self.metrics.ignored(Ignored::BadFrame);
+            return;
+        };
+        if let Body::Report(it) = &body {
+            let known = self.targets.members().get(&name);
+            if known.is_some_and(|known| known.leaving && !it.leaving) {
+                // Leaving is for good; what says otherwise was sent before.
+                self.metrics.ignored(Ignored::LateHeartbeat);
+            }
+            self.targets.heard(clock::now(), &name, convert::report(it));
+            return;
+        }
+        match convert::answer(body) {
+            Ok(Some((attempt, event))) => self.answer(cx, &name, attempt, event),
+            Ok(None) | Err(_) => self.metrics.ignored(Ignored::BadFrame),
+        }
+    }
+
+    fn answer(&mut self, cx: CX![], from: &str, attempt: AttemptId, event: Event) {
+        let open = self.open.get(&attempt.request);
+        let expected = open.is_some_and(|it| it.flight.target() == Some(from));
+        if !expected {
+            self.metrics.ignored(Ignored::LateAnswer);
+            return;
+        }
+        match &event {
+            Event::Refused(Refusal::Leaving) => self.targets.leave(from),
+            Event::Failed(it) if it.reason == Refusal::EngineAway => self.targets.away(from),
+            _ => {}
+        }
+        self.event(cx, attempt.request, attempt.number, event);
+    }
+}
+
+/// The declared limits of callers' connections.
+fn limits(it: Limits) -> server::Limits {
+    server::Limits {
+        head: it.head,
+        body: it.body,
+        head_time: Duration::from_millis(it.head_time),
+        idle_time: Duration::from_millis(it.idle_time),
+        ..server::Limits::default()
+    }
+}
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -15,15 +15,15 @@
 use sablepass_core::admit::{Admission, Ticket};
 use sablepass_core::balance::Policy;
 use sablepass_core::budget::Budget;
-use sablepass_core::declaration::{Limits, Priority};
+use sablepass_core::declaration::Priority;
 use sablepass_core::flight::{Action, Event, Flight};
 use sablepass_core::id::{AttemptId, Incarnation, Millis, RequestId};
 use sablepass_core::outcome::Failure;
 use sablepass_core::reason::{Ignored, Refusal};
 use sablepass_core::route::Route;
 use sablepass_edge::client;
-use sablepass_edge::mesh::{self, Introduction, Mesh, PeerKey};
-use sablepass_edge::server::{self, ExchangeKey, Part, Server};
+use sablepass_edge::mesh::Mesh;
+use sablepass_edge::server::{ExchangeKey, Part, Server};
 use sablepass_edge::telemetry::Metrics;
 use sablepass_edge::{clock, runtime, settings};
 use sablepass_wire::convert;
@@ -90,7 +90,7 @@
     pub(crate) admission: Admission,
     pub(crate) options: openai::Options,
     /// A retry budget a service.
-    budgets: HashMap<Served, Budget>,
+    pub(crate) budgets: HashMap<Served, Budget>,
     pub(crate) open: HashMap<RequestId, Open>,
     pub(crate) exchanges: HashMap<ExchangeKey, RequestId>,
     pub(crate) pool: Pool,
@@ -350,116 +350,6 @@
         self.metrics.in_flight.set(self.open.len() as i64);
     }
 
-    // Other processes.
-
-    /// Takes an event of the mesh.
-    pub fn mesh_event(&mut self, cx: CX![], event: mesh::Event) {
-        match event {
-            mesh::Event::Up(peer, it) => self.up(cx, peer, &it),
-            mesh::Event::Down(peer) => self.down(cx, peer),
-            mesh::Event::Message(peer, body) => self.message(cx, peer, body),
-            mesh::Event::Config(catalogue) => {
-                if let Some(it) = catalogue.limits {
-                    call!([self.server], limit(limits(it)));
-                }
-                self.targets.declare(catalogue);
-                self.want(cx);
-            }
-            mesh::Event::Instances(instances) => {
-                let gone = self.targets.list(clock::now(), &instances);
-                self.forget(&gone);
-                self.want(cx);
-            }
-            mesh::Event::Entries(names) => {
-                self.targets.meet(names.len());
-                let entries = self.targets.entries();
-                let burst = self.settings.budget(entries).burst;
-                self.budgets.values_mut().for_each(|it| it.limit(burst));
-            }
-        }
-    }
-
-    fn forget(&mut self, targets: &[String]) {
-        for target in targets {
-            slog::info!(self.log, "target gone"; "target" => target);
-            self.pool.leave(target);
-        }
-    }
-
-    fn want(&mut self, _cx: CX![]) {
-        let wanted = self.targets.wanted(clock::now());
-        call!([self.mesh], want(wanted));
-    }
-
-    fn up(&mut self, cx: CX![], peer: PeerKey, it: &Introduction) {
-        let Some(endpoint) = it.dialled.as_ref().filter(|_| it.role == "agent") else {
-            return;
-        };
-        if self.targets.beside(peer, endpoint) {
-            return;
-        }
-        self.targets.up(clock::now(), peer, &it.name, it.incarnation);
-        slog::info!(self.log, "target up"; "target" => &it.name);
-        for id in self.requests_at(&it.name) {
-            self.event(cx, id, 0, Event::LinkUp(it.incarnation));
-        }
-    }
-
-    fn down(&mut self, cx: CX![], peer: PeerKey) {
-        let Some(name) = self.targets.down(peer) else {
-            return;
-        };
-        slog::info!(self.log, "target down"; "target" => &name);
-        for id in self.requests_at(&name) {
-            self.event(cx, id, 0, Event::LinkDown);
-        }
-    }
-
-    fn requests_at(&self, target: &str) -> Vec<RequestId> {
-        let there = |it: &Open| it.flight.target() == Some(target);
-        self.open.iter().filter(|(_, it)| there(it)).map(|(id, _)| *id).collect()
-    }
-
-    fn message(&mut self, cx: CX![], peer: PeerKey, body: Body) {
-        if let Body::Report(it) = &body
-            && self.targets.heard_beside(clock::now(), peer, convert::report(it))
-        {
-            return;
-        }
-        let Some(name) = self.targets.name(peer).map(str::to_owned) else {
-            self.metrics.ignored(Ignored::BadFrame);
-            return;
-        };
-        if let Body::Report(it) = &body {
-            let known = self.targets.members().get(&name);
-            if known.is_some_and(|known| known.leaving && !it.leaving) {
-                // Leaving is for good; what says otherwise was sent before.
-                self.metrics.ignored(Ignored::LateHeartbeat);
-            }
-            self.targets.heard(clock::now(), &name, convert::report(it));
-            return;
-        }
-        match convert::answer(body) {
-            Ok(Some((attempt, event))) => self.answer(cx, &name, attempt, event),
-            Ok(None) | Err(_) => self.metrics.ignored(Ignored::BadFrame),
-        }
-    }
-
-    fn answer(&mut self, cx: CX![], from: &str, attempt: AttemptId, event: Event) {
-        let open = self.open.get(&attempt.request);
-        let expected = open.is_some_and(|it| it.flight.target() == Some(from));
-        if !expected {
-            self.metrics.ignored(Ignored::LateAnswer);
-            return;
-        }
-        match &event {
-            Event::Refused(Refusal::Leaving) => self.targets.leave(from),
-            Event::Failed(it) if it.reason == Refusal::EngineAway => self.targets.away(from),
-            _ => {}
-        }
-        self.event(cx, attempt.request, attempt.number, event);
-    }
-
     // Time.
 
     fn tick(&mut self, cx: CX![]) {
@@ -550,17 +440,6 @@
     }
 }
 
-/// The declared limits of callers' connections.
-fn limits(it: Limits) -> server::Limits {
-    server::Limits {
-        head: it.head,
-        body: it.body,
-        head_time: Duration::from_millis(it.head_time),
-        idle_time: Duration::from_millis(it.idle_time),
-        ..server::Limits::default()
-    }
-}
-
 fn dispatch_body(open: &Open, attempt: AttemptId, incarnation: Incarnation) -> Body {
     let run = &open.run;
     Body::Dispatch(wire::Dispatch {
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -247,6 +247,11 @@
         self.serving.contains_key(&given).then_some(given)
     }
 
+    /// Connections to the agents beside listed targets.
+    pub fn agents(&self) -> impl Iterator<Item = PeerKey> {
+        self.agents.keys().copied()
+    }
+
     /// Records a connection to the agent beside listed targets. False if the
     /// endpoint is not one of those.
     pub fn beside(&mut self, peer: PeerKey, endpoint: &str) -> bool {
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use sablepass_core::config::{self, What};
+use sablepass_core::expert::map::Bounds;
 use sablepass_core::flight::{Event, Head, Verdict};
 use sablepass_core::id::{AttemptId, Incarnation, RequestId};
 use sablepass_core::once::{Key, Mark};
@@ -138,6 +139,32 @@
     }
 }
 
+/// The message of what bounds the maps of a service's groups.
+pub fn bounds(service: &str, revision: u64, it: Bounds) -> Body {
+    Body::Bounds(wire::Bounds {
+        service: service.to_owned(),
+        revision,
+        layers: it.layers,
+        experts: it.experts,
+        slots: it.slots,
+        spare: it.spare,
+    })
+}
+
+/// Reads what bounds the maps of a service's groups.
+pub fn parse_bounds(it: &wire::Bounds) -> Result<Bounds, Error> {
+    let field = |field, value: u32| match value {
+        0 => Err(Error::Field { message: "bounds", field }),
+        it => Ok(it),
+    };
+    Ok(Bounds {
+        layers: field("layers", it.layers)?,
+        experts: field("experts", it.experts)?,
+        slots: field("slots", it.slots)?,
+        spare: it.spare,
+    })
+}
+
 /// The message of a delta.
 pub fn delta(what: What, it: &config::Delta) -> Body {
     let documents = it.documents.iter().map(document).collect();
--- a/crates/sablepass-wire/src/frame.rs
+++ b/crates/sablepass-wire/src/frame.rs
@@ -102,5 +102,6 @@
         Body::Tally(_) => "tally",
         Body::Proposal(_) => "proposal",
         Body::Barrier(_) => "barrier",
+        Body::Bounds(_) => "bounds",
     }
 }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -47,6 +47,8 @@
         Proposal(super::Proposal),
         #[prost(message, tag = "18")]
         Barrier(super::Barrier),
+        #[prost(message, tag = "19")]
+        Bounds(super::Bounds),
     }
 }
 /// First frame in each direction of a connection.
@@ -318,6 +320,24 @@
     #[prost(bool, tag = "11")]
     pub samples: bool,
 }
+/// What an entry tells the agent beside a listed target of a service whose
+/// targets are ranks of a group.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Bounds {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Revision of the configuration that says so.
+    #[prost(fixed64, tag = "2")]
+    pub revision: u64,
+    #[prost(uint32, tag = "3")]
+    pub layers: u32,
+    #[prost(uint32, tag = "4")]
+    pub experts: u32,
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    #[prost(uint32, tag = "6")]
+    pub spare: u32,
+}
 /// A map that the ranks of a group are to prepare.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Proposal {
