--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -201,7 +201,11 @@
             let waited = now.saturating_sub(open.run.arrived) as f64 / 1_000.0;
             self.metrics.wait.observe(waited);
         }
-        slog::info!(self.log, "sent"; "id" => &open.run.label, "target" => &choice.name,
+        let addr = match choice.via {
+            Via::Agent(..) => None,
+            Via::Direct(it) => Some(it.to_string()),
+        };
+        slog::info!(self.log, "sent"; "id" => &open.run.label, "target" => &choice.name, "addr" => addr,
             "attempt" => attempt.number, "load" => choice.load, "of" => choice.candidates,
             "after" => open.flight.last_event(), "route" => route_name(open), "revision" => open.revision,
             "left" => open.flight.request().deadline.saturating_sub(now));
