Move what runs at a rank that crawls to others of its group

The planner had its experts elsewhere 0.4 s later (lag 12 to 1.14), and new requests avoided it, but passes stayed at 523 to 563 ms: a pass takes as long as the own part of the slowest rank, and the 10 streams and the queue that it had needed 13 s at that pace.

Change: agents tell one of three paces (sound, slow from 1.25, crawling from 2). When a target begins to crawl, an entry cancels what it has there and sends it elsewhere after the last event, within the request's attempts and the retry budget, while fewer than a quarter of the targets crawl. What may not be sent again stays.

The threshold of 2 and the quarter are chosen, not measured.

--- a/crates/sablepass-agent/src/leaving.rs
+++ b/crates/sablepass-agent/src/leaving.rs
@@ -57,7 +57,7 @@
             load_age,
             leaving: self.gate.leaving(),
             away: self.away.is_some(),
-            slow: false,
+            pace: 0,
         });
         for peer in &self.entries {
             self.send(Some(*peer), report.clone());
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -11,8 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sablepass_core::expert::map::{Bounds, Paces};
+use sablepass_core::expert::map::Bounds;
 use sablepass_core::id::Millis;
+use sablepass_core::membership::Pace;
 use sablepass_edge::caller::Answer;
 use sablepass_edge::instance::{Instance, Role};
 use sablepass_edge::mesh::{self, Mesh, PeerKey, Wanted};
@@ -69,8 +70,8 @@
 struct State {
     /// Its group is not complete, so that nothing sent there runs.
     closed: bool,
-    /// It takes much longer than it should, and its group waits for it.
-    slow: bool,
+    /// How long it takes, for which its group waits.
+    pace: Pace,
 }
 
 impl Observer {
@@ -242,8 +243,8 @@
         self.carry_out(list);
         self.reading = Some(Reading { report, at: now });
         let state = self.state();
-        if state.slow != self.told_state.slow {
-            slog::info!(self.log, "pace changed"; "slow" => state.slow,
+        if state.pace != self.told_state.pace {
+            slog::info!(self.log, "pace changed"; "judged" => ?state.pace,
                 "pace" => self.group().map(|it| it.pace));
         }
         if now >= self.told + self.settings.heartbeat || state != self.told_state {
@@ -260,7 +261,7 @@
     fn state(&self) -> State {
         State {
             closed: self.group().is_some_and(|it| !it.open),
-            slow: self.group().is_some_and(|it| it.pace >= Paces::SLOW),
+            pace: self.group().map_or(Pace::Sound, |it| Pace::of(it.pace)),
         }
     }
 
@@ -283,7 +284,7 @@
             load_age: u32::try_from(age).unwrap_or(u32::MAX),
             leaving: false,
             away: self.state().closed,
-            slow: self.state().slow,
+            pace: convert::pace_number(self.state().pace),
         });
         for peer in &self.entries {
             call!([self.mesh], send(*peer, report.clone()));
--- a/crates/sablepass-core/src/expert/map.rs
+++ b/crates/sablepass-core/src/expert/map.rs
@@ -251,10 +251,6 @@
 pub struct Paces(Vec<f64>);
 
 impl Paces {
-    /// Pace from which a rank is slow: requests go elsewhere, and a replica of
-    /// an expert there may go for nothing in return. Chosen, not measured:
-    /// healthy ranks told 1 and slow ones 4 on the one day that was looked at.
-    pub const SLOW: f64 = 1.25;
     /// A pace that is believed at most: twice the 8 by which the users' slowest
     /// kind of fault slows a target. Chosen, not measured.
     const MOST: f64 = 16.0;
--- a/crates/sablepass-core/src/expert/place.rs
+++ b/crates/sablepass-core/src/expert/place.rs
@@ -7,6 +7,7 @@
 use std::collections::BinaryHeap;
 
 use crate::expert::map::{Error, Expert, Layer, Map, Paces, Rank, Shape, Slot};
+use crate::membership::Pace;
 
 /// Sharpness of the potential that small steps descend. The load of the
 /// worst rank alone does not tell which of two steps is the better start.
@@ -177,7 +178,7 @@
         let Some(hot) = layer.expert(from) else {
             continue;
         };
-        if paces.of(worst) >= Paces::SLOW {
+        if Pace::of(paces.of(worst)) != Pace::Sound {
             weigh(Change::Drop(from));
         }
         for rank in others.iter().map(|it| Rank(*it as u16)) {
--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -117,6 +117,8 @@
         /// When the target's agent last gave a sign of life, as far as known.
         heard: Millis,
     },
+    /// The target takes so long that it holds up all that others run.
+    TargetCrawls,
     /// The caller went away.
     CallerGone,
 }
@@ -310,6 +312,7 @@
                 self.heard = self.heard.max(heard);
                 self.on_tick(now, budget)
             }
+            Event::TargetCrawls => self.on_crawling(now, budget),
             Event::CallerGone => self.on_gone(),
         }
     }
@@ -537,6 +540,18 @@
         movable && now >= self.heard.max(heard) + self.options.stall
     }
 
+    /// Moves what can go on elsewhere. Anything else stays where it is: it is
+    /// no failure, only late.
+    fn on_crawling(&mut self, now: Millis, budget: &mut dyn FnMut() -> bool) -> Vec<Action> {
+        if self.state != State::Sent || !self.may_move(now) || !budget() {
+            return Vec::new();
+        }
+        let ran = if self.delivered { Ran::Ran } else { Ran::Unknown };
+        let mut actions = vec![Action::Cancel(self.attempt())];
+        actions.extend(self.move_on(Retry::SlowTarget, ran));
+        actions
+    }
+
     fn on_deadline(&mut self) -> Vec<Action> {
         let ran = match self.state {
             State::Choosing => Ran::NotRun,
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -15,6 +15,37 @@
 /// allowed to agents is stalled: its load is read less often than heartbeats come.
 const STALLED: Millis = 3;
 
+/// How long a target takes, where others wait for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Pace {
+    /// As long as it should.
+    #[default]
+    Sound,
+    /// Longer, so that new work had better go elsewhere.
+    Slow,
+    /// So much longer that what runs there had better go on elsewhere.
+    Crawling,
+}
+
+impl Pace {
+    /// Time for the same work, relative to a sound target, from which one is
+    /// slow. Chosen, not measured: sound ones told 1 and slow ones 4 on the one
+    /// day that was looked at.
+    pub const SLOW: f64 = 1.25;
+    /// The same from which one crawls. A rank's own part is a seventh of a pass
+    /// of 80 ms, which may take 120: at 2 it takes 91, with queued prompts more.
+    pub const CRAWLING: f64 = 2.0;
+
+    /// Judges the time for the same work.
+    pub fn of(pace: f64) -> Self {
+        match pace {
+            it if it >= Self::CRAWLING => Self::Crawling,
+            it if it >= Self::SLOW => Self::Slow,
+            _ => Self::Sound,
+        }
+    }
+}
+
 /// A heartbeat.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Report {
@@ -26,8 +57,8 @@
     pub leaving: bool,
     /// The target refuses connections.
     pub away: bool,
-    /// It takes much longer than it should, and others wait for it.
-    pub slow: bool,
+    /// How long it takes, where others wait for it.
+    pub pace: Pace,
     /// Time since the engine last answered its agent; none if it is not asked.
     pub engine_age: Option<Millis>,
 }
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -149,6 +149,8 @@
         AnswerGap = 5, "answer-gap";
         /// The target gave no sign of life within the limit.
         Stalled = 6, "stalled";
+        /// The target takes so long that it holds up all that others run.
+        SlowTarget = 7, "slow-target";
     }
 }
 
--- a/crates/sablepass-core/tests/membership.rs
+++ b/crates/sablepass-core/tests/membership.rs
@@ -4,10 +4,10 @@
 //! What an entry believes of its targets.
 
 use sablepass_core::id::Incarnation;
-use sablepass_core::membership::{Members, Report};
+use sablepass_core::membership::{Members, Pace, Report};
 
 fn report(in_flight: u32, leaving: bool) -> Report {
-    Report { in_flight, capacity: 16, leaving, away: false, slow: false, engine_age: None }
+    Report { in_flight, capacity: 16, leaving, away: false, pace: Pace::Sound, engine_age: None }
 }
 
 #[test]
--- a/crates/sablepass-core/tests/scenarios.rs
+++ b/crates/sablepass-core/tests/scenarios.rs
@@ -7,7 +7,7 @@
 //! Commands: `open` (a request; `unsafe`, `key=K`, `stream`), `send T`, `lose`
 //! (the last dispatch never arrives), `arrive` (it arrives), `head [STATUS]`, `chunk N`,
 //! `event ID` (`cut=N` bytes short), `end`, `last`, `refused` (full, with
-//! proof), `done N`, `down`, `up`, `restart T`, `probe`, `leave T`, `gone`, `wait MS`,
+//! proof), `done N`, `down`, `up`, `restart T`, `probe`, `leave T`, `crawls`, `gone`, `wait MS`,
 //! `runs`. The output is what the state machine asks for.
 
 use std::collections::BTreeMap;
@@ -225,6 +225,7 @@
                 self.budget = args.next_pos().ok_or("budget N")?.parse()?;
                 Vec::new()
             }
+            "crawls" => self.event(Event::TargetCrawls),
             "gone" => self.event(Event::CallerGone),
             "wait" => {
                 let span: u64 = args.next_pos().ok_or("wait MS")?.parse()?;
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -110,8 +110,9 @@
 
     fn message(&mut self, cx: CX![], peer: PeerKey, body: Body) {
         if let Body::Report(it) = &body
-            && self.targets.heard_beside(clock::now(), peer, convert::report(it))
+            && let Some(began) = self.targets.heard_beside(clock::now(), peer, convert::report(it))
         {
+            began.iter().for_each(|it| self.relieve(cx, it));
             return;
         }
         let Some(name) = self.targets.name(peer).map(str::to_owned) else {
@@ -133,6 +134,22 @@
         }
     }
 
+    /// Moves what runs at a target that crawls to others, as far as it can go
+    /// on there: while it runs, all ranks of the group are as slow.
+    fn relieve(&mut self, cx: CX![], target: &str) {
+        let there = |it: &&Open| it.flight.target() == Some(target);
+        let Some(served) = self.open.values().find(there).map(|it| it.served.clone()) else {
+            return;
+        };
+        let ids = self.requests_at(target);
+        let moved = self.targets.can_take_over(&served);
+        slog::warn!(self.log, "target crawls"; "target" => target, "requests" => ids.len(),
+            "moved" => moved);
+        for id in ids.into_iter().filter(|_| moved) {
+            self.event(cx, id, 0, Event::TargetCrawls);
+        }
+    }
+
     fn answer(&mut self, cx: CX![], from: &str, attempt: AttemptId, event: Event) {
         let open = self.open.get(&attempt.request);
         let expected = open.is_some_and(|it| it.flight.target() == Some(from));
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -17,7 +17,7 @@
 use sablepass_core::declaration::Kind;
 use sablepass_core::gate;
 use sablepass_core::id::{Incarnation, Millis};
-use sablepass_core::membership::{Members, Report};
+use sablepass_core::membership::{Members, Pace, Report};
 use sablepass_core::once::Key;
 use sablepass_core::rendezvous;
 use sablepass_edge::instance::{Instance, Role};
@@ -33,6 +33,10 @@
 /// outage of the list's service: they are back within about two seconds.
 const LAPSE_OF_MANY: Millis = 3_000;
 
+/// Targets of a kind are relieved while fewer than one in so many crawls: a
+/// move costs the others the prompt once more. Chosen, not measured.
+const CRAWLING_PART: usize = 4;
+
 /// What targets are found by: kind and qualified model or service.
 pub type Served = (Kind, String);
 
@@ -263,17 +267,34 @@
         true
     }
 
-    /// Records the heartbeat of an agent beside listed targets. False if the
-    /// connection is not to one.
-    pub fn heard_beside(&mut self, now: Millis, peer: PeerKey, report: Report) -> bool {
-        let Some(ip) = self.agents.get(&peer) else {
-            return false;
-        };
+    /// Records the heartbeat of an agent beside listed targets, and returns
+    /// the targets that began to crawl. None if the connection is not to one.
+    pub fn heard_beside(
+        &mut self,
+        now: Millis,
+        peer: PeerKey,
+        report: Report,
+    ) -> Option<Vec<String>> {
+        let ip = self.agents.get(&peer)?;
         let there = self.listed.iter().filter(|it| it.1.instance.addr.ip() == *ip);
+        let mut began = Vec::new();
         for (name, _) in there {
+            let before = self.members.get(name).map(|it| it.report.pace);
             self.members.heard(now, name, report);
+            if report.pace == Pace::Crawling && before != Some(Pace::Crawling) {
+                began.push(name.clone());
+            }
         }
-        true
+        Some(began)
+    }
+
+    /// Whether so few of the targets that serve the same crawl that the others
+    /// can take over what runs there.
+    pub fn can_take_over(&self, served: &Served) -> bool {
+        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
+        let crawls =
+            |it: &&String| self.members.get(it).is_some_and(|it| it.report.pace == Pace::Crawling);
+        names.iter().filter(crawls).count() * CRAWLING_PART < names.len()
     }
 
     /// Records a connection to an agent.
@@ -392,7 +413,7 @@
             capacity,
             own: member.own,
             others: member.others,
-            slow: member.report.slow,
+            slow: member.report.pace != Pace::Sound,
         })
     }
 
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -9,6 +9,7 @@
 use sablepass_core::expert::map::Bounds;
 use sablepass_core::flight::{Event, Head, Verdict};
 use sablepass_core::id::{AttemptId, Incarnation, RequestId};
+use sablepass_core::membership::Pace;
 use sablepass_core::once::{Key, Mark};
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
@@ -126,6 +127,24 @@
     Body::Verdict(wire::Verdict { request: request_bytes(it.request), attempt: it.number, verdict })
 }
 
+/// The number of a pace.
+pub fn pace_number(it: Pace) -> u32 {
+    match it {
+        Pace::Sound => 0,
+        Pace::Slow => 1,
+        Pace::Crawling => 2,
+    }
+}
+
+/// Reads a pace. A number of a later version counts as the worst one.
+fn pace(number: u32) -> Pace {
+    match number {
+        0 => Pace::Sound,
+        1 => Pace::Slow,
+        _ => Pace::Crawling,
+    }
+}
+
 /// Reads a heartbeat.
 pub fn report(it: &wire::Report) -> membership::Report {
     membership::Report {
@@ -133,7 +152,7 @@
         capacity: it.capacity,
         leaving: it.leaving,
         away: it.away,
-        slow: it.slow,
+        pace: pace(it.pace),
         // The agent of a plain service has no reading, which it says by the greatest age.
         engine_age: (it.load_age != u32::MAX).then_some(it.load_age.into()),
     }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -203,9 +203,10 @@
     /// The target refuses connections.
     #[prost(bool, tag = "6")]
     pub away: bool,
-    /// The target takes much longer than it should, and others wait for it.
-    #[prost(bool, tag = "7")]
-    pub slow: bool,
+    /// How long the target takes, where others wait for it: 0 as it should, 1
+    /// longer, 2 so long that what runs there had better go on elsewhere.
+    #[prost(uint32, tag = "7")]
+    pub pace: u32,
 }
 /// What configuration a process holds.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
