Give no work to a target whose address a later one has

Change: an instance carries the revision of the list that names it so; of two targets at one address the later one gets the work. One that turned out not to be there (421) replaces nothing, so the order of the list alone hides no live target: verify_address_of_another_replica_runs_nothing_twice holds as it was.

Test: stand/tests/site.rs verify_successor_at_an_address_gets_the_work_at_once, which sends to the predecessor without the change.

--- a/crates/sablepass-edge/src/instance.rs
+++ b/crates/sablepass-edge/src/instance.rs
@@ -57,6 +57,9 @@
     /// Requests that a target works on at once.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub capacity: u32,
+    /// Revision of the list that says so. Not part of the line.
+    #[serde(skip)]
+    pub revision: u64,
 }
 
 #[allow(clippy::trivially_copy_pass_by_ref, reason = "serde asks for a reference")]
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -270,6 +270,7 @@
         leaving: it.leaving,
         serves: it.service,
         capacity: it.slots,
+        revision: 0,
     }
 }
 
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -201,7 +201,10 @@
 
     fn parse_instances(&self) -> BTreeMap<String, Instance> {
         let live = self.list.store.documents().filter(|it| !it.removed);
-        let parse = |it: &Document| Some((it.key.clone(), Instance::parse(&it.newest.body).ok()?));
+        let parse = |it: &Document| {
+            let instance = Instance::parse(&it.newest.body).ok()?;
+            Some((it.key.clone(), Instance { revision: it.newest.revision, ..instance }))
+        };
         live.filter_map(parse).collect()
     }
 
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -109,7 +109,7 @@
                 Event::Refused(Refusal::TargetFull)
             }
             Proof::Misdirected => {
-                self.targets.rest(&target, now + REST_MISDIRECTED);
+                self.targets.misdirected(&target, now + REST_MISDIRECTED);
                 Event::Refused(Refusal::Misdirected)
             }
             Proof::None if unproven => failed(Refusal::EngineBroke),
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -72,6 +72,8 @@
     instance: Instance,
     /// Since when the list names it no more.
     missing: Option<Millis>,
+    /// Another one answered at its address.
+    misdirected: bool,
 }
 
 /// A chosen target.
@@ -109,6 +111,9 @@
     leaving: Vec<String>,
     /// Targets that are reached straight, by id.
     listed: BTreeMap<String, Listed>,
+    /// Those whose address a later one has: the list names a target that died
+    /// until its lease is over, and its successor starts at the same address.
+    replaced: BTreeSet<String>,
     /// Agents of those, by connection.
     agents: HashMap<PeerKey, IpAddr>,
     entries: usize,
@@ -129,6 +134,7 @@
             owners: BTreeMap::new(),
             leaving: Vec::new(),
             listed: BTreeMap::new(),
+            replaced: BTreeSet::new(),
             agents: HashMap::new(),
             entries: 1,
             chooser: Chooser::open(policy),
@@ -159,7 +165,8 @@
         self.leaving = leaving.map(|(name, _)| name.clone()).collect();
         for (name, it) in instances.iter().filter(|(_, it)| it.role == Role::Target) {
             self.members.listed(now, name, it.leaving);
-            let listed = Listed { instance: it.clone(), missing: None };
+            let misdirected = self.listed.get(name).is_some_and(|it| it.misdirected);
+            let listed = Listed { instance: it.clone(), missing: None, misdirected };
             self.listed.insert(name.clone(), listed);
         }
         for (name, it) in &mut self.listed {
@@ -203,7 +210,22 @@
         self.entries
     }
 
+    /// Finds the targets whose address a later one has. One that turned out
+    /// not to be there replaces nothing.
+    fn find_replaced(&mut self) {
+        let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
+        let there = |it: &&Listed| it.missing.is_none() && !it.misdirected;
+        for it in self.listed.values().filter(there) {
+            let revision = latest.entry(it.instance.addr).or_default();
+            *revision = it.instance.revision.max(*revision);
+        }
+        let old = |it: &Listed| latest.get(&it.instance.addr) > Some(&it.instance.revision);
+        let replaced = self.listed.iter().filter(|it| old(it.1));
+        self.replaced = replaced.map(|it| it.0.clone()).collect();
+    }
+
     fn index(&mut self) {
+        self.find_replaced();
         self.serving.clear();
         for (name, it) in &self.catalogue.targets {
             let served = (it.it.kind, format!("{}/{}", it.partner, it.it.serves));
@@ -348,6 +370,16 @@
         self.members.rest(name, until);
     }
 
+    /// Records that another target answered at the address of this one, which
+    /// is left alone until `until`.
+    pub fn misdirected(&mut self, name: &str, until: Millis) {
+        self.rest(name, until);
+        if let Some(it) = self.listed.get_mut(name) {
+            it.misdirected = true;
+            self.find_replaced();
+        }
+    }
+
     /// Records a request sent.
     pub fn sent(&mut self, name: &str) {
         self.members.sent(name);
@@ -376,7 +408,8 @@
         let stopping = stop.is_some_and(|at| now + self.options.lead >= *at);
         let listed = self.leaving.iter().any(|it| it == name);
         let reached = self.links.contains_key(name) || self.listed.contains_key(name);
-        reached && !stopping && !listed && self.members.usable(now, name).is_some()
+        let replaced = self.replaced.contains(name);
+        reached && !replaced && !stopping && !listed && self.members.usable(now, name).is_some()
     }
 
     /// Capacity and load of a model that fall to this entry: targets are
--- a/crates/sablepass-stand/tests/site.rs
+++ b/crates/sablepass-stand/tests/site.rs
@@ -183,6 +183,24 @@
     assert!(metric(&site.entries[0].addr("admin"), "sablepass_retries_total", "refused") >= 1.0);
 }
 
+#[test]
+fn verify_successor_at_an_address_gets_the_work_at_once() {
+    let mut site = site(0);
+    let replica = Replica::spawn("orders");
+    site.list(&replica.named("i-predecessor"), "ready");
+    site.settle(1);
+    site.list(&replica, "ready");
+    site.settle(2);
+    site.replicas.push(replica);
+    for round in 0..20 {
+        let id = format!("successor-{round}");
+        let answer = ask("POST", "/once/x", &id, "claim").send(&site.http(0));
+        assert_eq!((answer.status, site.runs(&id)), (200, 1), "{answer:?}");
+    }
+    let admin = site.entries[0].addr("admin");
+    assert_eq!(metric(&admin, "sablepass_retries_total", "refused"), 0.0, "sent to who is gone");
+}
+
 #[test]
 fn verify_unsafe_runs_once_and_is_never_told_not_run_without_proof() {
     let site = site(2);
