Let requests wait for a group that is about to open

Change: agents tell the size of the group. When as many ranks answer as the group has, it opens within the declared time, and a request waits for that: at most 1.4 s from its arrival, for no more than twice the places that fall to this entry, and only until the declared time and 0.5 s are over. While a rank is missing, requests are refused at once as before. A process that began to learn of the ranks less than 0.8 s ago counts those it has not heard of as there, but only once one of them says or shows that the group is closed.

Ruled out: counting unheard ranks as closed without such a sign.

--- a/crates/sablepass-agent/src/leaving.rs
+++ b/crates/sablepass-agent/src/leaving.rs
@@ -58,6 +58,7 @@
             leaving: self.gate.leaving(),
             away: self.away.is_some(),
             pace: 0,
+            size: 0,
         });
         for peer in &self.entries {
             self.send(Some(*peer), report.clone());
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -285,6 +285,7 @@
             leaving: false,
             away: self.state().closed,
             pace: convert::pace_number(self.state().pace),
+            size: self.group().map_or(0, |it| it.size.into()),
         });
         for peer in &self.entries {
             call!([self.mesh], send(*peer, report.clone()));
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod events;
 pub mod expert;
 pub mod flight;
+pub mod forming;
 pub mod gate;
 pub mod id;
 pub mod membership;
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -59,6 +59,8 @@
     pub away: bool,
     /// How long it takes, where others wait for it.
     pub pace: Pace,
+    /// Ranks of its group; 0 if it is a rank of none.
+    pub size: u32,
     /// Time since the engine last answered its agent; none if it is not asked.
     pub engine_age: Option<Millis>,
 }
@@ -83,6 +85,8 @@
     pub incarnation: Incarnation,
     /// Its last report.
     pub report: Report,
+    /// It reported at all.
+    pub reported: bool,
     /// When that came.
     pub heard: Millis,
     /// When the target itself, not only its agent, last gave a sign of life.
@@ -119,6 +123,7 @@
             rests: 0,
             incarnation,
             report: Report::default(),
+            reported: false,
             heard: now,
             alive: now,
             leaving,
@@ -165,6 +170,7 @@
             return;
         };
         member.heard = now;
+        member.reported = true;
         member.alive = now.saturating_sub(report.engine_age.unwrap_or(0));
         member.report = report;
         member.others = report.in_flight.saturating_sub(member.own);
--- a/crates/sablepass-core/tests/membership.rs
+++ b/crates/sablepass-core/tests/membership.rs
@@ -7,7 +7,15 @@
 use sablepass_core::membership::{Members, Pace, Report};
 
 fn report(in_flight: u32, leaving: bool) -> Report {
-    Report { in_flight, capacity: 16, leaving, away: false, pace: Pace::Sound, engine_age: None }
+    Report {
+        in_flight,
+        capacity: 16,
+        leaving,
+        away: false,
+        pace: Pace::Sound,
+        size: 0,
+        engine_age: None,
+    }
 }
 
 #[test]
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -105,7 +105,7 @@
         let unproven = matches!(status, 408 | 429 | 503);
         let event = match meta.proof {
             Proof::NotRun => {
-                self.targets.rest(&target, now + REST_FULL);
+                self.targets.refused(now, &target, now + REST_FULL);
                 Event::Refused(Refusal::TargetFull)
             }
             Proof::Misdirected => {
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -46,6 +46,12 @@
 /// How long a stream that has begun waits for a target that can go on with it.
 /// Callers give up a stream that is silent for two seconds or more.
 const RESUME_WAIT: Millis = 1_700;
+/// How long a request waits for a group that is about to open. With the time
+/// that its prompt takes it then begins before its caller, who leaves after two
+/// seconds of silence, is gone.
+const FORM_WAIT: Millis = 1_400;
+/// Requests that wait so, for each place of this entry's part of the service.
+const FORM_PART: f64 = 2.0;
 /// How long a stopping entry stays after its last answer, so that it is read.
 const LINGER: Duration = Duration::from_millis(200);
 
@@ -173,19 +179,50 @@
         open.waiting = None;
         match choice {
             Some(choice) => self.send(cx, now, id, &choice),
-            None if open.begun && now < open.spoke + RESUME_WAIT => open.waiting = Some(now),
-            None => {
-                let reason = match (&open.owner, self.targets.closed(now, &open.served)) {
-                    (Some(_), _) => Refusal::OwnerAway,
-                    (None, true) => Refusal::GroupClosed,
-                    (None, false) => Refusal::NoTarget,
-                };
-                let actions = open.flight.refuse(reason);
-                self.act(cx, id, actions);
-            }
+            None => self.no_target(cx, now, id),
         }
     }
 
+    /// A request has no target now: it waits where that is of use, and is
+    /// refused at once where it is not.
+    fn no_target(&mut self, cx: CX![], now: Millis, id: RequestId) {
+        // A report may have come since the last tick.
+        self.targets.watch_groups(now);
+        let opens_soon = self.may_wait(now, id);
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        if open.begun && now < open.spoke + RESUME_WAIT {
+            open.waiting = Some(now);
+            return;
+        }
+        if opens_soon {
+            open.waiting = Some(now);
+            slog::info!(self.log, "waits for its group"; "id" => &open.run.label,
+                "service" => &open.served.1, "after" => now.saturating_sub(open.run.arrived));
+            return;
+        }
+        let reason = match (&open.owner, self.targets.closed(now, &open.served)) {
+            (Some(_), _) => Refusal::OwnerAway,
+            (None, true) => Refusal::GroupClosed,
+            (None, false) => Refusal::NoTarget,
+        };
+        let actions = open.flight.refuse(reason);
+        self.act(cx, id, actions);
+    }
+
+    /// Whether a request that has no target had better wait for its group.
+    fn may_wait(&self, now: Millis, id: RequestId) -> bool {
+        let Some(open) = self.open.get(&id) else { return false };
+        let late = now >= open.run.arrived + FORM_WAIT;
+        if late || open.owner.is_some() || !self.targets.opens_soon(now, &open.served) {
+            return false;
+        }
+        let same = |it: &&Open| it.waiting.is_some() && it.served == open.served;
+        let most = self.targets.places(&open.served) * FORM_PART;
+        (self.open.values().filter(same).count() as f64) < most
+    }
+
     fn send(&mut self, cx: CX![], now: Millis, id: RequestId, choice: &Choice) {
         let Some(open) = self.open.get_mut(&id) else {
             return;
@@ -361,6 +398,7 @@
         for peer in self.targets.silent(now) {
             call!([self.mesh], drop_peer(peer));
         }
+        self.targets.watch_groups(now);
         let ids: Vec<RequestId> = self.open.keys().copied().collect();
         for id in ids {
             self.tick_one(cx, id);
@@ -377,7 +415,11 @@
             return;
         };
         if open.waiting.is_some() {
-            self.dispatch(cx, id);
+            // One that waits for its group has nowhere to go until that opens.
+            let patient = !open.begun && clock::now() < open.run.arrived + FORM_WAIT;
+            if !patient || !self.targets.opens_soon(clock::now(), &open.served) {
+                self.dispatch(cx, id);
+            }
             return;
         }
         let heard = open.flight.target().map_or(0, |it| self.targets.last_alive(it));
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -15,6 +15,7 @@
 use sablepass_core::balance::{self, Candidate, Chooser};
 use sablepass_core::catalogue::Catalogue;
 use sablepass_core::declaration::Kind;
+use sablepass_core::forming::{self, Forming, Ranks};
 use sablepass_core::gate;
 use sablepass_core::id::{Incarnation, Millis};
 use sablepass_core::membership::{Members, Pace, Report};
@@ -114,6 +115,12 @@
     /// Those whose address a later one has: the list names a target that died
     /// until its lease is over, and its successor starts at the same address.
     replaced: BTreeSet<String>,
+    /// When the first list came.
+    learning: Option<Millis>,
+    /// The groups of services whose targets are ranks.
+    groups: HashMap<Served, Forming>,
+    /// Services of which a target refused work before its agent was heard.
+    suspects: BTreeSet<String>,
     /// Agents of those, by connection.
     agents: HashMap<PeerKey, IpAddr>,
     entries: usize,
@@ -135,6 +142,9 @@
             leaving: Vec::new(),
             listed: BTreeMap::new(),
             replaced: BTreeSet::new(),
+            learning: None,
+            groups: HashMap::new(),
+            suspects: BTreeSet::new(),
             agents: HashMap::new(),
             entries: 1,
             chooser: Chooser::open(policy),
@@ -159,6 +169,9 @@
 
     /// Takes a new instance list. Returns the targets that are gone for good.
     pub fn list(&mut self, now: Millis, instances: &BTreeMap<String, Instance>) -> Vec<String> {
+        if !instances.is_empty() {
+            self.learning.get_or_insert(now);
+        }
         let entries = instances.values().filter(|it| it.role == Role::Entry).count();
         self.entries = self.entries.max(entries);
         let leaving = instances.iter().filter(|(_, it)| it.leaving);
@@ -380,6 +393,18 @@
         }
     }
 
+    /// Records that a target ran nothing of what it was sent, and is left alone
+    /// until `until`. Before its agent was heard that may mean that its group
+    /// is closed.
+    pub fn refused(&mut self, now: Millis, name: &str, until: Millis) {
+        self.rest(name, until);
+        let unheard = self.members.get(name).is_some_and(|it| !it.reported);
+        if let Some(it) = self.listed.get(name).filter(|_| unheard && self.is_young(now)) {
+            self.suspects.insert(it.instance.serves.clone());
+            self.watch_groups(now);
+        }
+    }
+
     /// Records a request sent.
     pub fn sent(&mut self, name: &str) {
         self.members.sent(name);
@@ -409,7 +434,20 @@
         let listed = self.leaving.iter().any(|it| it == name);
         let reached = self.links.contains_key(name) || self.listed.contains_key(name);
         let replaced = self.replaced.contains(name);
-        reached && !replaced && !stopping && !listed && self.members.usable(now, name).is_some()
+        let unknown = self.is_unknown(now, name);
+        let member = self.members.usable(now, name);
+        reached && !replaced && !stopping && !listed && !unknown && member.is_some()
+    }
+
+    /// Whether a rank may be of a closed group, as this process has only begun
+    /// to learn how ranks stand.
+    fn is_unknown(&self, now: Millis, name: &str) -> bool {
+        let Some(it) = self.listed.get(name).filter(|_| self.is_young(now)) else {
+            return false;
+        };
+        let group = self.groups.get(&(Kind::Service, it.instance.serves.clone()));
+        group.is_some_and(Forming::is_closed)
+            && self.members.get(name).is_some_and(|it| !it.reported)
     }
 
     /// Capacity and load of a model that fall to this entry: targets are
@@ -478,6 +516,60 @@
         names.is_some_and(|it| it.iter().any(|name| self.members.closed(now, name)))
     }
 
+    /// Looks at the groups again.
+    pub fn watch_groups(&mut self, now: Millis) {
+        let young = self.is_young(now);
+        let served: Vec<Served> =
+            self.serving.keys().filter(|it| self.form(it).is_some()).cloned().collect();
+        self.groups.retain(|it, _| served.contains(it));
+        for it in served {
+            let ranks = self.ranks(now, &it);
+            self.groups.entry(it).or_default().watch(now, ranks, young);
+        }
+    }
+
+    /// Places of this entry's part of what serves, whether it takes work or not.
+    pub fn places(&self, served: &Served) -> f64 {
+        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
+        let there = names.iter().filter(|it| !self.replaced.contains(*it));
+        let places = there.filter_map(|it| Some(self.listed.get(it)?.instance.capacity));
+        f64::from(places.sum::<u32>()) / self.entries.max(1) as f64
+    }
+
+    /// Whether work for a closed group had better wait: it opens soon.
+    pub fn opens_soon(&self, now: Millis, served: &Served) -> bool {
+        let form = self.form(served).unwrap_or(0);
+        self.groups.get(served).is_some_and(|it| it.opens_soon(now, form))
+    }
+
+    fn is_young(&self, now: Millis) -> bool {
+        let agents = self.options.agent_port.is_some();
+        agents && self.learning.is_some_and(|since| now < since + forming::GRACE)
+    }
+
+    /// The declared time from the return of the last rank to the group's next
+    /// step; none if what serves is no group.
+    fn form(&self, served: &Served) -> Option<Millis> {
+        let service = self.catalogue.services.get(&served.1)?;
+        Some(service.engine.as_ref()?.ranks.as_ref()?.form as Millis)
+    }
+
+    fn ranks(&self, now: Millis, served: &Served) -> Ranks {
+        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
+        let mut ranks = Ranks::default();
+        let mut unknown = 0;
+        for name in names.iter().filter(|it| !self.replaced.contains(*it)) {
+            let Some(member) = self.members.get(name).filter(|it| !it.leaving) else { continue };
+            ranks.size = ranks.size.max(member.report.size);
+            ranks.closed += u32::from(self.members.closed(now, name));
+            unknown += u32::from(!member.reported);
+        }
+        // Where nothing speaks against it, a rank counts as good: processes of
+        // this system may have started anew while their targets went on.
+        let doubt = ranks.closed > 0 || self.suspects.contains(&served.1);
+        Ranks { unknown: if doubt { unknown } else { 0 }, ..ranks }
+    }
+
     /// The owner of a key among all declared targets, whether connected or not.
     pub fn owner(&self, served: &Served, key: &Key) -> Option<String> {
         let names = self.serving.get(served)?;
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -78,6 +78,17 @@
     mode: Mode,
     runs: Vec<Run>,
     connections: u32,
+    /// What it tells of its group, if it is a rank of one.
+    group: Option<Group>,
+}
+
+/// What a rank tells of its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Group {
+    /// All ranks are there and make steps.
+    pub open: bool,
+    /// Ranks of the whole group.
+    pub size: u32,
 }
 
 /// The replica. It serves until the process ends.
@@ -99,7 +110,7 @@
     pub fn spawn(service: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("the replica listens");
         let addr = listener.local_addr().expect("it has an address");
-        let state = State { mode: Mode::Good, runs: Vec::new(), connections: 0 };
+        let state = State { mode: Mode::Good, runs: Vec::new(), connections: 0, group: None };
         let replica = Self {
             id: format!("i-{:08x}", STARTED.fetch_add(1, Ordering::Relaxed)),
             service: service.to_owned(),
@@ -133,6 +144,22 @@
         self.state.1.notify_all();
     }
 
+    /// Makes it a rank of a group.
+    pub fn tell(&self, group: Group) {
+        self.lock().group = Some(group);
+    }
+
+    fn report(&self) -> Vec<u8> {
+        let mut report = serde_json::json!({ "queued": 1, "active": 2, "kvUsed": 0, "kvTotal": 9 });
+        if let Some(it) = self.lock().group {
+            let state = if it.open { "open" } else { "broken" };
+            report["group"] =
+                serde_json::json!({ "name": "g0", "epoch": 1, "rank": 0, "state": state });
+            report["size"] = it.size.into();
+        }
+        report.to_string().into_bytes()
+    }
+
     /// What it ran.
     pub fn runs(&self) -> Vec<Run> {
         self.lock().runs.clone()
@@ -158,8 +185,7 @@
         while let Some(mut run) = self.take(&mut stream, &mut input)? {
             let mode = self.lock().mode;
             if run.line.ends_with(" /-/report") {
-                let body = br#"{"queued":1,"active":2,"kvUsed":0,"kvTotal":9}"#;
-                self.write(&mut stream, &run, "HTTP/1.1 200 OK\r\n", body)?;
+                self.write(&mut stream, &run, "HTTP/1.1 200 OK\r\n", &self.report())?;
                 continue;
             }
             if run.field("x-expect-instance") != self.id {
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -207,6 +207,9 @@
     /// longer, 2 so long that what runs there had better go on elsewhere.
     #[prost(uint32, tag = "7")]
     pub pace: u32,
+    /// Ranks of the target's group; 0 if it is a rank of none.
+    #[prost(uint32, tag = "8")]
+    pub size: u32,
 }
 /// What configuration a process holds.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
