--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -50,8 +50,10 @@
 /// that its prompt takes it then begins before its caller, who leaves after two
 /// seconds of silence, is gone.
 const FORM_WAIT: Millis = 1_400;
-/// Requests that wait so, for each place of this entry's part of the service.
-const FORM_PART: f64 = 2.0;
+/// Requests that wait so, for each place of this entry's part of the service. A group
+/// opens on its first map, which is far from even, and what waited begins at once:
+/// with 2 for each place those late made the next ones late as well.
+const FORM_PART: f64 = 0.5;
 /// How long a stopping entry stays after its last answer, so that it is read.
 const LINGER: Duration = Duration::from_millis(200);
 
