Leave a target alone that fails several requests in a row

Change: three failures of one target in a row (5xx without proof of not run, a wrong answer, a broken connection) have an entry leave it alone for 0.5 s, each further one twice as long, 4 s at most; one good answer ends that. Never for more than half of the targets that serve the same.

The limits are chosen; three in a row are one in 340 where a service fails one request in seven.

Tests: stand/tests/site.rs verify_target_that_fails_gets_little_work and verify_targets_that_all_fail_are_still_asked, core/tests/membership.rs.

--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// Failures in a row from which a target is left alone. Some services fail one
+/// request in seven by themselves; three in a row are one in 340 there.
+const FAILURES: u32 = 3;
+/// How long it is left alone at first; twice as long after each further
+/// failure. Long against a request of a service, short against a fault.
+const REST_FIRST: Millis = 500;
+/// How long at most: a target that is sound again gets no work for that long.
+const REST_LAST: Millis = 4_000;
+
 /// A heartbeat.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Report {
@@ -98,6 +107,8 @@
     pub others: u32,
     /// Requests of this entry there now.
     pub own: u32,
+    /// Requests of this entry that failed there, one after the other.
+    pub failures: u32,
 }
 
 /// All agents that this process has heard of.
@@ -129,6 +140,7 @@
             leaving,
             others: 0,
             own,
+            failures: known.map_or(0, |it| it.failures),
         };
         self.members.insert(name.to_owned(), member);
     }
@@ -164,6 +176,23 @@
         }
     }
 
+    /// Records that a target answered a request as it should.
+    pub fn sound(&mut self, name: &str) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.failures = 0;
+        }
+    }
+
+    /// Records that a target failed a request, and returns how long it had
+    /// better be left alone. One that fails at once has the least load, and so
+    /// would get most of the work.
+    pub fn failed(&mut self, name: &str) -> Option<Millis> {
+        let member = self.members.get_mut(name)?;
+        member.failures += 1;
+        let more = member.failures.checked_sub(FAILURES)?;
+        Some((REST_FIRST << more.min(8)).min(REST_LAST))
+    }
+
     /// Records a heartbeat.
     pub fn heard(&mut self, now: Millis, name: &str, report: Report) {
         let Some(member) = self.members.get_mut(name) else {
--- a/crates/sablepass-core/tests/membership.rs
+++ b/crates/sablepass-core/tests/membership.rs
@@ -93,3 +93,15 @@
     assert!(members.usable(1_499, "t").is_some());
     assert!(members.usable(1_500, "t").is_none());
 }
+
+#[test]
+fn verify_target_that_fails_in_a_row_is_left_alone_longer_and_longer() {
+    let mut members = Members::open(1_000);
+    members.listed(0, "t", false);
+    assert_eq!((members.failed("t"), members.failed("t")), (None, None));
+    members.sound("t");
+    assert_eq!((members.failed("t"), members.failed("t")), (None, None), "counted anew");
+    let rests: Vec<Option<u64>> = (0..6).map(|_| members.failed("t")).collect();
+    assert_eq!(rests, [500, 1_000, 2_000, 4_000, 4_000, 4_000].map(Some));
+    assert_eq!(members.failed("unknown"), None);
+}
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -117,6 +117,11 @@
                 failed(Refusal::WrongAnswer)
             }
             Proof::None => {
+                match head.status() {
+                    it if it.is_server_error() => self.target_failed(now, &target),
+                    it if it.is_success() => self.targets.sound(&target),
+                    _ => {}
+                }
                 let fields = answer::forward(head.headers());
                 let head = Head { status: status.into(), fields, replayed: false };
                 self.event(cx, carried.request, carried.attempt, Event::Head(head));
@@ -124,6 +129,9 @@
             }
         };
         self.left(carried.request, key);
+        if let Event::Failed(_) = &event {
+            self.target_failed(now, &target);
+        }
         match &event {
             // The rest of the answer is read, and the connection used again.
             Event::Refused(_) => self.pool.forget(key),
@@ -132,6 +140,13 @@
         self.event(cx, carried.request, carried.attempt, event);
     }
 
+    fn target_failed(&mut self, now: Millis, target: &str) {
+        if let Some(rest) = self.targets.failed(now, target) {
+            slog::warn!(self.log, "target left alone"; "target" => target, "for" => rest,
+                "why" => "it failed several requests in a row");
+        }
+    }
+
     fn direct_closed(&mut self, cx: CX![], key: ConnectionKey, cause: &client::Cause, sent: bool) {
         let carried = self.pool.carried(key).copied();
         let target = self.pool.target(key).unwrap_or_default().to_owned();
@@ -144,6 +159,7 @@
                 "cause" => %cause);
         }
         let event = if sent {
+            self.target_failed(clock::now(), &target);
             failed(Refusal::EngineBroke)
         } else {
             self.targets.rest(&target, clock::now() + REST_AWAY);
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -405,6 +405,29 @@
         }
     }
 
+    /// Records that a target answered a request as it should.
+    pub fn sound(&mut self, name: &str) {
+        self.members.sound(name);
+    }
+
+    /// Records that a target failed a request. After some in a row it is left
+    /// alone, while most of those that serve the same are not; returns for how
+    /// long.
+    pub fn failed(&mut self, now: Millis, name: &str) -> Option<Millis> {
+        let rest = self.members.failed(name)?;
+        let serves = self.listed.get(name)?.instance.serves.clone();
+        let names = self.serving.get(&(Kind::Service, serves))?;
+        let rests = |it: &&String| {
+            let member = self.members.get(it);
+            member.is_some_and(|it| now < it.rests)
+        };
+        if names.iter().filter(rests).count() * 2 >= names.len() {
+            return None;
+        }
+        self.rest(name, now + rest);
+        Some(rest)
+    }
+
     /// Records a request sent.
     pub fn sent(&mut self, name: &str) {
         self.members.sent(name);
--- a/crates/sablepass-stand/tests/site.rs
+++ b/crates/sablepass-stand/tests/site.rs
@@ -235,6 +235,40 @@
     }
 }
 
+/// Requests in a row, and how many of them a target that fails may get: three,
+/// and one after each time that it was left alone.
+const ROUNDS: usize = 100;
+const FEW: usize = 8;
+
+#[test]
+fn verify_target_that_fails_gets_little_work() {
+    let site = site(4);
+    site.replicas[0].set(Mode::Failing);
+    let status = |round: usize| {
+        ask("POST", "/once/x", &format!("grey-{round}"), "claim").send(&site.http(0)).status
+    };
+    let failed = (0..ROUNDS).filter(|round| status(*round) != 200).count();
+    let tried = site.replicas[0].runs().len();
+    assert!(failed <= FEW && tried <= FEW, "{failed} failed, {tried} sent there");
+    // It is sound again, and gets its part of the work.
+    site.replicas[0].set(Mode::Good);
+    wait_for("it gets work", || {
+        status(ROUNDS + site.replicas[1].runs().len());
+        site.replicas[0].runs().len() > tried
+    });
+}
+
+#[test]
+fn verify_targets_that_all_fail_are_still_asked() {
+    let site = site(2);
+    site.replicas.iter().for_each(|it| it.set(Mode::Failing));
+    for round in 0..20 {
+        let id = format!("all-grey-{round}");
+        let answer = ask("POST", "/once/x", &id, "claim").send(&site.http(0));
+        assert_eq!((answer.status, site.runs(&id)), (500, 1), "the target's own answer");
+    }
+}
+
 #[test]
 fn verify_answer_at_the_route_timeout() {
     let site = site(1);
