Move groups of targets, and what ranks tell each other, into modules of their own

Only moves; the doc of groups.rs says that all ranks of a service count as one group. Tests of ranks, closed and site pass as before.

--- /dev/null
+++ b/crates/sablepass-agent/src/ranks/tally.rs
@@ -0,0 +1,132 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! What ranks tell each other of how they stand, and the planner of what their
+//! requests chose.
+
+use sablepass_core::expert::demand;
+use sablepass_core::id::Millis;
+use sablepass_edge::mesh::PeerKey;
+use sablepass_wire::generated as wire;
+use sablepass_wire::generated::frame::Body;
+
+use crate::ranks::{Do, Rank, Ranks};
+
+/// Thousandths, as paces are told on the wire.
+const PACE_UNIT: f64 = 1_000.0;
+/// Separates the layers of a rank's experts on the wire.
+const LAYER_END: u32 = 65_535;
+
+impl Ranks {
+    /// How the own rank stands, with the experts that it holds if asked for.
+    pub(super) fn tally(&self, experts: bool) -> Option<wire::Tally> {
+        let group = self.group.as_ref()?;
+        let lists = self.lists.as_ref().filter(|it| it.version == group.reading.version);
+        let layers = lists.filter(|_| experts).map(|it| it.experts.as_slice()).unwrap_or_default();
+        let experts = layers
+            .iter()
+            .flat_map(|it| it.iter().map(|it| u32::from(*it)).chain(std::iter::once(LAYER_END)));
+        Some(wire::Tally {
+            group: group.name.clone(),
+            epoch: group.reading.epoch,
+            rank: group.rank.into(),
+            step: group.reading.step,
+            version: group.reading.version,
+            prepared: group.reading.prepared.unwrap_or(0),
+            highest: self.highest,
+            chosen: Vec::new(),
+            experts: experts.collect(),
+            pace: (group.pace * PACE_UNIT).round() as u32,
+            samples: false,
+        })
+    }
+
+    /// The ranks whose counts the planner asks for.
+    pub(super) fn sample(&self) -> Vec<bool> {
+        let size = self.group.as_ref().map_or(0, |it| it.size);
+        let near = |rank| rank == 0 || self.ranks.get(&rank).is_some_and(|it| it.near);
+        demand::sample(&(0..size).map(near).collect::<Vec<bool>>())
+    }
+
+    pub(super) fn tell(&self, peer: PeerKey) -> Option<Do> {
+        let tally = self.tally(true)?;
+        Some(self.tell_one(&tally, &self.asked(), peer))
+    }
+
+    pub(super) fn tell_all(&self) -> Vec<Do> {
+        let Some(tally) = self.tally(true) else { return Vec::new() };
+        let asked = self.asked();
+        self.agents.keys().map(|peer| self.tell_one(&tally, &asked, *peer)).collect()
+    }
+
+    fn tell_one(&self, tally: &wire::Tally, asked: &[PeerKey], peer: PeerKey) -> Do {
+        let samples = asked.contains(&peer);
+        Do::Send(peer, Body::Tally(wire::Tally { samples, ..tally.clone() }))
+    }
+
+    /// The agents that the planner asks for counts; none if it is not here.
+    fn asked(&self) -> Vec<PeerKey> {
+        if self.group.as_ref().is_none_or(|it| it.rank != 0) {
+            return Vec::new();
+        }
+        let sample = self.sample();
+        let asked = |rank: u16| sample.get(usize::from(rank)).is_some_and(|it| *it);
+        self.ranks.iter().filter(|it| asked(*it.0)).map(|it| it.1.peer).collect()
+    }
+
+    pub(super) fn on_tally(&mut self, now: Millis, peer: PeerKey, it: wire::Tally) -> Vec<Do> {
+        self.highest = self.highest.max(it.highest).max(it.version).max(it.prepared);
+        if self.group.as_ref().is_none_or(|mine| mine.name != it.group) {
+            return Vec::new();
+        }
+        let Ok(rank) = u16::try_from(it.rank) else { return Vec::new() };
+        let old = self.ranks.get(&rank).filter(|old| old.peer == peer);
+        let known = old.is_some();
+        let same = old.filter(|old| (old.epoch, old.version) == (it.epoch, it.version));
+        let experts = match same {
+            Some(old) if it.experts.is_empty() => old.experts.clone(),
+            _ => layers(&it.experts),
+        };
+        if rank == 0 {
+            self.sampled = it.samples;
+        }
+        let told = Rank {
+            peer,
+            near: self.agents.get(&peer).is_some_and(|hall| *hall == self.hall),
+            epoch: it.epoch,
+            at: now,
+            step: it.step,
+            version: it.version,
+            prepared: it.prepared,
+            experts,
+            pace: f64::from(it.pace) / PACE_UNIT,
+        };
+        self.ranks.insert(rank, told);
+        let mine = self.is_mine(&it.group, it.epoch);
+        if mine
+            && !it.chosen.is_empty()
+            && let Some(demand) = &mut self.demand
+        {
+            demand.told(now, rank.into(), &it.chosen);
+        }
+        let mut list = self.try_switch(now);
+        if !known {
+            list.extend(self.tell(peer));
+        }
+        list
+    }
+
+    /// Tells the planner how the own rank stands.
+    pub(super) fn tell_planner(&self) -> Option<Do> {
+        let planner = self.ranks.get(&0)?.peer;
+        Some(Do::Send(planner, Body::Tally(self.tally(false)?)))
+    }
+}
+
+fn layers(flat: &[u32]) -> Vec<Vec<u16>> {
+    let parts = flat.split(|it| *it == LAYER_END);
+    let mut layers: Vec<Vec<u16>> =
+        parts.map(|it| it.iter().filter_map(|it| u16::try_from(*it).ok()).collect()).collect();
+    layers.pop();
+    layers
+}
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -15,7 +15,7 @@
 use sablepass_core::balance::{self, Candidate, Chooser};
 use sablepass_core::catalogue::Catalogue;
 use sablepass_core::declaration::Kind;
-use sablepass_core::forming::{self, Forming, Ranks};
+use sablepass_core::forming::Forming;
 use sablepass_core::gate;
 use sablepass_core::id::{Incarnation, Millis};
 use sablepass_core::membership::{Members, Pace, Report};
@@ -34,13 +34,11 @@
 /// outage of the list's service: they are back within about two seconds.
 const LAPSE_OF_MANY: Millis = 3_000;
 
-/// Targets of a kind are relieved while fewer than one in so many crawls: a
-/// move costs the others the prompt once more. Chosen, not measured.
-const CRAWLING_PART: usize = 4;
-
 /// What targets are found by: kind and qualified model or service.
 pub type Served = (Kind, String);
 
+mod groups;
+
 /// Limits that the settings give.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -323,15 +321,6 @@
         Some(began)
     }
 
-    /// Whether so few of the targets that serve the same crawl that the others
-    /// can take over what runs there.
-    pub fn can_take_over(&self, served: &Served) -> bool {
-        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
-        let crawls =
-            |it: &&String| self.members.get(it).is_some_and(|it| it.report.pace == Pace::Crawling);
-        names.iter().filter(crawls).count() * CRAWLING_PART < names.len()
-    }
-
     /// Records a connection to an agent.
     pub fn up(&mut self, now: Millis, peer: PeerKey, name: &str, incarnation: Incarnation) {
         self.members.up(now, name, incarnation);
@@ -393,18 +382,6 @@
         }
     }
 
-    /// Records that a target ran nothing of what it was sent, and is left alone
-    /// until `until`. Before its agent was heard that may mean that its group
-    /// is closed.
-    pub fn refused(&mut self, now: Millis, name: &str, until: Millis) {
-        self.rest(name, until);
-        let unheard = self.members.get(name).is_some_and(|it| !it.reported);
-        if let Some(it) = self.listed.get(name).filter(|_| unheard && self.is_young(now)) {
-            self.suspects.insert(it.instance.serves.clone());
-            self.watch_groups(now);
-        }
-    }
-
     /// Records that a target answered a request as it should.
     pub fn sound(&mut self, name: &str) {
         self.members.sound(name);
@@ -462,17 +439,6 @@
         reached && !replaced && !stopping && !listed && !unknown && member.is_some()
     }
 
-    /// Whether a rank may be of a closed group, as this process has only begun
-    /// to learn how ranks stand.
-    fn is_unknown(&self, now: Millis, name: &str) -> bool {
-        let Some(it) = self.listed.get(name).filter(|_| self.is_young(now)) else {
-            return false;
-        };
-        let group = self.groups.get(&(Kind::Service, it.instance.serves.clone()));
-        group.is_some_and(Forming::is_closed)
-            && self.members.get(name).is_some_and(|it| !it.reported)
-    }
-
     /// Capacity and load of a model that fall to this entry: targets are
     /// shared with the other entries that keep connections to them.
     pub fn room(&self, now: Millis, served: &Served) -> Room {
@@ -533,66 +499,6 @@
         self.choice(&name, load, candidates)
     }
 
-    /// Whether what serves is there and closed: its group is not complete.
-    pub fn closed(&self, now: Millis, served: &Served) -> bool {
-        let names = self.serving.get(served);
-        names.is_some_and(|it| it.iter().any(|name| self.members.closed(now, name)))
-    }
-
-    /// Looks at the groups again.
-    pub fn watch_groups(&mut self, now: Millis) {
-        let young = self.is_young(now);
-        let served: Vec<Served> =
-            self.serving.keys().filter(|it| self.form(it).is_some()).cloned().collect();
-        self.groups.retain(|it, _| served.contains(it));
-        for it in served {
-            let ranks = self.ranks(now, &it);
-            self.groups.entry(it).or_default().watch(now, ranks, young);
-        }
-    }
-
-    /// Places of this entry's part of what serves, whether it takes work or not.
-    pub fn places(&self, served: &Served) -> f64 {
-        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
-        let there = names.iter().filter(|it| !self.replaced.contains(*it));
-        let places = there.filter_map(|it| Some(self.listed.get(it)?.instance.capacity));
-        f64::from(places.sum::<u32>()) / self.entries.max(1) as f64
-    }
-
-    /// Whether work for a closed group had better wait: it opens soon.
-    pub fn opens_soon(&self, now: Millis, served: &Served) -> bool {
-        let form = self.form(served).unwrap_or(0);
-        self.groups.get(served).is_some_and(|it| it.opens_soon(now, form))
-    }
-
-    fn is_young(&self, now: Millis) -> bool {
-        let agents = self.options.agent_port.is_some();
-        agents && self.learning.is_some_and(|since| now < since + forming::GRACE)
-    }
-
-    /// The declared time from the return of the last rank to the group's next
-    /// step; none if what serves is no group.
-    fn form(&self, served: &Served) -> Option<Millis> {
-        let service = self.catalogue.services.get(&served.1)?;
-        Some(service.engine.as_ref()?.ranks.as_ref()?.form as Millis)
-    }
-
-    fn ranks(&self, now: Millis, served: &Served) -> Ranks {
-        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
-        let mut ranks = Ranks::default();
-        let mut unknown = 0;
-        for name in names.iter().filter(|it| !self.replaced.contains(*it)) {
-            let Some(member) = self.members.get(name).filter(|it| !it.leaving) else { continue };
-            ranks.size = ranks.size.max(member.report.size);
-            ranks.closed += u32::from(self.members.closed(now, name));
-            unknown += u32::from(!member.reported);
-        }
-        // Where nothing speaks against it, a rank counts as good: processes of
-        // this system may have started anew while their targets went on.
-        let doubt = ranks.closed > 0 || self.suspects.contains(&served.1);
-        Ranks { unknown: if doubt { unknown } else { 0 }, ..ranks }
-    }
-
     /// The owner of a key among all declared targets, whether connected or not.
     pub fn owner(&self, served: &Served, key: &Key) -> Option<String> {
         let names = self.serving.get(served)?;
