Let no request wait for its group beyond its route's time

Found on reading the diff: a request that waited for its group was looked at by no other rule, so one with a route's time of less than 1.4 s could get its final answer too late. Test: stand/tests/closed.rs verify_request_waits_no_longer_than_its_route_allows, which takes over 1 s without the change.

--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -87,6 +87,13 @@
     pub(crate) revision: u64,
 }
 
+impl Open {
+    /// Whether it may still wait for its group to open.
+    fn is_patient(&self, now: Millis) -> bool {
+        now < self.flight.request().deadline.min(self.run.arrived + FORM_WAIT)
+    }
+}
+
 /// The actor.
 pub struct Router {
     pub(crate) settings: Settings,
@@ -216,8 +223,10 @@
     /// Whether a request that has no target had better wait for its group.
     fn may_wait(&self, now: Millis, id: RequestId) -> bool {
         let Some(open) = self.open.get(&id) else { return false };
-        let late = now >= open.run.arrived + FORM_WAIT;
-        if late || open.owner.is_some() || !self.targets.opens_soon(now, &open.served) {
+        if !open.is_patient(now)
+            || open.owner.is_some()
+            || !self.targets.opens_soon(now, &open.served)
+        {
             return false;
         }
         let same = |it: &&Open| it.waiting.is_some() && it.served == open.served;
@@ -418,8 +427,9 @@
         };
         if open.waiting.is_some() {
             // One that waits for its group has nowhere to go until that opens.
-            let patient = !open.begun && clock::now() < open.run.arrived + FORM_WAIT;
-            if !patient || !self.targets.opens_soon(clock::now(), &open.served) {
+            let now = clock::now();
+            let waits = !open.begun && open.is_patient(now);
+            if !waits || !self.targets.opens_soon(now, &open.served) {
                 self.dispatch(cx, id);
             }
             return;
--- a/crates/sablepass-stand/tests/closed.rs
+++ b/crates/sablepass-stand/tests/closed.rs
@@ -6,6 +6,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use sablepass_stand::client::{metric, wait_for};
 use sablepass_stand::process::Process;
@@ -25,12 +26,15 @@
 }
 
 /// A rank of a closed group, an agent beside it and an entry that knows so.
-fn fleet(size: u32) -> Fleet {
+fn fleet(size: u32, timeout: u64) -> Fleet {
     let mut site = Site::open(1);
     site.replicas[0].tell(Group { open: false, size });
     // A group that takes long to open, so that requests are seen to wait.
     let mut it = ranks::Group::configuration(2);
     it["services"][0]["engine"]["form_ms"] = 20_000.0.into();
+    for route in it["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = timeout.into();
+    }
     site.configure(&it);
     let port = free_port();
     site.add_entry(&format!("agent_port = {port}"));
@@ -51,7 +55,7 @@
 
 #[test]
 fn verify_request_waits_for_a_group_that_is_about_to_open() {
-    let fleet = fleet(1);
+    let fleet = fleet(1, 5_000);
     let addr = fleet.site.http(0);
     let asked = thread::spawn(move || ask("POST", "/once/x", "waits", "claim").send(&addr));
     let admin = fleet.site.entries[0].addr("admin");
@@ -64,7 +68,7 @@
 
 #[test]
 fn verify_request_for_a_group_without_a_rank_is_refused_at_once() {
-    let fleet = fleet(2);
+    let fleet = fleet(2, 5_000);
     let answer = ask("POST", "/once/x", "refused", "claim").send(&fleet.site.http(0));
     assert_eq!(answer.status, 503, "{answer:?}");
     assert_eq!(answer.retry_after, "2.4");
@@ -75,8 +79,19 @@
 
 #[test]
 fn verify_wait_for_a_group_ends() {
-    let fleet = fleet(1);
+    let fleet = fleet(1, 5_000);
     let answer = ask("POST", "/once/x", "given-up", "claim").send(&fleet.site.http(0));
     assert_eq!(answer.status, 503, "told while its caller is still there: {answer:?}");
     assert_eq!(fleet.site.runs("given-up"), 0);
 }
+
+#[test]
+fn verify_request_waits_no_longer_than_its_route_allows() {
+    let fleet = fleet(1, 200);
+    let began = Instant::now();
+    let answer = ask("POST", "/once/x", "short", "claim").send(&fleet.site.http(0));
+    let took = began.elapsed();
+    assert_eq!((answer.status, fleet.site.runs("short")), (503, 0), "{answer:?}");
+    // Without the route's limit it would wait for 1.4 s.
+    assert!(took < Duration::from_millis(1_000), "{took:?}");
+}
