Weigh the next map in time, and see shifts by a test on counts

Cause: triggers, gains and leads were constants for deployments whose experts copy in 40 ms. Where an expert takes 0.4 s, maps of 20 to 33 copies took 1.2 to 2.5 s to prepare, for a demand that lasts 3.4 s; skew was 2.3 to 3.9 meanwhile and passes lasted 110 to 190 ms.

Change: rebalance notes how even the map gets with 1, 2, 3 .. new experts at the busiest rank and cuts the way into changes such that the time of all passes until the demand is over is least. Copy time, the experts' part of a pass and the declared step times come with the bounds; the life of a demand is observed. A prepare is replaced when demand moves on, given up after 1.5 times its copying and a second, and a switch that may still come into force is left alone.

--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -239,7 +239,7 @@
             self.good = true;
             slog::info!(self.log, "target regained"; "target" => %self.target);
         }
-        let list = self.ranks.report(now, report.group.clone());
+        let list = self.ranks.report(now, report.group.clone(), report.running);
         self.carry_out(list);
         self.reading = Some(Reading { report, at: now });
         let state = self.state();
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -16,6 +16,7 @@
 use sablepass_core::expert::demand::{self, Demand};
 use sablepass_core::expert::map::{self, Bounds, Map};
 use sablepass_core::expert::rebalance;
+use sablepass_core::expert::watch::Watch;
 use sablepass_core::id::Millis;
 use sablepass_edge::caller::Answer;
 use sablepass_edge::mesh::PeerKey;
@@ -42,6 +43,10 @@
 /// to be prepared.
 const RELAYS: u16 = 8;
 
+/// Weight of a reading in the requests that a rank runs: some ten readings,
+/// which come every 50 to 100 ms.
+const RUNNING_WEIGHT: f64 = 0.1;
+
 /// What is to be done.
 #[derive(Debug)]
 pub enum Do {
@@ -77,7 +82,8 @@
 /// A map that ranks prepare.
 struct Proposed {
     version: u64,
-    since: Millis,
+    /// When it is given up if not all of them have prepared it.
+    until: Millis,
     /// The switch to it was proposed.
     switching: bool,
 }
@@ -102,6 +108,8 @@
     counts: demand::Counts,
     told: Option<PeerKey>,
     demand: Option<Demand>,
+    /// What is in demand since the last shift.
+    watch: Watch,
     /// The map being prepared at the own rank.
     wanted: Option<Wanted>,
     ticks: u64,
@@ -110,12 +118,13 @@
     proposed: Option<Proposed>,
     /// Highest version known to be used up.
     highest: u64,
-    restless: Option<Millis>,
     /// What keeps the planner from planning, since when, and whether that was said.
     obstacle: Option<(Obstacle, Millis, bool)>,
     /// When the last step was seen to begin, and milliseconds of a pass.
     paced: Option<(Millis, u64)>,
     pass: f64,
+    /// Requests that the own rank runs, over some time.
+    running: f64,
 }
 
 impl Ranks {
@@ -135,15 +144,16 @@
             counts: demand::Counts::default(),
             told: None,
             demand: None,
+            watch: Watch::default(),
             wanted: None,
             ticks: 0,
             unanswered: None,
             proposed: None,
             highest: 0,
-            restless: None,
             obstacle: None,
             paced: None,
             pass: 0.0,
+            running: 0.0,
         }
     }
 
@@ -187,8 +197,9 @@
 
     // The own rank.
 
-    /// Takes the replica's account of its group.
-    pub fn report(&mut self, now: Millis, group: Option<Group>) -> Vec<Do> {
+    /// Takes the replica's account of its group, and how many requests it runs.
+    pub fn report(&mut self, now: Millis, group: Option<Group>, running: u32) -> Vec<Do> {
+        self.running += RUNNING_WEIGHT * (f64::from(running) - self.running);
         let Some(group) = group.filter(|_| self.bounds.is_some()) else {
             self.group = None;
             return Vec::new();
@@ -496,8 +507,8 @@
             if let Some(demand) = &mut self.demand {
                 demand.mark(now);
             }
-            list.extend(self.plan(now));
             list.extend(self.try_switch(now));
+            list.extend(self.plan(now));
             self.ticks += 1;
             if self.ticks.is_multiple_of(TELL_TICKS) {
                 list.extend(self.tell_all());
@@ -509,11 +520,10 @@
     /// How the group stands, as this agent sees it.
     pub fn explain(&self) -> serde_json::Value {
         let reading = self.group.as_ref().map(|it| it.reading);
-        let recent = self.demand.as_ref().and_then(|it| it.recent(planner::MARKS, 0));
         let skew = self
             .map_in_force()
-            .zip(recent)
-            .map(|(map, it)| rebalance::mean_lag(&map, &it, &self.paces()));
+            .zip(self.watch.demand())
+            .map(|(map, it)| rebalance::mean_lag(&map, it, &self.paces()));
         serde_json::json!({
             "group": self.group_name(), "rank": self.group.as_ref().map(|it| it.rank),
             "epoch": reading.map(|it| it.epoch), "version": reading.map(|it| it.version),
--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -5,8 +5,8 @@
 //! from which step on it is to be in force.
 
 use sablepass_core::expert::barrier::{Member, Plan};
-use sablepass_core::expert::map::{Expert, Map, Paces};
-use sablepass_core::expert::{demand, rebalance};
+use sablepass_core::expert::map::{Bounds, Expert, Map, Paces};
+use sablepass_core::expert::rebalance;
 use sablepass_core::id::Millis;
 use sablepass_wire::generated as wire;
 
@@ -15,9 +15,11 @@
 /// Age of a rank's counts beyond which the planner does not plan: two and a
 /// half of the intervals at which they are told.
 const FRESH: Millis = 300;
-/// How long ranks may take to prepare a map before it is given up: copying
-/// takes some tenths of a second, on a loaded link a second.
-const PREPARE: Millis = 2_500;
+/// How many times as long as copying takes ranks may be busy with a map, and
+/// how much longer, before it is given up: orders to them may go unanswered,
+/// and are given again after 50 ms up to three times.
+const PREPARE_TIMES: f64 = 1.5;
+const PREPARE_MORE: Millis = 1_000;
 /// How far ahead a switch is laid: orders and votes are there by then, so that
 /// no pass has to wait.
 const LEAD: Millis = 110;
@@ -30,16 +32,25 @@
 const OBSTACLE: Millis = 1_000;
 /// Passes that it is laid ahead at least.
 const LEAD_PASSES: u64 = 2;
-/// Intervals of the counts that make a demand.
-pub(super) const MARKS: usize = 2;
-/// Likeness of two demands, one after the other, below which demand is on the
-/// move and a map for it would be for neither.
-const SETTLED: f64 = 0.97;
-/// How long the planner waits for demand to settle before it plans all the same.
-const RESTLESS: Millis = 500;
 /// By how much versions jump when ranks refuse one: another planner used more.
 const VERSION_JUMP: u64 = 1_000;
 
+/// Microseconds of a millisecond.
+const MICROS: f64 = 1_000.0;
+/// Parts in which the experts' part is declared.
+const THOUSANDTHS: f64 = 1_000.0;
+
+/// Why a proposed map is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Dropped {
+    /// Demand moved on before the ranks had prepared it.
+    Shifted,
+    /// Ranks take far longer than copying does.
+    Late,
+    /// A rank could not be armed in time.
+    Refused,
+}
+
 /// What keeps the planner from planning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Obstacle {
@@ -54,21 +65,24 @@
 }
 
 impl Ranks {
+    /// Takes the counts of an interval, and says what is to be done for a
+    /// better map.
     pub(super) fn plan(&mut self, now: Millis) -> Vec<Do> {
-        if let Some(it) = &self.proposed {
-            let late = now >= it.since + PREPARE;
-            let free = self.member.as_ref().is_some_and(Member::is_free);
-            // A switch that was proposed and is over has failed: this version is not in force.
-            let over = it.switching && free;
-            if !late && !over {
-                return Vec::new();
-            }
-            slog::warn!(self.log, "map given up"; "version" => it.version, "late" => late,
-                "switching" => it.switching);
-            if late {
+        let interval = self.demand.as_ref().and_then(|it| it.recent(1, 0));
+        let shifted = interval.is_some_and(|it| self.watch.take(now, it));
+        if shifted {
+            slog::info!(self.log, "demand shifted"; "life" => self.watch.life(now),
+                "step" => self.group.as_ref().map(|it| it.reading.step));
+        }
+        if let Some(why) = self.dropped(now, shifted) {
+            let it = self.proposed.take();
+            slog::warn!(self.log, "map given up"; "version" => it.map(|it| it.version), "why" => ?why);
+            if why == Dropped::Late {
                 self.highest += VERSION_JUMP;
             }
-            self.proposed = None;
+        }
+        if self.proposed.is_some() {
+            return Vec::new();
         }
         match self.decide(now) {
             Some(change) => self.propose(now, &change),
@@ -76,6 +90,23 @@
         }
     }
 
+    /// Why the map that is proposed can no longer be of use, if so.
+    fn dropped(&self, now: Millis, shifted: bool) -> Option<Dropped> {
+        let it = self.proposed.as_ref()?;
+        if self.group.as_ref().is_some_and(|group| group.reading.version >= it.version) {
+            return None;
+        }
+        let free = self.member.as_ref().is_some_and(Member::is_free);
+        if it.switching {
+            // A switch that is over has failed: this version is not in force.
+            return free.then_some(Dropped::Refused);
+        }
+        if shifted {
+            return Some(Dropped::Shifted);
+        }
+        (now >= it.until).then_some(Dropped::Late)
+    }
+
     /// Why the planner cannot plan, if so.
     fn obstacle(&self, now: Millis) -> Option<Obstacle> {
         let Some(member) = self.member.as_ref().filter(|it| it.is_free()) else {
@@ -122,19 +153,23 @@
         if obstacle.is_some() {
             return None;
         }
-        let demand = self.demand.as_ref()?;
-        let recent = demand.recent(MARKS, 0)?;
-        let before = demand.recent(MARKS, MARKS);
-        let settled = before.is_none_or(|it| demand::likeness(&recent, &it) >= SETTLED);
-        let map = self.map_in_force()?;
-        let options = rebalance::Options::with_spare(self.bounds.as_ref()?.spare as usize);
-        let change = rebalance::decide(&options, &map, &recent, &self.paces());
-        if change.is_none() || settled {
-            self.restless = None;
-            return change;
-        }
-        let since = *self.restless.get_or_insert(now);
-        change.filter(|_| now >= since + RESTLESS)
+        let bounds = self.bounds.as_ref()?;
+        let options = rebalance::Options {
+            spare: bounds.spare as usize,
+            copy: f64::from(bounds.copy) / MICROS,
+            part: self.expert_part(bounds),
+            life: self.watch.life(now),
+            ..rebalance::Options::default()
+        };
+        rebalance::decide(&options, &self.map_in_force()?, self.watch.demand()?, &self.paces())
+    }
+
+    /// Part of a pass on an even map that experts' work makes up, with as many
+    /// sequences as the own rank has of late.
+    fn expert_part(&self, bounds: &Bounds) -> f64 {
+        let sequences = f64::from(bounds.sequence) * self.running.max(1.0);
+        let experts = sequences * f64::from(bounds.part) / THOUSANDTHS;
+        experts / (f64::from(bounds.step) + sequences).max(1.0)
     }
 
     /// Whether all other ranks were heard of lately and have this map in force.
@@ -176,14 +211,17 @@
         let version = self.highest.max(group.reading.version) + 1;
         slog::info!(self.log, "map proposed"; "version" => version, "epoch" => group.reading.epoch,
             "skew" => change.before, "expected" => change.after, "moves" => change.moves,
-            "paces" => ?self.paces());
+            "copies" => change.copies, "saved" => change.saved, "paces" => ?self.paces());
         let proposal = wire::Proposal {
             group: group.name.clone(),
             epoch: group.reading.epoch,
             version,
             map: change.map.encode().into(),
         };
-        self.proposed = Some(Proposed { version, since: now, switching: false });
+        let copying = self.bounds.map_or(0.0, |it| f64::from(it.copy) / MICROS);
+        let copying = copying * change.copies as f64 * PREPARE_TIMES;
+        let until = now + copying as Millis + PREPARE_MORE;
+        self.proposed = Some(Proposed { version, until, switching: false });
         let mut list = self.pass_on(&proposal);
         list.extend(self.prepare(version, change.map.clone()));
         list
@@ -201,7 +239,7 @@
         let ready = |it: &&Rank| it.prepared == version && it.epoch == epoch;
         let others = self.ranks.values().filter(ready).count();
         let all = group.reading.prepared == Some(version) && others + 1 == usize::from(group.size);
-        if group.reading.version == version {
+        if group.reading.version >= version {
             self.proposed = None;
             return Vec::new();
         }
--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -234,11 +234,26 @@
     pub chunk: u32,
     /// Steps that a pass with writers makes.
     pub stride: u32,
+    /// Millions of bits a second at which a rank copies experts, if known.
+    #[serde(default)]
+    pub link: Option<f64>,
     /// The ranks that step together, if it is one of a group.
     #[serde(default)]
     pub ranks: Option<Ranks>,
 }
 
+/// Microseconds that copying an expert is taken to last where nothing is
+/// declared: those of the first deployments took 39 ms.
+const COPY: f64 = 40_000.0;
+/// Bits of a byte.
+const BITS: f64 = 8.0;
+/// Microseconds of a second.
+const MICROS: f64 = 1e6;
+/// Microseconds of a millisecond.
+const MICROS_OF_MILLI: f64 = 1_000.0;
+/// Parts in which the experts' part is told.
+const THOUSANDTHS: f64 = 1_000.0;
+
 /// What the ranks of a group of engines have in common.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -259,10 +274,21 @@
     pub form: f64,
 }
 
-impl Ranks {
-    /// What this says of the group's maps.
-    pub fn bounds(&self) -> Bounds {
-        Bounds { layers: self.layers, experts: self.experts, slots: self.slots, spare: self.spare }
+impl Engine {
+    /// What this says of the maps of the group's ranks; none if it is one of no group.
+    pub fn bounds(&self) -> Option<Bounds> {
+        let ranks = self.ranks.as_ref()?;
+        let copy = self.link.map_or(COPY, |it| ranks.expert_size * BITS / it * MICROS);
+        Some(Bounds {
+            layers: ranks.layers,
+            experts: ranks.experts,
+            slots: ranks.slots,
+            spare: ranks.spare,
+            copy: copy.round() as u32,
+            part: (ranks.expert_part * THOUSANDTHS).round() as u32,
+            step: (self.step * MICROS_OF_MILLI).round() as u32,
+            sequence: (self.per_sequence * MICROS_OF_MILLI).round() as u32,
+        })
     }
 }
 
--- a/crates/sablepass-core/src/expert.rs
+++ b/crates/sablepass-core/src/expert.rs
@@ -12,3 +12,4 @@
 pub mod plan;
 pub mod rebalance;
 pub mod switch;
+pub mod watch;
--- a/crates/sablepass-core/src/expert/demand.rs
+++ b/crates/sablepass-core/src/expert/demand.rs
@@ -120,9 +120,10 @@
     }
 }
 
-/// How alike two demands are: the cosine of their angle, 1 for the same mix.
-pub fn likeness(a: &[Vec<f64>], b: &[Vec<f64>]) -> f64 {
-    let pairs = || a.iter().flatten().zip(b.iter().flatten());
+/// How alike two demands of a layer are: the cosine of their angle, 1 for the
+/// same mix.
+pub fn likeness(a: &[f64], b: &[f64]) -> f64 {
+    let pairs = || a.iter().zip(b);
     let product: f64 = pairs().map(|(x, y)| x * y).sum();
     let (x, y): (f64, f64) = pairs().fold((0.0, 0.0), |(sx, sy), (x, y)| (sx + x * x, sy + y * y));
     if x <= 0.0 || y <= 0.0 { 0.0 } else { product / (x * y).sqrt() }
--- a/crates/sablepass-core/src/expert/map.rs
+++ b/crates/sablepass-core/src/expert/map.rs
@@ -244,6 +244,14 @@
     pub slots: u32,
     /// Experts of a layer that one preparation may bring to a rank.
     pub spare: u32,
+    /// Microseconds that a rank takes to copy one expert.
+    pub copy: u32,
+    /// Thousandths of the work for a token that experts do.
+    pub part: u32,
+    /// Microseconds of a step without any sequence.
+    pub step: u32,
+    /// Microseconds that a step takes longer for each sequence that writes.
+    pub sequence: u32,
 }
 
 /// How long each rank takes for the same work; 1 is a healthy one.
--- a/crates/sablepass-core/src/expert/place.rs
+++ b/crates/sablepass-core/src/expert/place.rs
@@ -17,6 +17,11 @@
 /// is not among the lightest only moves the trouble.
 const LIGHTEST: usize = 6;
 
+/// Heaviest experts of the slowest rank that small steps try to relieve it of.
+/// The others take load off it more slowly than they cost; with 11 slots a rank
+/// a third of the time of a search is left.
+const HEAVIEST: usize = 4;
+
 /// Potential that a small step must gain. Below it, steps only shuffle
 /// rounding errors to and fro without end.
 const LEAST_GAIN: f64 = 1e-6;
@@ -154,6 +159,16 @@
 /// The best small step for a layer's slowest rank, by potential gained for
 /// each loading of weights; none if nothing helps.
 pub fn best_change(layer: &Layer, tokens: &[f64], paces: &Paces) -> Option<Change> {
+    best_allowed(layer, tokens, paces, |_, _| true)
+}
+
+/// The same among those that bring experts only to ranks that may take them.
+pub fn best_allowed(
+    layer: &Layer,
+    tokens: &[f64],
+    paces: &Paces,
+    allowed: impl Fn(Rank, Expert) -> bool,
+) -> Option<Change> {
     let loads = layer.rank_loads(tokens);
     let mean = loads.iter().sum::<f64>() / loads.len() as f64;
     if mean <= 0.0 {
@@ -174,23 +189,33 @@
             best = Some((gain, change));
         }
     };
-    for from in layer.slots_of(worst) {
-        let Some(hot) = layer.expert(from) else {
-            continue;
-        };
-        if Pace::of(paces.of(worst)) != Pace::Sound {
-            weigh(Change::Drop(from));
-        }
+    if Pace::of(paces.of(worst)) != Pace::Sound {
+        layer.slots_of(worst).for_each(|it| weigh(Change::Drop(it)));
+    }
+    for (from, hot) in heaviest(layer, tokens, worst) {
         for rank in others.iter().map(|it| Rank(*it as u16)) {
-            for to in layer.slots_of(rank) {
+            let takes = allowed(rank, hot);
+            for to in layer.slots_of(rank).filter(|_| takes) {
                 weigh(Change::Put(to, hot));
-                weigh(Change::Swap(from, to));
+                if layer.expert(to).is_some_and(|it| allowed(worst, it)) {
+                    weigh(Change::Swap(from, to));
+                }
             }
         }
     }
     best.map(|it| it.1)
 }
 
+/// The slots of a rank whose experts give it most load.
+fn heaviest(layer: &Layer, tokens: &[f64], rank: Rank) -> Vec<(Slot, Expert)> {
+    let share = |it: Expert| tokens[usize::from(it.0)] / f64::from(layer.replicas(it));
+    let held = layer.slots_of(rank).filter_map(|slot| Some((slot, layer.expert(slot)?)));
+    let mut held: Vec<(Slot, Expert)> = held.collect();
+    held.sort_by(|a, b| share(b.1).total_cmp(&share(a.1)));
+    held.truncate(HEAVIEST);
+    held
+}
+
 /// A layer with its loads, to weigh changes without making them.
 struct View<'a> {
     layer: &'a Layer,
--- a/crates/sablepass-core/src/expert/rebalance.rs
+++ b/crates/sablepass-core/src/expert/rebalance.rs
@@ -1,41 +1,65 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! Whether a group needs a new map now, and which one its ranks can prepare.
+//! Whether a group needs a new map now, and which one its ranks prepare next.
 //!
-//! A preparation brings few new experts to a rank. Within that bound, each
-//! layer takes small steps from the map in force until it is even enough.
+//! Everything is weighed in time. A rank copies new experts one after the
+//! other, the group passes more slowly meanwhile, and a switch takes a few
+//! passes more; a more even map then shortens each pass for as long as the
+//! demand lasts. So a search notes how even the map gets with one new expert
+//! at the rank that gets most, with two, and so on, and the way from the map in
+//! force to the last of these is cut into changes such that the time of all
+//! passes on the way is least. The first change of that way is made. Where an
+//! expert takes long to copy it brings one to a rank; where copying is quick
+//! it brings all at once.
 
 use crate::expert::map::{Layer, Map, Paces, Rank};
 use crate::expert::place;
 
-/// Small steps of a layer at most: a layer of 16 ranks takes about 20.
-const STEPS: usize = 200;
+/// New experts at the rank that gets most, for which the search notes a map.
+const COPIES: [usize; 9] = [1, 2, 3, 4, 6, 8, 12, 16, 24];
+/// Skew at which a layer is even: each further step loads more weights than it
+/// saves time.
+const EVEN: f64 = 1.08;
 
-/// When to change, and how far.
+/// What a change costs, and for how long it is of use.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
     /// New experts that one preparation may bring to a rank in a layer.
     pub spare: usize,
-    /// Mean skew of the layers from which a new map is looked for. Default
-    /// 1.7: below it a pass is within its limit at any load that is admitted, and
-    /// each switch may hold a step.
-    pub trigger: f64,
-    /// Skew at which a layer is even enough. Default 1.15: each further step
-    /// loads more weights than it saves time.
-    pub goal: f64,
-    /// Mean skew that a new map must save. Default 0.35: a switch has the
-    /// group pass 15% slower while weights are copied, for a while.
-    pub least_gain: f64,
+    /// Milliseconds that a rank takes to copy one expert.
+    pub copy: f64,
+    /// Part by which passes take longer while experts are copied. Default
+    /// 0.15, as declared by the users' platform.
+    pub slowdown: f64,
+    /// Milliseconds of a change beside copying. Default 300: orders, votes and
+    /// the passes up to the step of the switch.
+    pub change: f64,
+    /// Milliseconds that the demand is expected to last.
+    pub life: f64,
+    /// Part of a pass on an even map that experts' work makes up: the rest is as
+    /// long on any map. Default 0.5.
+    pub part: f64,
+    /// Milliseconds of passes that a change must save at least. Default 150: a
+    /// switch holds passes for some milliseconds, and the weights use links.
+    pub least_saved: f64,
     /// Choices in the demand below which it is not believed. Default 2,000:
     /// some ten for each expert of a layer.
     pub least_counts: f64,
 }
 
-impl Options {
-    /// The defaults, for a bound on new experts.
-    pub fn with_spare(spare: usize) -> Self {
-        Self { spare, trigger: 1.7, goal: 1.15, least_gain: 0.35, least_counts: 2_000.0 }
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            spare: 2,
+            copy: 40.0,
+            slowdown: 0.15,
+            change: 300.0,
+            life: 10_000.0,
+            part: 0.5,
+            least_saved: 150.0,
+            least_counts: 2_000.0,
+        }
     }
 }
 
@@ -50,6 +74,17 @@
     pub after: f64,
     /// Experts that ranks have to load.
     pub moves: usize,
+    /// New experts at the rank that gets most.
+    pub copies: usize,
+    /// Milliseconds of passes saved while the demand lasts.
+    pub saved: f64,
+}
+
+/// A map that the search came by.
+struct Point {
+    map: Map,
+    lag: f64,
+    copies: usize,
 }
 
 /// Mean lag of a map's layers under a demand: their skew, where all ranks
@@ -65,40 +100,134 @@
     if counts < options.least_counts {
         return None;
     }
-    let before = mean_lag(map, demand, paces);
-    if before < options.trigger {
-        return None;
-    }
-    let mut new = map.clone();
-    for (layer, tokens) in new.layers.iter_mut().zip(demand) {
-        *layer = even_out(options, layer, tokens, paces);
-    }
-    let after = mean_lag(&new, demand, paces);
+    let mut points = search(options, map, demand, paces);
+    let way = Way { options, points: &points };
+    let (first, spent) = way.best(0, options.life);
+    let saved = way.pass(0) * options.life - spent;
+    let first = first.filter(|_| saved >= options.least_saved)?;
+    let before = points[0].lag;
+    let Point { map: new, lag: after, copies } = points.swap_remove(first);
     let moves = new.moves_from(map);
-    (before - after >= options.least_gain).then_some(Change { map: new, before, after, moves })
+    Some(Change { map: new, before, after, moves, copies, saved })
 }
 
-/// Small steps of a layer that keep within the bound on new experts.
-fn even_out(options: &Options, start: &Layer, tokens: &[f64], paces: &Paces) -> Layer {
-    let mut layer = start.clone();
-    for _ in 0..STEPS {
-        if layer.lag(tokens, paces) <= options.goal {
+/// The maps on the way from the one in force to an even one, which is first.
+fn search(options: &Options, map: &Map, demand: &[Vec<f64>], paces: &Paces) -> Vec<Point> {
+    let start = Point { map: map.clone(), lag: mean_lag(map, demand, paces), copies: 0 };
+    let mut points = vec![start];
+    let mut search = Search::open(options, map, demand, paces);
+    let most = options.spare * map.layers.len();
+    for copies in COPIES.into_iter().take_while(|it| *it <= most) {
+        search.spread(copies);
+        let lag = mean_lag(&search.map, demand, paces);
+        let copies = search.new.iter().copied().max().unwrap_or(0);
+        if points.last().is_none_or(|it| lag < it.lag) {
+            points.push(Point { map: search.map.clone(), lag, copies });
+        }
+        if copies as f64 * options.copy >= options.life {
             break;
         }
-        let Some(change) = place::best_change(&layer, tokens, paces) else { break };
+    }
+    points
+}
+
+/// Small steps from the map in force, within the bounds on new experts.
+struct Search<'a> {
+    options: &'a Options,
+    demand: &'a [Vec<f64>],
+    paces: &'a Paces,
+    start: &'a Map,
+    map: Map,
+    /// New experts of each rank over all layers.
+    new: Vec<usize>,
+}
+
+impl<'a> Search<'a> {
+    fn open(
+        options: &'a Options,
+        start: &'a Map,
+        demand: &'a [Vec<f64>],
+        paces: &'a Paces,
+    ) -> Self {
+        let new = vec![0; start.shape.ranks];
+        Self { options, demand, paces, start, map: start.clone(), new }
+    }
+
+    /// Takes steps, those of the most uneven layer first, while a rank gets no
+    /// more than so many new experts.
+    fn spread(&mut self, copies: usize) {
+        let lag = |it: &Self, layer: usize| it.map.layers[layer].lag(&it.demand[layer], it.paces);
+        let mut lags: Vec<f64> = (0..self.map.layers.len()).map(|it| lag(self, it)).collect();
+        loop {
+            let worst = (0..lags.len()).max_by(|a, b| lags[*a].total_cmp(&lags[*b]));
+            let Some(layer) = worst.filter(|it| lags[*it] > EVEN) else { return };
+            if self.step(layer, copies) {
+                lags[layer] = lag(self, layer);
+            } else {
+                // Nothing more can be done for it with so few.
+                lags[layer] = 0.0;
+            }
+        }
+    }
+
+    fn step(&mut self, at: usize, copies: usize) -> bool {
+        let (start, layer) = (&self.start.layers[at], &self.map.layers[at]);
+        let ranks = (0..layer.ranks()).map(|it| Rank(it as u16));
+        let here: Vec<usize> = ranks.map(|it| new_experts(start, layer, it)).collect();
+        let allowed = |rank: Rank, it| {
+            let rank_at = usize::from(rank.0);
+            let free = here[rank_at] < self.options.spare && self.new[rank_at] < copies;
+            free || start.holds(rank, it)
+        };
+        let change = place::best_allowed(layer, &self.demand[at], self.paces, allowed);
         let mut next = layer.clone();
-        if !change.apply(&mut next) || !fits(options, start, &next) {
-            break;
+        if !change.is_some_and(|it| it.apply(&mut next)) {
+            return false;
         }
-        layer = next;
+        for (rank, before) in here.iter().enumerate() {
+            let now = new_experts(start, &next, Rank(rank as u16));
+            self.new[rank] = self.new[rank] + now - before;
+        }
+        self.map.layers[at] = next;
+        true
     }
-    layer
 }
 
-fn fits(options: &Options, start: &Layer, next: &Layer) -> bool {
-    (0..next.ranks()).all(|rank| {
-        let rank = Rank(rank as u16);
-        let held = next.slots_of(rank).filter_map(|slot| next.expert(slot));
-        held.filter(|it| !start.holds(rank, *it)).count() <= options.spare
-    })
+/// Experts that a rank did not hold at the start.
+fn new_experts(start: &Layer, layer: &Layer, rank: Rank) -> usize {
+    let held = layer.slots_of(rank).filter_map(|it| layer.expert(it));
+    held.filter(|it| !start.holds(rank, *it)).count()
+}
+
+/// Ways along the points of a search.
+struct Way<'a> {
+    options: &'a Options,
+    points: &'a [Point],
+}
+
+impl Way<'_> {
+    /// Time of a pass at a point, relative to one on an even map.
+    fn pass(&self, at: usize) -> f64 {
+        1.0 - self.options.part + self.options.part * self.points[at].lag
+    }
+
+    /// The next point on the best way from one of them, none if that is to
+    /// stay, and the time of all passes until the demand is over.
+    fn best(&self, at: usize, left: f64) -> (Option<usize>, f64) {
+        let mut best = (None, self.pass(at) * left);
+        for next in at + 1..self.points.len() {
+            let copies = self.points[next].copies.saturating_sub(self.points[at].copies);
+            let copying = copies as f64 * self.options.copy;
+            let time = copying + self.options.change;
+            if time >= left {
+                continue;
+            }
+            let until = self.pass(at) * (time + copying * self.options.slowdown);
+            let spent = until + self.best(next, left - time).1;
+            if spent < best.1 {
+                best = (Some(next), spent);
+            }
+        }
+        best
+    }
 }
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -76,7 +76,7 @@
     /// What the agents beside listed targets need of the configuration.
     fn bounds(&self) -> Vec<Body> {
         let catalogue = self.targets.catalogue();
-        let ranks = |it: &Service| Some(it.engine.as_ref()?.ranks.as_ref()?.bounds());
+        let ranks = |it: &Service| it.engine.as_ref()?.bounds();
         let told = |(name, it): (&String, &Service)| {
             Some(convert::bounds(name, catalogue.revision, ranks(it)?))
         };
--- a/crates/sablepass-stand/src/ranks.rs
+++ b/crates/sablepass-stand/src/ranks.rs
@@ -172,7 +172,7 @@
         let mut it = site::configuration(version);
         it["services"][0]["engine"] = json!({
             "slots": 12, "kvCapacity": 1000, "step_ms": 5.0, "per_seq_ms": 0.3,
-            "context_per_k": 0.03, "read_per_s": 60000.0, "chunk": 512, "stride": 5,
+            "context_per_k": 0.03, "read_per_s": 60000.0, "chunk": 512, "stride": 5, "linkMbps": 8000.0,
             "sets": 1, "experts": EXPERTS, "places": SLOTS, "spare": SPARE, "expert_mb": 10.0,
             "expert_share": 0.85, "form_ms": 100.0,
         });
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -168,6 +168,10 @@
         experts: it.experts,
         slots: it.slots,
         spare: it.spare,
+        copy: it.copy,
+        part: it.part,
+        step: it.step,
+        sequence: it.sequence,
     })
 }
 
@@ -182,6 +186,10 @@
         experts: field("experts", it.experts)?,
         slots: field("slots", it.slots)?,
         spare: it.spare,
+        copy: it.copy,
+        part: it.part,
+        step: it.step,
+        sequence: it.sequence,
     })
 }
 
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -341,6 +341,17 @@
     pub slots: u32,
     #[prost(uint32, tag = "6")]
     pub spare: u32,
+    /// Microseconds that a rank takes to copy one expert.
+    #[prost(uint32, tag = "7")]
+    pub copy: u32,
+    /// Thousandths of the work for a token that experts do.
+    #[prost(uint32, tag = "8")]
+    pub part: u32,
+    /// Microseconds of a step without any sequence, and for each sequence.
+    #[prost(uint32, tag = "9")]
+    pub step: u32,
+    #[prost(uint32, tag = "10")]
+    pub sequence: u32,
 }
 /// A map that the ranks of a group are to prepare.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
