Shorten the way from a shift to its map

Hypothesis: each 0.1 s of skew makes what runs then late. Change: a lead of one pass beside the next, by 60 ms; the replica is read every 25 ms in place of 50 while something is under way; the next map is considered as the last rank tells that it is on the new one.

Ruled out: a lead that is too short is unsafe (the step is held until all have voted; barrier's search).

--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -30,9 +30,9 @@
 use crate::settings::Settings;
 
 /// Time between two looks at a group that is about to switch.
-const PULSE: Duration = Duration::from_millis(50);
+const PULSE: Duration = Duration::from_millis(25);
 /// Pulses between two readings of the counts, in which shifts of demand show.
-const COUNT_PULSES: u64 = 2;
+const COUNT_PULSES: u64 = 4;
 
 /// The last reading.
 struct Reading {
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -287,7 +287,9 @@
             (Ask::Lists, Ok(Answer { status: 200, body })) => match engine::lists(body) {
                 Ok(it) => {
                     self.lists = Some(it);
-                    self.tell_all()
+                    let mut list = self.tell_all();
+                    list.extend(self.consider(now));
+                    list
                 }
                 Err(e) => self.not_decoded(&e),
             },
--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -20,9 +20,10 @@
 /// and are given again after 50 ms up to three times.
 const PREPARE_TIMES: f64 = 1.5;
 const PREPARE_MORE: Millis = 1_000;
-/// How far ahead a switch is laid: orders and votes are there by then, so that
-/// no pass has to wait.
-const LEAD: Millis = 110;
+/// How far ahead a switch is laid: two orders at each rank and the votes take
+/// some 20 ms, and readings of the last step are up to 25 ms old. A switch that
+/// is laid too short holds its step for as long, and is no less safe.
+const LEAD: Millis = 60;
 /// How much further ahead it is laid while orders go unanswered, so that they
 /// can be given again before the step is held.
 const LEAD_UNANSWERED: Millis = 150;
@@ -30,8 +31,9 @@
 const UNANSWERED: Millis = 5_000;
 /// How long an obstacle to planning lasts before a line says so.
 const OBSTACLE: Millis = 1_000;
-/// Passes that it is laid ahead at least.
-const LEAD_PASSES: u64 = 2;
+/// Passes that it is laid ahead at least, beside the one that begins next: an
+/// idle group makes none until work comes.
+const LEAD_PASSES: u64 = 1;
 /// By how much versions jump when ranks refuse one: another planner used more.
 const VERSION_JUMP: u64 = 1_000;
 
@@ -81,7 +83,13 @@
                 self.highest += VERSION_JUMP;
             }
         }
-        if self.proposed.is_some() {
+        self.consider(now)
+    }
+
+    /// Proposes a better map, if there is one and nothing keeps it from that.
+    pub(super) fn consider(&mut self, now: Millis) -> Vec<Do> {
+        let planner = self.group.as_ref().is_some_and(|it| it.rank == 0 && it.open);
+        if !planner || self.proposed.is_some() {
             return Vec::new();
         }
         match self.decide(now) {
--- a/crates/sablepass-agent/src/ranks/tally.rs
+++ b/crates/sablepass-agent/src/ranks/tally.rs
@@ -101,6 +101,7 @@
             experts,
             pace: f64::from(it.pace) / PACE_UNIT,
         };
+        let changed = same.is_none();
         self.ranks.insert(rank, told);
         let mine = self.is_mine(&it.group, it.epoch);
         if mine
@@ -110,6 +111,10 @@
             demand.told(now, rank.into(), &it.chosen);
         }
         let mut list = self.try_switch(now);
+        if changed {
+            // The last rank on a new map may be the one that the next was waiting for.
+            list.extend(self.consider(now));
+        }
         if !known {
             list.extend(self.tell(peer));
         }
