Let streams wait to begin while passes would be too long; take lives of demands that were seen whole

At single moments 70 to 105 streams are late together, with passes of 126 to 182 ms. Change: planners tell entries how uneven the map in force is; streams wait in order while, by the engine's declared times, a pass with one more would exceed its pause; where the turn comes too late they are refused at once with the expected time to come back.

Change: only demands whose beginning was seen count.

--- a/crates/sablepass-agent/src/leaving.rs
+++ b/crates/sablepass-agent/src/leaving.rs
@@ -59,6 +59,7 @@
             away: self.away.is_some(),
             pace: 0,
             size: 0,
+            lag: 0,
         });
         for peer in &self.entries {
             self.send(Some(*peer), report.clone());
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -34,6 +34,10 @@
 /// Pulses between two readings of the counts, in which shifts of demand show.
 const COUNT_PULSES: u64 = 4;
 
+/// Parts in which a lag that changes is told at once, and those that are told.
+const TENTHS: f64 = 10.0;
+const THOUSANDTHS: f64 = 1_000.0;
+
 /// The last reading.
 struct Reading {
     report: engine::Report,
@@ -72,6 +76,8 @@
     closed: bool,
     /// How long it takes, for which its group waits.
     pace: Pace,
+    /// Lag of the group's map in tenths, where this agent plans it.
+    lag: u32,
 }
 
 impl Observer {
@@ -213,6 +219,7 @@
             }
             let list = self.ranks.tick(now);
             self.carry_out(list);
+            self.tell_changes(now);
         }
         after!(PULSE, [cx], pulse());
     }
@@ -247,6 +254,12 @@
             slog::info!(self.log, "pace changed"; "judged" => ?state.pace,
                 "pace" => self.group().map(|it| it.pace));
         }
+        self.tell_changes(now);
+    }
+
+    /// Tells the entries, if it is time or something changed that matters to them.
+    fn tell_changes(&mut self, now: Millis) {
+        let state = self.state();
         if now >= self.told + self.settings.heartbeat || state != self.told_state {
             self.told = now;
             self.told_state = state;
@@ -262,9 +275,15 @@
         State {
             closed: self.group().is_some_and(|it| !it.open),
             pace: self.group().map_or(Pace::Sound, |it| Pace::of(it.pace)),
+            lag: self.lag(TENTHS),
         }
     }
 
+    /// Lag of the group's map in such parts; 0 where this agent does not plan it.
+    fn lag(&self, parts: f64) -> u32 {
+        self.ranks.lag().map_or(0, |it| (it * parts).round() as u32)
+    }
+
     fn lost(&mut self, why: &str) {
         if self.good {
             self.good = false;
@@ -286,6 +305,7 @@
             away: self.state().closed,
             pace: convert::pace_number(self.state().pace),
             size: self.group().map_or(0, |it| it.size.into()),
+            lag: self.lag(THOUSANDTHS),
         });
         for peer in &self.entries {
             call!([self.mesh], send(*peer, report.clone()));
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -15,7 +15,6 @@
 use sablepass_core::expert::barrier::{Done, Member, Message, Output, Plan, Reading};
 use sablepass_core::expert::demand::{self, Demand};
 use sablepass_core::expert::map::{self, Bounds, Map};
-use sablepass_core::expert::rebalance;
 use sablepass_core::expert::watch::Watch;
 use sablepass_core::id::Millis;
 use sablepass_edge::caller::Answer;
@@ -125,6 +124,8 @@
     pass: f64,
     /// Requests that the own rank runs, over some time.
     running: f64,
+    /// Lag of the map in force under what is in demand, beside rank 0.
+    lag: Option<f64>,
 }
 
 impl Ranks {
@@ -154,6 +155,7 @@
             paced: None,
             pass: 0.0,
             running: 0.0,
+            lag: None,
         }
     }
 
@@ -183,6 +185,11 @@
         self.is_active() && (planner || self.sampled)
     }
 
+    /// Lag of the map in force under what is in demand, if this agent plans.
+    pub fn lag(&self) -> Option<f64> {
+        self.lag.filter(|_| self.is_active())
+    }
+
     /// A connection to another agent came up.
     pub fn up(&mut self, peer: PeerKey, hall: String) -> Vec<Do> {
         self.agents.insert(peer, hall);
@@ -241,6 +248,7 @@
             "size" => group.size, "epoch" => group.reading.epoch, "open" => group.open);
         self.wanted = None;
         self.proposed = None;
+        self.lag = None;
         self.lists = None;
         let bounds = self.bounds.as_ref();
         self.demand = bounds
@@ -522,15 +530,11 @@
     /// How the group stands, as this agent sees it.
     pub fn explain(&self) -> serde_json::Value {
         let reading = self.group.as_ref().map(|it| it.reading);
-        let skew = self
-            .map_in_force()
-            .zip(self.watch.demand())
-            .map(|(map, it)| rebalance::mean_lag(&map, it, &self.paces()));
         serde_json::json!({
             "group": self.group_name(), "rank": self.group.as_ref().map(|it| it.rank),
             "epoch": reading.map(|it| it.epoch), "version": reading.map(|it| it.version),
             "step": reading.map(|it| it.step), "ranks_heard": self.ranks.len(),
-            "pass_ms": self.pass, "skew": skew,
+            "pass_ms": self.pass, "skew": self.lag,
         })
     }
 }
--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -89,7 +89,11 @@
     /// Proposes a better map, if there is one and nothing keeps it from that.
     pub(super) fn consider(&mut self, now: Millis) -> Vec<Do> {
         let planner = self.group.as_ref().is_some_and(|it| it.rank == 0 && it.open);
-        if !planner || self.proposed.is_some() {
+        if !planner {
+            return Vec::new();
+        }
+        self.weigh();
+        if self.proposed.is_some() {
             return Vec::new();
         }
         match self.decide(now) {
@@ -172,6 +176,13 @@
         rebalance::decide(&options, &self.map_in_force()?, self.watch.demand()?, &self.paces())
     }
 
+    /// Works out the lag of the map in force, where all ranks told what they hold.
+    fn weigh(&mut self) {
+        let map = self.map_in_force().zip(self.watch.demand());
+        let lag = map.map(|(map, demand)| rebalance::mean_lag(&map, demand, &self.paces()));
+        self.lag = lag.or(self.lag);
+    }
+
     /// Part of a pass on an even map that experts' work makes up, with as many
     /// sequences as the own rank has of late.
     fn expert_part(&self, bounds: &Bounds) -> f64 {
--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -15,6 +15,7 @@
 
 use crate::expert::map::Bounds;
 use crate::id::Millis;
+use crate::pass::Times;
 use crate::route::Route;
 
 /// Most bytes of a document: the platform's limit on a value.
@@ -237,6 +238,9 @@
     /// Millions of bits a second at which a rank copies experts, if known.
     #[serde(default)]
     pub link: Option<f64>,
+    /// Tokens of a usual prompt, if known.
+    #[serde(default)]
+    pub prompt: Option<f64>,
     /// The ranks that step together, if it is one of a group.
     #[serde(default)]
     pub ranks: Option<Ranks>,
@@ -247,6 +251,8 @@
 const COPY: f64 = 40_000.0;
 /// Bits of a byte.
 const BITS: f64 = 8.0;
+/// Milliseconds of a second.
+const MILLIS: f64 = 1_000.0;
 /// Microseconds of a second.
 const MICROS: f64 = 1e6;
 /// Microseconds of a millisecond.
@@ -275,6 +281,13 @@
 }
 
 impl Engine {
+    /// How long the passes of its group take; none if it is one of no group.
+    pub fn times(&self) -> Option<Times> {
+        let part = self.ranks.as_ref()?.expert_part;
+        let reading = (self.prompt.unwrap_or(0.0), self.read_rate / MILLIS);
+        Some(Times::new(self.stride.into(), self.step, self.per_sequence, part, reading))
+    }
+
     /// What this says of the maps of the group's ranks; none if it is one of no group.
     pub fn bounds(&self) -> Option<Bounds> {
         let ranks = self.ranks.as_ref()?;
--- a/crates/sablepass-core/src/expert/watch.rs
+++ b/crates/sablepass-core/src/expert/watch.rs
@@ -100,8 +100,10 @@
         if lasted < SAME_SHIFT {
             return;
         }
-        let known = if seen { self.life } else { lasted as f64 };
-        self.life = (1.0 - LIFE_WEIGHT) * known + LIFE_WEIGHT * lasted as f64;
+        // Of a demand that was there before the first counts nobody knows how long it lasted.
+        if seen {
+            self.life += LIFE_WEIGHT * (lasted as f64 - self.life);
+        }
         self.since = Some((now, true));
     }
 
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod membership;
 pub mod once;
 pub mod outcome;
+pub mod pass;
 pub mod reason;
 pub mod rendezvous;
 pub mod route;
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -70,6 +70,9 @@
     pub pace: Pace,
     /// Ranks of its group; 0 if it is a rank of none.
     pub size: u32,
+    /// Thousandths of the mean that the rank with most of the experts' work has,
+    /// if its agent plans its group's maps; else 0.
+    pub lag: u32,
     /// Time since the engine last answered its agent; none if it is not asked.
     pub engine_age: Option<Millis>,
 }
@@ -264,6 +267,13 @@
         self.get(name).is_some_and(|it| !it.leaving && self.is_closed(now, it))
     }
 
+    /// Lag of a group's map as told beside a rank; none if it was not told lately.
+    pub fn lag(&self, now: Millis, name: &str) -> Option<u32> {
+        let member = self.get(name)?;
+        let fresh = now.saturating_sub(member.heard) < self.silence;
+        (fresh && member.report.lag > 0).then_some(member.report.lag)
+    }
+
     /// The agent, in whatever state.
     pub fn get(&self, name: &str) -> Option<&Member> {
         self.members.get(name)
--- /dev/null
+++ b/crates/sablepass-core/src/pass.rs
@@ -0,0 +1,48 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! How long the passes of a group of ranks take, from what its engines declare.
+
+/// Prompts, of the usual length, that the rank with most to read reads in a
+/// pass: at the declared rates of the captioning deployment four new ones come
+/// in a pass over twelve ranks, of unlike length.
+const PROMPTS: f64 = 1.5;
+
+/// Times of a pass in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Times {
+    /// Of a pass in which nothing is written or read.
+    pub base: f64,
+    /// More for each sequence that a rank writes, on an even map.
+    pub sequence: f64,
+    /// Part of that which experts take, 0 to 1.
+    pub part: f64,
+    /// More for the prompts that are read in a pass.
+    pub reading: f64,
+}
+
+impl Times {
+    /// Takes what is declared: steps of a pass, milliseconds of a step and of
+    /// each sequence in it, the experts' part, and the usual prompt's tokens
+    /// with the tokens read a millisecond.
+    pub fn new(
+        steps: f64,
+        step: f64,
+        sequence: f64,
+        part: f64,
+        (prompt, rate): (f64, f64),
+    ) -> Self {
+        let reading = if rate > 0.0 { PROMPTS * prompt / rate } else { 0.0 };
+        Self { base: steps * step, sequence: steps * sequence, part, reading }
+    }
+
+    /// Sequences a rank with which a pass takes no longer than `pause`, where
+    /// the rank with most experts' work has `lag` times the mean.
+    pub fn sequences(&self, pause: f64, lag: f64) -> f64 {
+        let each = self.sequence * (1.0 - self.part + self.part * lag.max(1.0));
+        if each <= 0.0 {
+            return f64::INFINITY;
+        }
+        ((pause - self.base - self.reading) / each).max(0.0)
+    }
+}
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -129,6 +129,8 @@
         WrongAnswer = 47, "wrong-answer";
         /// The group of engines that serves the model is not complete.
         GroupClosed = 48, "group-closed";
+        /// With one more stream the group's passes would take too long.
+        Crowded = 49, "crowded";
         /// The headers are longer than the limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -188,7 +190,7 @@
             Self::SlowRequest => 408,
             Self::BodyTooLarge => 413,
             Self::HeaderTooLarge => 431,
-            Self::OverShare | Self::CustomerLimit | Self::GrantUsed => 429,
+            Self::OverShare | Self::CustomerLimit | Self::GrantUsed | Self::Crowded => 429,
             Self::KeyReused => 422,
             Self::KeyInFlight | Self::KeyAnswerLost | Self::KeyExpired => 409,
             Self::DeadlinePassed => 504,
--- a/crates/sablepass-core/tests/membership.rs
+++ b/crates/sablepass-core/tests/membership.rs
@@ -14,6 +14,7 @@
         away: false,
         pace: Pace::Sound,
         size: 0,
+        lag: 0,
         engine_age: None,
     }
 }
--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -19,6 +19,7 @@
 mod router;
 mod routes;
 mod settings;
+mod starts;
 mod targets;
 mod trace;
 
--- a/crates/sablepass-entry/src/openai.rs
+++ b/crates/sablepass-entry/src/openai.rs
@@ -285,13 +285,14 @@
 }
 
 /// The answer that there will be none.
-pub fn failure(label: &str, it: Failure) -> (Response<()>, Vec<u8>) {
+pub fn failure(label: &str, it: Failure, comeback: Option<Millis>) -> (Response<()>, Vec<u8>) {
     let mut head = Response::new(());
     *head.status_mut() = dialect::status(it.reason.status().into());
     let fields = head.headers_mut();
     fields.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     name_request(fields, label, it.ran);
-    if let Some(seconds) = retry_after(it) {
+    let comeback = comeback.map(|it| it.div_ceil(1_000) as u32);
+    if let Some(seconds) = comeback.or(retry_after(it)) {
         fields.insert(header::RETRY_AFTER, seconds.into());
     }
     (head, error_json(label, it).into_bytes())
--- a/crates/sablepass-entry/src/routes.rs
+++ b/crates/sablepass-entry/src/routes.rs
@@ -6,6 +6,7 @@
 use http::header::{self, HeaderValue};
 use http::{Response, StatusCode};
 use sablepass_core::flight::Head;
+use sablepass_core::id::Millis;
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
 use sablepass_edge::clock;
@@ -70,15 +71,18 @@
 }
 
 /// An answer of this system's own.
-pub fn failure(label: &str, it: Failure) -> (Response<()>, Vec<u8>) {
+pub fn failure(label: &str, it: Failure, comeback: Option<Millis>) -> (Response<()>, Vec<u8>) {
     let mut head = Response::new(());
     let status = status(it);
     *head.status_mut() = status;
     let fields = head.headers_mut();
     *fields = request::own_answer(label);
     fields.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    if let Some(it) = retry_after(it, status) {
-        fields.insert(header::RETRY_AFTER, HeaderValue::from_static(it));
+    let usual = retry_after(it, status).map(str::to_owned);
+    let comeback = comeback.map(|it| format!("{}.{:03}", it / 1_000, it % 1_000));
+    let value = comeback.or(usual).and_then(|it| HeaderValue::try_from(it).ok());
+    if let Some(it) = value {
+        fields.insert(header::RETRY_AFTER, it);
     }
     let body = format!("{}: {}\n", it.ran.label(), it.reason.label());
     (head, body.into_bytes())
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -18,6 +18,15 @@
 /// move costs the others the prompt once more. Chosen, not measured.
 const CRAWLING_PART: usize = 4;
 
+/// Part of the pause allowed to callers that a pass may take: the rest is for
+/// the way to them and for ranks with a request more than the mean.
+const PAUSE_PART: f64 = 0.95;
+/// Part of its places that a group is always given: no caller waits while half
+/// of them are free.
+const LEAST_PART: f64 = 0.5;
+/// Parts in which a lag is told.
+const THOUSANDTHS: f64 = 1_000.0;
+
 impl Targets {
     /// Whether what serves is there and closed: its group is not complete.
     pub fn closed(&self, now: Millis, served: &Served) -> bool {
@@ -45,6 +54,32 @@
         f64::from(places.sum::<u32>()) / self.entries.max(1) as f64
     }
 
+    /// Streams that this entry's part of a group has beyond those with which its
+    /// passes take no longer than `pause`: negative while there is room. None if
+    /// what serves is no group, or its planner has not told how even its map is.
+    pub fn excess(&self, now: Millis, served: &Served, pause: f64) -> Option<f64> {
+        let times = self.catalogue.services.get(&served.1)?.engine.as_ref()?.times()?;
+        let lag = self.lag(now, served)?;
+        let room = self.room(now, served);
+        let ranks = self.serving.get(served).map_or(0, Vec::len).max(1) as f64;
+        let places = self.places(served);
+        let part = times.sequences(pause * PAUSE_PART, lag) * ranks / self.entries.max(1) as f64;
+        Some(room.load + 1.0 - part.max(places * LEAST_PART))
+    }
+
+    /// Lag of a group's map, as its planner told it.
+    fn lag(&self, now: Millis, served: &Served) -> Option<f64> {
+        let names = self.serving.get(served)?;
+        let lags = names.iter().filter_map(|it| self.members.lag(now, it));
+        lags.max().map(|it| f64::from(it) / THOUSANDTHS)
+    }
+
+    /// Requests that this entry has at what serves.
+    pub fn own(&self, served: &Served) -> u32 {
+        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
+        names.iter().filter_map(|it| self.members.get(it)).map(|it| it.own).sum()
+    }
+
     /// Whether work for a closed group had better wait: it opens soon.
     pub fn opens_soon(&self, now: Millis, served: &Served) -> bool {
         let form = self.form(served).unwrap_or(0);
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -154,6 +154,7 @@
         away: it.away,
         pace: pace(it.pace),
         size: it.size,
+        lag: it.lag,
         // The agent of a plain service has no reading, which it says by the greatest age.
         engine_age: (it.load_age != u32::MAX).then_some(it.load_age.into()),
     }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -210,6 +210,10 @@
     /// Ranks of the target's group; 0 if it is a rank of none.
     #[prost(uint32, tag = "8")]
     pub size: u32,
+    /// Thousandths of the mean that the rank with most of the experts' work has,
+    /// told beside the rank that plans its group's maps; 0 by others.
+    #[prost(uint32, tag = "9")]
+    pub lag: u32,
 }
 /// What configuration a process holds.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
