--- a/crates/sablepass-core/src/expert/rebalance.rs
+++ b/crates/sablepass-core/src/expert/rebalance.rs
@@ -40,8 +40,9 @@
     /// Part of a pass on an even map that experts' work makes up: the rest is as
     /// long on any map. Default 0.5.
     pub part: f64,
-    /// Milliseconds of passes that a change must save at least. Default 150: a
-    /// switch holds passes for some milliseconds, and the weights use links.
+    /// Milliseconds of passes that a change must save at least. Default 350: a
+    /// shift that comes while experts are copied meets passes that are longer by
+    /// the slowdown, and at 150 a third of the maps saved less than that costs.
     pub least_saved: f64,
     /// Choices in the demand below which it is not believed. Default 2,000:
     /// some ten for each expert of a layer.
@@ -57,7 +58,7 @@
             change: 300.0,
             life: 10_000.0,
             part: 0.5,
-            least_saved: 150.0,
+            least_saved: 350.0,
             least_counts: 2_000.0,
         }
     }
