Give a second replica to experts where slots are empty while the group is idle

Cause: what a shift brings into demand was in demand at none of the earlier times (likeness 0.1 to 0.2), so no map can be ready for it but one that has two replicas of as many experts as possible; map 0 leaves 36 of 132 slots a layer empty. One expert draws 23% of a layer's choices: at one rank that is a lag of 3.5, at two 2.1. Change: an idle group fills its empty slots; steps overwrite first what there is most of.

--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -37,6 +37,9 @@
 /// By how much versions jump when ranks refuse one: another planner used more.
 const VERSION_JUMP: u64 = 1_000;
 
+/// Requests that a rank runs, over some time, below which its group has next to
+/// nothing to do: copying slows nobody down then.
+const IDLE: f64 = 0.05;
 /// Microseconds of a millisecond.
 const MICROS: f64 = 1_000.0;
 /// Parts in which the experts' part is declared.
@@ -96,12 +99,30 @@
         if self.proposed.is_some() {
             return Vec::new();
         }
-        match self.decide(now) {
-            Some(change) => self.propose(now, &change),
+        let obstacle = self.obstacle(now);
+        self.note_obstacle(now, obstacle);
+        if obstacle.is_some() {
+            return Vec::new();
+        }
+        if let Some(it) = self.decide(now) {
+            return self.propose(now, &it);
+        }
+        match self.fill() {
+            Some(it) => self.propose(now, &it),
             None => Vec::new(),
         }
     }
 
+    /// A map with fewer empty slots, while the group has next to nothing to do.
+    fn fill(&self) -> Option<rebalance::Change> {
+        let spare = self.bounds.as_ref()?.spare as usize;
+        let old = self.map_in_force().filter(|_| self.running < IDLE)?;
+        let map = rebalance::fill(spare, &old)?;
+        let lag = self.lag.unwrap_or(1.0);
+        let (moves, copies) = (map.moves_from(&old), spare * old.layers.len());
+        Some(rebalance::Change { map, before: lag, after: lag, moves, copies, saved: 0.0 })
+    }
+
     /// Why the map that is proposed can no longer be of use, if so.
     fn dropped(&self, now: Millis, shifted: bool) -> Option<Dropped> {
         let it = self.proposed.as_ref()?;
@@ -160,11 +181,6 @@
     }
 
     fn decide(&mut self, now: Millis) -> Option<rebalance::Change> {
-        let obstacle = self.obstacle(now);
-        self.note_obstacle(now, obstacle);
-        if obstacle.is_some() {
-            return None;
-        }
         let bounds = self.bounds.as_ref()?;
         let options = rebalance::Options {
             spare: bounds.spare as usize,
--- a/crates/sablepass-core/src/expert/map.rs
+++ b/crates/sablepass-core/src/expert/map.rs
@@ -133,6 +133,11 @@
         self.slots.len() / self.per_rank
     }
 
+    /// Number of experts.
+    pub fn experts(&self) -> usize {
+        self.replicas.len()
+    }
+
     /// How many slots hold an expert.
     pub fn replicas(&self, it: Expert) -> u16 {
         self.replicas[usize::from(it.0)]
--- a/crates/sablepass-core/src/expert/place.rs
+++ b/crates/sablepass-core/src/expert/place.rs
@@ -17,6 +17,12 @@
 /// is not among the lightest only moves the trouble.
 const LIGHTEST: usize = 6;
 
+/// Part of its gain by which a step counts more for each replica beyond the
+/// second of the expert that it overwrites, and at most, as for an empty slot:
+/// enough to decide between experts that nobody wants.
+const SURPLUS: f64 = 0.01;
+const MOST_SURPLUS: f64 = 0.1;
+
 /// Heaviest experts of the slowest rank that small steps try to relieve it of.
 /// The others take load off it more slowly than they cost; with 11 slots a rank
 /// a third of the time of a search is left.
@@ -184,7 +190,7 @@
     let mut best: Option<(f64, Change)> = None;
     let mut weigh = |change: Change| {
         let Some(gain) = view.gain(change) else { return };
-        let gain = gain / change.moves().max(1) as f64;
+        let gain = gain / change.moves().max(1) as f64 * (1.0 + surplus(layer, change));
         if gain > LEAST_GAIN && best.is_none_or(|it| gain > it.0) {
             best = Some((gain, change));
         }
@@ -206,6 +212,18 @@
     best.map(|it| it.1)
 }
 
+/// A little more for a step that overwrites what there is most of: which expert
+/// is in demand next nobody knows, and one with a second replica then makes its
+/// ranks half as slow.
+fn surplus(layer: &Layer, change: Change) -> f64 {
+    match change {
+        Change::Put(to, _) => layer.expert(to).map_or(MOST_SURPLUS, |it| {
+            (SURPLUS * f64::from(layer.replicas(it).saturating_sub(2))).min(MOST_SURPLUS)
+        }),
+        Change::Swap(..) | Change::Drop(_) => 0.0,
+    }
+}
+
 /// The slots of a rank whose experts give it most load.
 fn heaviest(layer: &Layer, tokens: &[f64], rank: Rank) -> Vec<(Slot, Expert)> {
     let share = |it: Expert| tokens[usize::from(it.0)] / f64::from(layer.replicas(it));
--- a/crates/sablepass-core/src/expert/rebalance.rs
+++ b/crates/sablepass-core/src/expert/rebalance.rs
@@ -13,7 +13,7 @@
 //! expert takes long to copy it brings one to a rank; where copying is quick
 //! it brings all at once.
 
-use crate::expert::map::{Layer, Map, Paces, Rank};
+use crate::expert::map::{Expert, Layer, Map, Paces, Rank};
 use crate::expert::place;
 
 /// New experts at the rank that gets most, for which the search notes a map.
@@ -112,6 +112,34 @@
     Some(Change { map: new, before, after, moves, copies, saved })
 }
 
+/// The map with a second replica of as many experts as empty slots take, as
+/// far as one preparation may bring them; none if no slot is empty. A shift of
+/// demand then more often finds what it brings at two ranks.
+pub fn fill(spare: usize, map: &Map) -> Option<Map> {
+    let mut new = map.clone();
+    for layer in &mut new.layers {
+        fill_layer(spare, layer);
+    }
+    (new != *map).then_some(new)
+}
+
+fn fill_layer(spare: usize, layer: &mut Layer) {
+    let mut next = 0;
+    for turn in 0..spare {
+        for rank in (0..layer.ranks()).map(|it| Rank(it as u16)) {
+            let empty = layer.slots_of(rank).find(|it| layer.expert(*it).is_none());
+            let Some(slot) = empty else { continue };
+            let start = next;
+            let fits = |it: &Expert| !layer.holds(rank, *it) && layer.replicas(*it) == 1;
+            let order = (start..layer.experts()).chain(0..start).map(|it| Expert(it as u16));
+            if let Some(it) = order.into_iter().find(fits) {
+                layer.put(slot, it);
+                next = (usize::from(it.0) + 1 + turn) % layer.experts();
+            }
+        }
+    }
+}
+
 /// The maps on the way from the one in force to an even one, which is first.
 fn search(options: &Options, map: &Map, demand: &[Vec<f64>], paces: &Paces) -> Vec<Point> {
     let start = Point { map: map.clone(), lag: mean_lag(map, demand, paces), copies: 0 };
