Give unanswered orders again at once, and let all ranks tell of them

Orders are answered in 3 ms, all votes are there in 8 ms. Change: what went unanswered is given again as soon as the account shows that it is still wanted; an order counts as unanswered after 25 ms (50); tallies say that a rank's orders go unanswered; the lead is 35 ms (60), and 100 more (150) while they do. Ruled out: that a member spins: a refused order still rests until the tick; the exhaustive search of tests/barrier.rs passes. Test: verify_an_unanswered_go_is_given_again_without_a_tick, fails without it.

--- a/crates/sablepass-agent/src/engine.rs
+++ b/crates/sablepass-agent/src/engine.rs
@@ -14,9 +14,9 @@
 
 /// How long a reading may take. It does not leave the machine.
 const CALL_TIME: Duration = Duration::from_millis(120);
-/// How long an order may take: an answer comes within some milliseconds or not
+/// How long an order may take: an answer comes within three milliseconds or not
 /// at all, and while it is waited for a step may be held.
-const ORDER_TIME: Duration = Duration::from_millis(50);
+const ORDER_TIME: Duration = Duration::from_millis(25);
 /// Calls that wait at most; readings beyond it are not made.
 const QUEUE: usize = 16;
 /// Longest answer: the counts of some thousand experts.
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -129,7 +129,7 @@
             }
             mesh::Event::Up(peer, it) => {
                 slog::info!(self.log, "agent up"; "agent" => it.name);
-                let list = self.ranks.up(peer, it.hall);
+                let list = self.ranks.up(clock::now(), peer, it.hall);
                 self.carry_out(list);
             }
             mesh::Event::Down(peer) => {
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -68,6 +68,8 @@
     prepared: u64,
     experts: Vec<Vec<u16>>,
     pace: f64,
+    /// An order to it went unanswered lately.
+    unanswered: bool,
 }
 
 /// A map that the own rank is to prepare.
@@ -191,9 +193,9 @@
     }
 
     /// A connection to another agent came up.
-    pub fn up(&mut self, peer: PeerKey, hall: String) -> Vec<Do> {
+    pub fn up(&mut self, now: Millis, peer: PeerKey, hall: String) -> Vec<Do> {
         self.agents.insert(peer, hall);
-        self.tell(peer).into_iter().collect()
+        self.tell(now, peer).into_iter().collect()
     }
 
     /// A connection went down.
@@ -238,7 +240,7 @@
             list.push(Do::Ask(Ask::Lists));
         }
         if moved(|it| Some(it.version)) || moved(|it| it.prepared) || formed {
-            list.extend(self.tell_all());
+            list.extend(self.tell_all(now));
         }
         list
     }
@@ -295,7 +297,7 @@
             (Ask::Lists, Ok(Answer { status: 200, body })) => match engine::lists(body) {
                 Ok(it) => {
                     self.lists = Some(it);
-                    let mut list = self.tell_all();
+                    let mut list = self.tell_all(now);
                     list.extend(self.consider(now));
                     list
                 }
@@ -351,7 +353,7 @@
             self.counts.restart();
         }
         let chosen = self.counts.advance(it.counts).unwrap_or_default();
-        let tally = self.tally(false);
+        let tally = self.tally(now, false);
         let tally = tally.map(|it| wire::Tally { chosen, ..it });
         tally.map(|it| Do::Send(planner, Body::Tally(it))).into_iter().collect()
     }
@@ -510,7 +512,7 @@
         let mut list = self.carry_out(outputs);
         let rank = self.group.as_ref().map(|it| it.rank);
         if rank != Some(0) && !self.sampled {
-            list.extend(self.tell_planner());
+            list.extend(self.tell_planner(now));
         }
         let planner = self.group.as_ref().is_some_and(|it| it.rank == 0 && it.open);
         if planner {
@@ -521,7 +523,7 @@
             list.extend(self.plan(now));
             self.ticks += 1;
             if self.ticks.is_multiple_of(TELL_TICKS) {
-                list.extend(self.tell_all());
+                list.extend(self.tell_all(now));
             }
         }
         list
--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -20,15 +20,15 @@
 /// and are given again after 50 ms up to three times.
 const PREPARE_TIMES: f64 = 1.5;
 const PREPARE_MORE: Millis = 1_000;
-/// How far ahead a switch is laid: two orders at each rank and the votes take
-/// some 20 ms, and readings of the last step are up to 25 ms old. A switch that
-/// is laid too short holds its step for as long, and is no less safe.
-const LEAD: Millis = 60;
-/// How much further ahead it is laid while orders go unanswered, so that they
-/// can be given again before the step is held.
-const LEAD_UNANSWERED: Millis = 150;
+/// How far ahead a switch is laid: two orders at each rank and the votes take 8
+/// ms, and readings of the last step are up to 25 ms old. A switch that is laid
+/// too short holds its step for as long, and is no less safe.
+const LEAD: Millis = 35;
+/// How much further ahead it is laid while orders go unanswered, so that four
+/// of them can be given again before the step is held.
+const LEAD_UNANSWERED: Millis = 100;
 /// How long an unanswered order counts as a sign of more.
-const UNANSWERED: Millis = 5_000;
+pub(super) const UNANSWERED: Millis = 5_000;
 /// How long an obstacle to planning lasts before a line says so.
 const OBSTACLE: Millis = 1_000;
 /// Passes that it is laid ahead at least, beside the one that begins next: an
@@ -284,7 +284,8 @@
         it.switching = true;
         let steps = self.ranks.values().filter(|it| it.epoch == epoch).map(|it| it.step);
         let known = steps.max().unwrap_or(0);
-        let shaky = self.unanswered.is_some_and(|at| now < at + UNANSWERED);
+        let mine = self.unanswered.is_some_and(|at| now < at + UNANSWERED);
+        let shaky = mine || self.ranks.values().any(|it| it.unanswered);
         let lead = if shaky { LEAD + LEAD_UNANSWERED } else { LEAD };
         let ahead = if self.pass > 0.0 { (lead as f64 / self.pass).ceil() as u64 } else { 0 };
         let step = known.max(group.reading.step) + ahead.max(LEAD_PASSES) + 1;
--- a/crates/sablepass-agent/src/ranks/tally.rs
+++ b/crates/sablepass-agent/src/ranks/tally.rs
@@ -10,6 +10,7 @@
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
 
+use crate::ranks::planner::UNANSWERED;
 use crate::ranks::{Do, Rank, Ranks};
 
 /// Thousandths, as paces are told on the wire.
@@ -19,7 +20,7 @@
 
 impl Ranks {
     /// How the own rank stands, with the experts that it holds if asked for.
-    pub(super) fn tally(&self, experts: bool) -> Option<wire::Tally> {
+    pub(super) fn tally(&self, now: Millis, experts: bool) -> Option<wire::Tally> {
         let group = self.group.as_ref()?;
         let lists = self.lists.as_ref().filter(|it| it.version == group.reading.version);
         let layers = lists.filter(|_| experts).map(|it| it.experts.as_slice()).unwrap_or_default();
@@ -38,6 +39,7 @@
             experts: experts.collect(),
             pace: (group.pace * PACE_UNIT).round() as u32,
             samples: false,
+            unanswered: self.unanswered.is_some_and(|at| now < at + UNANSWERED),
         })
     }
 
@@ -48,13 +50,13 @@
         demand::sample(&(0..size).map(near).collect::<Vec<bool>>())
     }
 
-    pub(super) fn tell(&self, peer: PeerKey) -> Option<Do> {
-        let tally = self.tally(true)?;
+    pub(super) fn tell(&self, now: Millis, peer: PeerKey) -> Option<Do> {
+        let tally = self.tally(now, true)?;
         Some(self.tell_one(&tally, &self.asked(), peer))
     }
 
-    pub(super) fn tell_all(&self) -> Vec<Do> {
-        let Some(tally) = self.tally(true) else { return Vec::new() };
+    pub(super) fn tell_all(&self, now: Millis) -> Vec<Do> {
+        let Some(tally) = self.tally(now, true) else { return Vec::new() };
         let asked = self.asked();
         self.agents.keys().map(|peer| self.tell_one(&tally, &asked, *peer)).collect()
     }
@@ -100,6 +102,7 @@
             prepared: it.prepared,
             experts,
             pace: f64::from(it.pace) / PACE_UNIT,
+            unanswered: it.unanswered,
         };
         let changed = same.is_none();
         self.ranks.insert(rank, told);
@@ -116,15 +119,15 @@
             list.extend(self.consider(now));
         }
         if !known {
-            list.extend(self.tell(peer));
+            list.extend(self.tell(now, peer));
         }
         list
     }
 
     /// Tells the planner how the own rank stands.
-    pub(super) fn tell_planner(&self) -> Option<Do> {
+    pub(super) fn tell_planner(&self, now: Millis) -> Option<Do> {
         let planner = self.ranks.get(&0)?.peer;
-        Some(Do::Send(planner, Body::Tally(self.tally(false)?)))
+        Some(Do::Send(planner, Body::Tally(self.tally(now, false)?)))
     }
 }
 
--- a/crates/sablepass-core/src/expert/barrier.rs
+++ b/crates/sablepass-core/src/expert/barrier.rs
@@ -326,7 +326,10 @@
             (Order::Hold(_) | Order::Arm(_), Done::Taken | Done::Unknown) => {}
             (Order::Hold(_) | Order::Arm(_), Done::Refused) => self.refuse(),
             (Order::Disarm(_), Done::Taken) => self.disarmed(),
-            (Order::Go(_), Done::Taken) | (_, Done::Fenced) => {}
+            // The account says whether it has to be given again. Time enough went
+            // by until it counted as unanswered.
+            (Order::Go(_), Done::Taken | Done::Unknown) | (_, Done::Fenced) => {}
+            (Order::Bar | Order::Disarm(_), Done::Unknown) => {}
             (Order::Bar | Order::Disarm(_) | Order::Go(_), _) => self.resting = true,
         }
     }
@@ -339,7 +342,8 @@
                 self.refused.push(plan);
             }
             Done::Fenced => self.fenced(),
-            Done::Refused | Done::Unknown => self.resting = true,
+            Done::Unknown => {}
+            Done::Refused => self.resting = true,
         }
     }
 
--- a/crates/sablepass-core/tests/barrier.rs
+++ b/crates/sablepass-core/tests/barrier.rs
@@ -506,3 +506,32 @@
         assert!(world.agents.iter().all(Member::is_free));
     }
 }
+
+/// The order among what a member wants done.
+fn ordered(outputs: &[Output]) -> Option<Order> {
+    outputs.iter().find_map(|it| match it {
+        Output::Order { order, .. } => Some(*order),
+        Output::Send(..) => None,
+    })
+}
+
+#[test]
+fn verify_an_unanswered_go_is_given_again_without_a_tick() {
+    let plan = Plan { version: 2, step: 9 };
+    let idle = Reading { epoch: 1, step: 5, version: 1, prepared: Some(2), ..Reading::default() };
+    let mut member = Member::open(0, 1, 0);
+    assert_eq!(ordered(&member.on_reading(idle)), Some(Order::Bar));
+    member.on_done(Done::Taken);
+    assert_eq!(ordered(&member.on_reading(idle)), None);
+    member.want(2);
+    assert_eq!(ordered(&member.propose(plan)), Some(Order::Hold(9)));
+    member.on_done(Done::Taken);
+    let held = Reading { held: Some(9), ..idle };
+    assert_eq!(ordered(&member.on_reading(held)), Some(Order::Arm(plan)));
+    member.on_done(Done::Taken);
+    let armed = Reading { armed: Some(plan), ..held };
+    assert_eq!(ordered(&member.on_reading(armed)), Some(Order::Go(9)));
+    member.on_done(Done::Unknown);
+    // The step is held for as long as this takes.
+    assert_eq!(ordered(&member.on_reading(armed)), Some(Order::Go(9)));
+}
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -327,6 +327,9 @@
     /// The receiver is to tell the sender its choices.
     #[prost(bool, tag = "11")]
     pub samples: bool,
+    /// An order to the rank went unanswered lately.
+    #[prost(bool, tag = "12")]
+    pub unanswered: bool,
 }
 /// What an entry tells the agent beside a listed target of a service whose
 /// targets are ranks of a group.
