--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -12,9 +12,9 @@
 
 use std::collections::BTreeMap;
 
-use sablepass_core::expert::barrier::{Done, Member, Message, Output, Plan, Reading};
+use sablepass_core::expert::barrier::{Done, Member, Reading};
 use sablepass_core::expert::demand::{self, Demand};
-use sablepass_core::expert::map::{self, Bounds, Map};
+use sablepass_core::expert::map::{Bounds, Map};
 use sablepass_core::expert::watch::Watch;
 use sablepass_core::id::Millis;
 use sablepass_edge::caller::Answer;
@@ -26,21 +26,16 @@
 
 use crate::engine::{Ask, Heard};
 use crate::ranks::planner::Obstacle;
+use crate::ranks::votes::done;
 
+mod maps;
 mod planner;
 mod tally;
+mod votes;
 
 /// Ticks between two tallies of the planner to all, so that an agent which was
 /// not ready for one gets the next.
 const TELL_TICKS: u64 = 5;
-/// How often the order to prepare a map is given again when it goes unanswered.
-const PREPARES: u32 = 4;
-/// Ranks that each rank passes a proposed map on to. The planner of 72 ranks,
-/// whose maps take 5 KB, filled its link of 8 Mbit/s for 0.4 s; through two
-/// levels of 8 no rank sends more than 41 KB, which takes 0.04 s there by that
-/// rate. A map needs every rank, so the ranks on the way make it no less likely
-/// to be prepared.
-const RELAYS: u16 = 8;
 
 /// Weight of a reading in the requests that a rank runs: some ten readings,
 /// which come every 50 to 100 ms.
@@ -312,29 +307,6 @@
         Vec::new()
     }
 
-    fn prepared(&mut self, heard: &Heard) -> Vec<Do> {
-        let done = match heard {
-            Ok(it) => done(it.status),
-            Err(_) => Done::Unknown,
-        };
-        match done {
-            Done::Taken => return Vec::new(),
-            // It may be carried out late; one with a higher fence bars it.
-            Done::Unknown => return self.order_prepare(),
-            Done::Fenced => {
-                if let Some(member) = &mut self.member {
-                    member.fenced();
-                }
-                return self.order_prepare();
-            }
-            Done::Refused => {}
-        }
-        slog::warn!(self.log, "map not prepared"; "done" => ?done,
-            "version" => self.wanted.as_ref().map(|it| it.version));
-        self.wanted = None;
-        Vec::new()
-    }
-
     fn picked(&mut self, now: Millis, it: Picked) -> Vec<Do> {
         let Some(group) = &self.group else { return Vec::new() };
         if it.epoch != group.reading.epoch {
@@ -358,49 +330,12 @@
         tally.map(|it| Do::Send(planner, Body::Tally(it))).into_iter().collect()
     }
 
-    fn carry_out(&mut self, outputs: Vec<Output>) -> Vec<Do> {
-        let mut list = Vec::new();
-        for output in outputs {
-            match output {
-                Output::Send(to, epoch, message) => {
-                    if let Some(rank) = self.ranks.get(&to) {
-                        list.push(Do::Send(rank.peer, self.barrier(epoch, message)));
-                    }
-                }
-                Output::Order { order, epoch, fence } => {
-                    slog::info!(self.log, "order"; "order" => ?order, "epoch" => epoch,
-                        "fence" => fence, "step" => self.group.as_ref().map(|it| it.reading.step));
-                    list.push(Do::Ask(Ask::Order(engine::order(order, epoch, fence))));
-                }
-            }
-        }
-        list
-    }
-
     // Other ranks.
 
     fn group_name(&self) -> String {
         self.group.as_ref().map_or(String::new(), |it| it.name.clone())
     }
 
-    fn barrier(&self, epoch: u64, message: Message) -> Body {
-        let (kind, plan, yes, no) = match message {
-            Message::Switch(plan) => (0, plan, 0, false),
-            Message::Votes { plan, yes, no } => (1, plan, yes, no),
-            Message::Ask(plan) => (2, plan, 0, false),
-        };
-        Body::Barrier(wire::Barrier {
-            group: self.group_name(),
-            epoch,
-            rank: self.group.as_ref().map_or(0, |it| it.rank.into()),
-            kind,
-            version: plan.version,
-            step: plan.step,
-            yes: yes.to_be_bytes().to_vec().into(),
-            no,
-        })
-    }
-
     /// Takes a message of another agent. None if it is not for groups.
     pub fn message(&mut self, now: Millis, peer: PeerKey, body: Body) -> Option<Vec<Do>> {
         match body {
@@ -415,94 +350,6 @@
         self.group.as_ref().is_some_and(|it| it.name == group && it.reading.epoch == epoch)
     }
 
-    fn on_proposal(&mut self, it: &wire::Proposal) -> Vec<Do> {
-        let Some(shape) = self.map_shape().filter(|_| self.is_mine(&it.group, it.epoch)) else {
-            return Vec::new();
-        };
-        match Map::parse(shape, &it.map) {
-            Ok(map) => {
-                let mut list = self.pass_on(it);
-                list.extend(self.prepare(it.version, map));
-                list
-            }
-            Err(e) => {
-                slog::warn!(self.log, "proposed map does not fit"; "error" => %e);
-                Vec::new()
-            }
-        }
-    }
-
-    /// Passes a proposed map on to the ranks below this one.
-    fn pass_on(&self, it: &wire::Proposal) -> Vec<Do> {
-        let Some(group) = &self.group else { return Vec::new() };
-        let first = group.rank.saturating_mul(RELAYS).saturating_add(1);
-        let below = first..first.saturating_add(RELAYS).min(group.size);
-        let peers = below.filter_map(|rank| self.ranks.get(&rank)).map(|it| it.peer);
-        peers.map(|peer| Do::Send(peer, Body::Proposal(it.clone()))).collect()
-    }
-
-    fn on_barrier(&mut self, it: &wire::Barrier) -> Vec<Do> {
-        if !self.is_mine(&it.group, it.epoch) {
-            return Vec::new();
-        }
-        let plan = Plan { version: it.version, step: it.step };
-        let message = match it.kind {
-            0 => Message::Switch(plan),
-            1 => match <[u8; 16]>::try_from(&it.yes[..]) {
-                Ok(yes) => Message::Votes { plan, yes: u128::from_be_bytes(yes), no: it.no },
-                Err(_) => return Vec::new(),
-            },
-            2 => Message::Ask(plan),
-            _ => return Vec::new(),
-        };
-        let (Ok(from), Some(member)) = (u16::try_from(it.rank), &mut self.member) else {
-            return Vec::new();
-        };
-        let outputs = member.on_message(from, it.epoch, message);
-        self.carry_out(outputs)
-    }
-
-    fn map_shape(&self) -> Option<map::Shape> {
-        let (bounds, group) = (self.bounds.as_ref()?, self.group.as_ref()?);
-        Some(map::Shape {
-            ranks: group.size.into(),
-            layers: bounds.layers as usize,
-            experts: bounds.experts as usize,
-            slots: bounds.slots as usize,
-        })
-    }
-
-    fn prepare(&mut self, version: u64, map: Map) -> Vec<Do> {
-        let (Some(group), Some(member)) = (&self.group, &mut self.member) else {
-            return Vec::new();
-        };
-        let reading = group.reading;
-        self.highest = self.highest.max(version);
-        if version <= reading.version || !group.open || !member.is_free() {
-            return Vec::new();
-        }
-        self.wanted = Some(Wanted { version, map, orders: 0 });
-        self.order_prepare()
-    }
-
-    fn order_prepare(&mut self) -> Vec<Do> {
-        let (Some(group), Some(member), Some(wanted)) =
-            (&self.group, &mut self.member, &mut self.wanted)
-        else {
-            return Vec::new();
-        };
-        wanted.orders += 1;
-        if wanted.orders > PREPARES {
-            return Vec::new();
-        }
-        let (version, epoch) = (wanted.version, group.reading.epoch);
-        let fence = member.want(version);
-        slog::info!(self.log, "map to be prepared"; "version" => version, "epoch" => epoch,
-            "step" => group.reading.step, "fence" => fence, "orders" => wanted.orders);
-        let body = engine::prepare(version, &by_rank(&wanted.map), epoch, fence);
-        vec![Do::Ask(Ask::Prepare(body))]
-    }
-
     // Time and plans.
 
     /// Asks for missing votes, and plans beside rank 0.
@@ -540,21 +387,3 @@
         })
     }
 }
-
-fn done(status: u16) -> Done {
-    match engine::taken(status) {
-        engine::Taken::Yes => Done::Taken,
-        engine::Taken::No => Done::Refused,
-        engine::Taken::Fenced => Done::Fenced,
-    }
-}
-
-/// The experts of each rank, layer by layer.
-fn by_rank(map: &Map) -> Vec<Vec<Vec<u16>>> {
-    let rank = |layer: &map::Layer, rank: usize| {
-        let held = layer.slots_of(map::Rank(rank as u16)).filter_map(|slot| layer.expert(slot));
-        held.map(|it| it.0).collect::<Vec<u16>>()
-    };
-    let layer = |it: &map::Layer| (0..it.ranks()).map(|at| rank(it, at)).collect();
-    map.layers.iter().map(layer).collect()
-}
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod reason;
 pub mod rendezvous;
 pub mod route;
+pub mod starts;
--- a/crates/sablepass-core/tests/rebalance.rs
+++ b/crates/sablepass-core/tests/rebalance.rs
@@ -5,7 +5,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use sablepass_core::expert::map::{Map, Paces, Shape};
+use sablepass_core::expert::map::{Expert, Map, Paces, Rank, Shape};
 use sablepass_core::expert::rebalance::{self, Change, Options};
 use sablepass_core::expert::watch::Watch;
 
@@ -88,7 +88,7 @@
         while let Some(change) = decide(&options, &map, &demand) {
             for (new, old) in change.map.layers.iter().zip(&map.layers) {
                 for rank in 0..SHAPE.ranks {
-                    let rank = sablepass_core::expert::map::Rank(rank as u16);
+                    let rank = Rank(rank as u16);
                     let held = new.slots_of(rank).filter_map(|it| new.expert(it));
                     let fresh = held.filter(|it| !old.holds(rank, *it)).count();
                     assert!(fresh <= options.spare, "seed {seed}: {fresh} new experts");
@@ -103,6 +103,23 @@
     }
 }
 
+#[test]
+fn verify_empty_slots_are_filled_with_second_replicas() {
+    let map = Map::even(SHAPE).expect("built");
+    let filled = rebalance::fill(4, &map).expect("36 slots a layer are empty");
+    assert_eq!(Map::parse(SHAPE, &filled.encode()).as_ref(), Ok(&filled));
+    for (new, old) in filled.layers.iter().zip(&map.layers) {
+        let twice = (0..SHAPE.experts).filter(|it| new.replicas(Expert(*it as u16)) == 2).count();
+        assert_eq!(twice, SHAPE.ranks * SHAPE.slots - SHAPE.experts);
+        for rank in (0..SHAPE.ranks).map(|it| Rank(it as u16)) {
+            let held = new.slots_of(rank).filter_map(|it| new.expert(it));
+            assert!(held.filter(|it| !old.holds(rank, *it)).count() <= 4);
+        }
+    }
+    assert_eq!(rebalance::fill(4, &filled), None, "nothing is empty");
+    assert_eq!(rebalance::fill(0, &map), None, "no rank may take any");
+}
+
 #[test]
 fn verify_shifts_are_seen_at_once_and_nothing_else_is() {
     let (mut false_alarms, mut intervals) = (0, 0);
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -19,8 +19,9 @@
 use stakker::CX;
 
 use crate::call::{Asks, Call, Run};
+use crate::open::Open;
 use crate::openai;
-use crate::router::{Open, Router};
+use crate::router::Router;
 use crate::targets::Served;
 use crate::trace::Step;
 
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -16,8 +16,9 @@
 use sablepass_platform::request;
 use stakker::CX;
 
+use crate::open::Open;
 use crate::pool::{Carried, ConnectionKey};
-use crate::router::{Open, Router};
+use crate::router::Router;
 
 /// How long a target is left alone that refused a connection.
 const REST_AWAY: Millis = 400;
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -15,7 +15,8 @@
 use sablepass_wire::generated::frame::Body;
 use stakker::{CX, call};
 
-use crate::router::{Open, Router};
+use crate::open::Open;
+use crate::router::Router;
 
 impl Router {
     /// Takes an event of the mesh.
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -6,21 +6,19 @@
 
 use std::collections::HashMap;
 use std::path::PathBuf;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sablepass_core::admit::{Admission, Ticket};
+use sablepass_core::admit::Admission;
 use sablepass_core::balance::Policy;
 use sablepass_core::budget::Budget;
-use sablepass_core::declaration::Priority;
-use sablepass_core::flight::{Action, Event, Flight};
+use sablepass_core::flight::{Action, Event};
 use sablepass_core::id::{AttemptId, Incarnation, Millis, RequestId};
 use sablepass_core::outcome::Failure;
 use sablepass_core::reason::{Ignored, Refusal};
-use sablepass_core::route::Route;
+use sablepass_core::starts::Starts;
 use sablepass_edge::client;
 use sablepass_edge::mesh::Mesh;
 use sablepass_edge::server::{ExchangeKey, Part, Server};
@@ -32,11 +30,10 @@
 use slog::Logger;
 use stakker::{ActorOwn, CX, after, call, fwd_to};
 
-use crate::call::Run;
+use crate::open::Open;
 use crate::openai;
 use crate::pool::{ConnectionKey, Pool};
 use crate::settings::Settings;
-use crate::starts::Starts;
 use crate::targets::{self, Choice, Served, Targets, Via};
 use crate::trace::{Step, Traces};
 
@@ -47,10 +44,6 @@
 /// How long a stream that has begun waits for a target that can go on with it.
 /// Callers give up a stream that is silent for two seconds or more.
 const RESUME_WAIT: Millis = 1_700;
-/// How long a request waits for a group that is about to open. With the time
-/// that its prompt takes it then begins before its caller, who leaves after two
-/// seconds of silence, is gone.
-const FORM_WAIT: Millis = 1_400;
 /// Requests that wait so, for each place of this entry's part of the service. A group
 /// opens on its first map, which is far from even, and what waited begins at once:
 /// with 2 for each place those late made the next ones late as well.
@@ -58,51 +51,6 @@
 /// How long a stopping entry stays after its last answer, so that it is read.
 const LINGER: Duration = Duration::from_millis(200);
 
-/// A request in progress.
-pub(crate) struct Open {
-    pub(crate) flight: Flight,
-    pub(crate) run: Run,
-    /// The customer's qualified name.
-    pub(crate) customer: String,
-    /// The customer's name as targets are told it.
-    pub(crate) told: Option<String>,
-    pub(crate) priority: Priority,
-    pub(crate) served: Served,
-    /// The route that it came by, as it was then.
-    pub(crate) route: Option<Rc<Route>>,
-    pub(crate) exchange: ExchangeKey,
-    pub(crate) ticket: Ticket,
-    /// The target that owns the request's key.
-    pub(crate) owner: Option<String>,
-    /// Since when the request waits for a connection to that target.
-    pub(crate) waiting: Option<Millis>,
-    /// The target that counts this request as its own.
-    pub(crate) counted: Option<String>,
-    /// The connection that carries it, if it goes straight to its target.
-    pub(crate) connection: Option<ConnectionKey>,
-    /// The caller's answer has begun.
-    pub(crate) begun: bool,
-    /// When the caller last got something.
-    pub(crate) spoke: Millis,
-    /// When it was first sent to a target.
-    pub(crate) started: Millis,
-    /// How long its caller waited for the first of the answer, and at most for
-    /// any more of it, with when that wait ended.
-    pub(crate) first: Millis,
-    pub(crate) pause: (Millis, Millis),
-    /// When its caller may come back, if it is refused.
-    pub(crate) comeback: Option<Millis>,
-    /// Revision of the configuration that it was admitted by.
-    pub(crate) revision: u64,
-}
-
-impl Open {
-    /// Whether it may still wait for its group to open.
-    fn is_patient(&self, now: Millis) -> bool {
-        now < self.flight.request().deadline.min(self.run.arrived + FORM_WAIT)
-    }
-}
-
 /// The actor.
 pub struct Router {
     pub(crate) settings: Settings,
@@ -365,7 +313,8 @@
                     "objective" => open.route.as_ref().map(|it| it.objective));
                 let (served, started) = (open.served.clone(), open.started);
                 let opened = (open.run.arrived + open.first).saturating_sub(started);
-                self.stream_lasted(&served, now.saturating_sub(started), opened);
+                let starts = self.starts.entry(served).or_default();
+                starts.lasted(now.saturating_sub(started), opened);
                 self.traces.add(now, id, Step::Answered);
             }
             Action::Fail(failure) => self.fail(now, id, failure),
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -21,23 +21,17 @@
 use sablepass_core::membership::{Members, Pace, Report};
 use sablepass_core::once::Key;
 use sablepass_core::rendezvous;
-use sablepass_edge::instance::{Instance, Role};
+use sablepass_edge::instance::Instance;
 use sablepass_edge::mesh::{PeerKey, Wanted};
 
 /// How long a connection made for one key's owner is kept.
 const OWNER_KEEP: Millis = 60_000;
-/// How long a target is still used that the list names no more. Entries of
-/// live targets that lapse in an outage are back soon after its end; one that
-/// ended refuses connections. Less than the time in which new work must stop.
-const LAPSE: Millis = 1_200;
-/// The same while most targets of the list are missing at once, as after an
-/// outage of the list's service: they are back within about two seconds.
-const LAPSE_OF_MANY: Millis = 3_000;
 
 /// What targets are found by: kind and qualified model or service.
 pub type Served = (Kind, String);
 
 mod groups;
+mod listing;
 
 /// Limits that the settings give.
 #[derive(Clone, Debug)]
@@ -165,51 +159,6 @@
         self.index();
     }
 
-    /// Takes a new instance list. Returns the targets that are gone for good.
-    pub fn list(&mut self, now: Millis, instances: &BTreeMap<String, Instance>) -> Vec<String> {
-        if !instances.is_empty() {
-            self.learning.get_or_insert(now);
-        }
-        let entries = instances.values().filter(|it| it.role == Role::Entry).count();
-        self.entries = self.entries.max(entries);
-        let leaving = instances.iter().filter(|(_, it)| it.leaving);
-        self.leaving = leaving.map(|(name, _)| name.clone()).collect();
-        for (name, it) in instances.iter().filter(|(_, it)| it.role == Role::Target) {
-            self.members.listed(now, name, it.leaving);
-            let misdirected = self.listed.get(name).is_some_and(|it| it.misdirected);
-            let listed = Listed { instance: it.clone(), missing: None, misdirected };
-            self.listed.insert(name.clone(), listed);
-        }
-        for (name, it) in &mut self.listed {
-            if !instances.contains_key(name) {
-                it.missing.get_or_insert(now);
-            }
-        }
-        self.lapse(now)
-    }
-
-    /// Drops targets that the list has not named for long enough.
-    pub fn lapse(&mut self, now: Millis) -> Vec<String> {
-        let missing = self.listed.values().filter(|it| it.missing.is_some()).count();
-        let many = missing * 2 > self.listed.len() && missing > 1;
-        let span = if many { LAPSE_OF_MANY } else { LAPSE };
-        let over = |it: &Listed| it.missing.is_some_and(|since| now >= since + span);
-        let gone: Vec<String> =
-            self.listed.iter().filter(|it| over(it.1)).map(|it| it.0.clone()).collect();
-        for name in &gone {
-            self.listed.remove(name);
-            self.members.unlisted(name);
-        }
-        self.index();
-        gone
-    }
-
-    /// The same, if any target is missing.
-    pub fn lapse_due(&mut self, now: Millis) -> Vec<String> {
-        let missing = self.listed.values().any(|it| it.missing.is_some());
-        if missing { self.lapse(now) } else { Vec::new() }
-    }
-
     /// Says with how many other entries targets and budgets are shared.
     pub fn meet(&mut self, others: usize) {
         // An entry that is out of contact may still work.
@@ -221,39 +170,6 @@
         self.entries
     }
 
-    /// Finds the targets whose address a later one has. One that turned out
-    /// not to be there replaces nothing.
-    fn find_replaced(&mut self) {
-        let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
-        let there = |it: &&Listed| it.missing.is_none() && !it.misdirected;
-        for it in self.listed.values().filter(there) {
-            let revision = latest.entry(it.instance.addr).or_default();
-            *revision = it.instance.revision.max(*revision);
-        }
-        let old = |it: &Listed| latest.get(&it.instance.addr) > Some(&it.instance.revision);
-        let replaced = self.listed.iter().filter(|it| old(it.1));
-        self.replaced = replaced.map(|it| it.0.clone()).collect();
-    }
-
-    fn index(&mut self) {
-        self.find_replaced();
-        self.serving.clear();
-        for (name, it) in &self.catalogue.targets {
-            let served = (it.it.kind, format!("{}/{}", it.partner, it.it.serves));
-            self.serving.entry(served).or_default().push(name.clone());
-        }
-        for (name, it) in &self.listed {
-            let served = (Kind::Service, it.instance.serves.clone());
-            self.serving.entry(served).or_default().push(name.clone());
-        }
-        let subset = |names: &Vec<String>| {
-            let names = names.iter().map(String::as_str);
-            let chosen = balance::subset(&self.options.me, self.options.subset, names);
-            chosen.into_iter().map(str::to_owned).collect::<Vec<String>>()
-        };
-        self.subsets = self.serving.iter().map(|(it, names)| (it.clone(), subset(names))).collect();
-    }
-
     /// The processes to be connected to: agents of declared targets, and those
     /// beside listed ones that are ranks of a group.
     pub fn wanted(&mut self, now: Millis) -> Vec<Wanted> {
