--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -17,7 +17,7 @@
 const FRESH: Millis = 300;
 /// How many times as long as copying takes ranks may be busy with a map, and
 /// how much longer, before it is given up: orders to them may go unanswered,
-/// and are given again after 50 ms up to three times.
+/// and are given again after 25 ms up to three times.
 const PREPARE_TIMES: f64 = 1.5;
 const PREPARE_MORE: Millis = 1_000;
 /// How far ahead a switch is laid: two orders at each rank and the votes take 8
@@ -36,7 +36,6 @@
 const LEAD_PASSES: u64 = 1;
 /// By how much versions jump when ranks refuse one: another planner used more.
 const VERSION_JUMP: u64 = 1_000;
-
 /// Requests that a rank runs, over some time, below which its group has next to
 /// nothing to do: copying slows nobody down then.
 const IDLE: f64 = 0.05;
@@ -113,7 +112,8 @@
         }
     }
 
-    /// A map with fewer empty slots, while the group has next to nothing to do.
+    /// A map with fewer empty slots, while the group has next to nothing to do. No
+    /// rank gets more new experts than the change says; most get fewer.
     fn fill(&self) -> Option<rebalance::Change> {
         let spare = self.bounds.as_ref()?.spare as usize;
         let old = self.map_in_force().filter(|_| self.running < IDLE)?;
