--- a/crates/sablepass-core/src/expert/place.rs
+++ b/crates/sablepass-core/src/expert/place.rs
@@ -24,8 +24,8 @@
 const MOST_SURPLUS: f64 = 0.1;
 
 /// Heaviest experts of the slowest rank that small steps try to relieve it of.
-/// The others take load off it more slowly than they cost; with 11 slots a rank
-/// a third of the time of a search is left.
+/// The others take little load off it; with 11 slots a rank a search weighs four
+/// of eleven steps.
 const HEAVIEST: usize = 4;
 
 /// Potential that a small step must gain. Below it, steps only shuffle
--- a/crates/sablepass-core/src/expert/watch.rs
+++ b/crates/sablepass-core/src/expert/watch.rs
@@ -14,8 +14,9 @@
 use crate::id::Millis;
 
 /// How many times the usual deviation an interval must be further away than
-/// usual. On a played day of 420 intervals with 11 shifts, all of these were
-/// seen in the interval in which they came or the next one, and nothing else.
+/// usual. Of 6,800 intervals of four requests of very unlike size, 58, 29 and
+/// fewer than 23 were taken for a shift at 6, 7 and 8, and at 8 all of 180 shifts
+/// were seen in their first interval.
 const DEVIATIONS: f64 = 8.0;
 /// Usual distance and deviation as long as nothing is learnt, of one interval
 /// from a sum of many.
