--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -38,7 +38,7 @@
 const TELL_TICKS: u64 = 5;
 
 /// Weight of a reading in the requests that a rank runs: some ten readings,
-/// which come every 50 to 100 ms.
+/// which come every 25 to 100 ms.
 const RUNNING_WEIGHT: f64 = 0.1;
 
 /// What is to be done.
--- a/crates/sablepass-core/src/starts.rs
+++ b/crates/sablepass-core/src/starts.rs
@@ -13,8 +13,8 @@
 use crate::id::{Millis, RequestId};
 
 /// How many times as long as usual a stream may take from its start to its
-/// first event, so that it is still in time after the longest wait. Chosen, not
-/// measured.
+/// first event, so that it is still in time after the longest wait.
+/// Chosen, not measured.
 const OPENS_TIMES: f64 = 1.3;
 /// Milliseconds that this is taken to last before one has begun.
 const OPENS: f64 = 200.0;
