--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -93,7 +93,8 @@
     ) -> Option<Self> {
         // Fences grow from agent to agent by the time of day; one that is too
         // low after a clock went back is found out by the first order.
-        let ranks = Ranks::open(log.clone(), settings.node.hall.clone(), clock::time_of_day());
+        let hall = settings.node.hall.clone();
+        let ranks = Ranks::open(log.clone(), metrics.clone(), hall, clock::time_of_day());
         let mut observer = Self {
             settings,
             target,
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -11,14 +11,17 @@
 //! votes of [`sablepass_core::expert::barrier`].
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use sablepass_core::expert::barrier::{Done, Member, Reading};
 use sablepass_core::expert::demand::{self, Demand};
 use sablepass_core::expert::map::{Bounds, Map};
 use sablepass_core::expert::watch::Watch;
 use sablepass_core::id::Millis;
+use sablepass_core::reason::Ignored;
 use sablepass_edge::caller::Answer;
 use sablepass_edge::mesh::PeerKey;
+use sablepass_edge::telemetry::Metrics;
 use sablepass_platform::engine::{self, Group, Lists, Picked};
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
@@ -87,9 +90,12 @@
 /// The member, and the planner beside rank 0.
 pub struct Ranks {
     log: Logger,
+    metrics: Arc<Metrics>,
     bounds: Option<Bounds>,
     /// None until the replica has told that it is a rank.
     member: Option<Member>,
+    /// The size of a group that no member could be opened for.
+    refused: Option<u16>,
     group: Option<Group>,
     fence: u64,
     ranks: BTreeMap<u16, Rank>,
@@ -127,11 +133,13 @@
 
 impl Ranks {
     /// Opens without knowledge, in a hall. Orders carry fences above `fence`.
-    pub fn open(log: Logger, hall: String, fence: u64) -> Self {
+    pub fn open(log: Logger, metrics: Arc<Metrics>, hall: String, fence: u64) -> Self {
         Self {
             log,
+            metrics,
             bounds: None,
             member: None,
+            refused: None,
             group: None,
             fence,
             ranks: BTreeMap::new(),
@@ -215,11 +223,12 @@
         if formed {
             self.formed(&group);
         }
-        let fence = self.fence;
-        let fresh = || Member::open(group.rank, group.size, fence);
-        let member = self.member.get_or_insert_with(fresh);
-        // A group that is not complete takes no orders.
-        let outputs = if group.open { member.on_reading(reading) } else { Vec::new() };
+        self.join(&group);
+        let outputs = match &mut self.member {
+            // A group that is not complete takes no orders.
+            Some(member) if group.open => member.on_reading(reading),
+            _ => Vec::new(),
+        };
         let mut list = self.carry_out(outputs);
         let old = before.map(|it| it.reading);
         let moved = |of: fn(&Reading) -> Option<u64>| old.as_ref().and_then(of) != of(&reading);
@@ -240,6 +249,23 @@
         list
     }
 
+    /// Opens the member of the switch. A group that is too large for one goes on
+    /// without maps of ours.
+    fn join(&mut self, group: &Group) {
+        if self.member.is_some() || self.refused == Some(group.size) {
+            return;
+        }
+        match Member::open(group.rank, group.size, self.fence) {
+            Ok(it) => self.member = Some(it),
+            Err(e) => {
+                slog::error!(self.log, "group served without maps"; "group" => &group.name,
+                    "rank" => group.rank, "error" => %e);
+                self.metrics.ignored(Ignored::LargeGroup);
+                self.refused = Some(group.size);
+            }
+        }
+    }
+
     fn formed(&mut self, group: &Group) {
         slog::info!(self.log, "group formed"; "group" => &group.name, "rank" => group.rank,
             "size" => group.size, "epoch" => group.reading.epoch, "open" => group.open);
--- a/crates/sablepass-agent/src/ranks/votes.rs
+++ b/crates/sablepass-agent/src/ranks/votes.rs
@@ -5,9 +5,12 @@
 //! members tell it.
 
 use sablepass_core::expert::barrier::{Done, Message, Output, Plan};
+use sablepass_core::expert::members::{self, Members};
+use sablepass_core::reason::Ignored;
 use sablepass_platform::engine;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
+use snafu::{OptionExt, Snafu};
 
 use crate::engine::Ask;
 use crate::ranks::{Do, Ranks};
@@ -34,9 +37,9 @@
 
     fn barrier(&self, epoch: u64, message: Message) -> Body {
         let (kind, plan, yes, no) = match message {
-            Message::Switch(plan) => (0, plan, 0, false),
+            Message::Switch(plan) => (0, plan, Members::default(), false),
             Message::Votes { plan, yes, no } => (1, plan, yes, no),
-            Message::Ask(plan) => (2, plan, 0, false),
+            Message::Ask(plan) => (2, plan, Members::default(), false),
         };
         Body::Barrier(wire::Barrier {
             group: self.group_name(),
@@ -45,33 +48,60 @@
             kind,
             version: plan.version,
             step: plan.step,
-            yes: yes.to_be_bytes().to_vec().into(),
+            yes: yes.encode().into(),
             no,
         })
     }
 
+    /// Takes a message of the switch. One that this group cannot have is
+    /// counted, and changes nothing.
     pub(super) fn on_barrier(&mut self, it: &wire::Barrier) -> Vec<Do> {
-        if !self.is_mine(&it.group, it.epoch) {
+        let Some(group) = self.group.as_ref().filter(|_| self.is_mine(&it.group, it.epoch)) else {
             return Vec::new();
-        }
-        let plan = Plan { version: it.version, step: it.step };
-        let message = match it.kind {
-            0 => Message::Switch(plan),
-            1 => match <[u8; 16]>::try_from(&it.yes[..]) {
-                Ok(yes) => Message::Votes { plan, yes: u128::from_be_bytes(yes), no: it.no },
-                Err(_) => return Vec::new(),
-            },
-            2 => Message::Ask(plan),
-            _ => return Vec::new(),
         };
-        let (Ok(from), Some(member)) = (u16::try_from(it.rank), &mut self.member) else {
+        let Ok((from, message)) = parse(it, group.size) else {
+            self.metrics.ignored(Ignored::BadFrame);
             return Vec::new();
         };
-        let outputs = member.on_message(from, it.epoch, message);
-        self.carry_out(outputs)
+        let Some(member) = &mut self.member else { return Vec::new() };
+        match member.on_message(from, it.epoch, message) {
+            Ok(outputs) => self.carry_out(outputs),
+            Err(e) => {
+                slog::warn!(self.log, "message of the switch ignored"; "error" => %e);
+                self.metrics.ignored(Ignored::BadFrame);
+                Vec::new()
+            }
+        }
     }
 }
 
+/// Why a message of the switch does not decode.
+#[derive(Debug, Snafu)]
+enum Error {
+    /// A kind that there is not.
+    #[snafu(display("no kind {kind}"))]
+    Kind { kind: u32 },
+    /// A sender that no group has.
+    #[snafu(display("no rank {rank}"))]
+    Rank { rank: u32 },
+    /// The votes are not of this group.
+    #[snafu(transparent)]
+    Votes { source: members::Error },
+}
+
+/// The sender's rank and what it says to a group of `size`.
+fn parse(it: &wire::Barrier, size: u16) -> Result<(u16, Message), Error> {
+    let plan = Plan { version: it.version, step: it.step };
+    let message = match it.kind {
+        0 => Message::Switch(plan),
+        1 => Message::Votes { plan, yes: Members::parse(&it.yes, size)?, no: it.no },
+        2 => Message::Ask(plan),
+        kind => return KindSnafu { kind }.fail(),
+    };
+    let from = u16::try_from(it.rank).ok().context(RankSnafu { rank: it.rank })?;
+    Ok((from, message))
+}
+
 /// What became of an order, by the status of its answer.
 pub(super) fn done(status: u16) -> Done {
     match engine::taken(status) {
--- a/crates/sablepass-core/src/expert.rs
+++ b/crates/sablepass-core/src/expert.rs
@@ -8,6 +8,7 @@
 pub mod demand;
 pub mod drift;
 pub mod map;
+pub mod members;
 pub mod place;
 pub mod plan;
 pub mod rebalance;
--- a/crates/sablepass-core/src/expert/barrier.rs
+++ b/crates/sablepass-core/src/expert/barrier.rs
@@ -21,13 +21,32 @@
 
 use std::collections::BTreeMap;
 
-/// Most members of a group.
-pub const MEMBERS: u16 = 128;
+use snafu::{Snafu, ensure};
+
+use crate::expert::members::{self, MEMBERS, Members};
+
 /// Plans whose vote is remembered, for members that ask late.
 const SETTLED: usize = 16;
 /// How much a fence jumps when an engine knows a higher one.
 const FENCE_JUMP: u64 = 1 << 20;
 
+/// Why a group is not kept, or a message is not taken. Nothing has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// The group has more members than a set of votes takes.
+    #[snafu(display("a group of {size}; {MEMBERS} at most"))]
+    TooMany {
+        /// Members of the group.
+        size: u16,
+    },
+    /// A member that the group does not have.
+    #[snafu(transparent)]
+    Members {
+        /// Which one.
+        source: members::Error,
+    },
+}
+
 /// A plan of a switch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Plan {
@@ -92,8 +111,8 @@
     Votes {
         /// The plan.
         plan: Plan,
-        /// Members that are armed, a bit each.
-        yes: u128,
+        /// Members that are armed.
+        yes: Members,
         /// One member is never to be.
         no: bool,
     },
@@ -120,8 +139,7 @@
 /// Votes heard on a plan.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 struct Votes {
-    /// A bit a member.
-    yes: u128,
+    yes: Members,
     no: bool,
 }
 
@@ -169,8 +187,10 @@
 
 impl Member {
     /// Opens member `me` of `size`, whose orders carry fences above `fence`.
-    pub fn open(me: u16, size: u16, fence: u64) -> Self {
-        Self {
+    pub fn open(me: u16, size: u16, fence: u64) -> Result<Self, Error> {
+        ensure!(size <= MEMBERS, TooManySnafu { size });
+        members::check(me, size)?;
+        Ok(Self {
             me,
             size,
             fence,
@@ -186,7 +206,7 @@
             asked: None,
             barring: None,
             refused: Vec::new(),
-        }
+        })
     }
 
     /// The engine's account as last read.
@@ -229,12 +249,25 @@
     /// Begins a plan at all members, this one included.
     pub fn propose(&mut self, plan: Plan) -> Vec<Output> {
         let mut outputs = self.tell_all(Message::Switch(plan));
-        outputs.extend(self.on_message(self.me, self.epoch(), Message::Switch(plan)));
+        outputs.extend(self.take(self.me, self.epoch(), Message::Switch(plan)));
         outputs
     }
 
     /// Takes a message of a member.
-    pub fn on_message(&mut self, from: u16, epoch: u64, message: Message) -> Vec<Output> {
+    pub fn on_message(
+        &mut self,
+        from: u16,
+        epoch: u64,
+        message: Message,
+    ) -> Result<Vec<Output>, Error> {
+        members::check(from, self.size)?;
+        if let Message::Votes { yes, .. } = &message {
+            yes.check(self.size)?;
+        }
+        Ok(self.take(from, epoch, message))
+    }
+
+    fn take(&mut self, from: u16, epoch: u64, message: Message) -> Vec<Output> {
         if self.reading.is_none() || epoch != self.epoch() {
             // Of another epoch, or too early to know. Who waits asks again.
             return Vec::new();
@@ -243,7 +276,7 @@
             Message::Switch(plan) => self.begin(plan),
             Message::Votes { plan, yes, no } => {
                 let votes = self.votes.entry(plan).or_default();
-                votes.yes |= yes;
+                votes.yes = votes.yes.union(&yes);
                 votes.no |= no;
             }
             Message::Ask(plan) => return self.on_ask(from, plan),
@@ -285,8 +318,8 @@
     /// The votes known on a plan, with the own one.
     fn known(&self, plan: Plan, yes: bool) -> Message {
         let votes = self.votes.get(&plan).copied().unwrap_or_default();
-        let mine = if yes { 1 << self.me } else { 0 };
-        Message::Votes { plan, yes: votes.yes | mine, no: votes.no || !yes }
+        let mine = if yes { Members::one(self.me) } else { Members::default() };
+        Message::Votes { plan, yes: votes.yes.union(&mine), no: votes.no || !yes }
     }
 
     /// Takes the engine's account.
@@ -372,8 +405,8 @@
         self.resting = false;
         let mut outputs = self.advance();
         if let Some(Current { plan, vote: Some(true), undone: false, .. }) = self.current {
-            let heard = self.votes.get(&plan).map_or(0, |it| it.yes);
-            if heard.count_ones() < u32::from(self.size) {
+            let heard = self.votes.get(&plan).map_or(0, |it| it.yes.len());
+            if heard < u32::from(self.size) {
                 outputs.extend(self.tell_all(Message::Ask(plan)));
             }
         }
@@ -498,7 +531,7 @@
         if let Some(it) = &mut self.current {
             it.vote = Some(true);
         }
-        self.votes.entry(plan).or_default().yes |= 1 << self.me;
+        self.votes.entry(plan).or_default().yes.insert(self.me);
     }
 
     fn next_after_yes(&mut self, reading: &Reading, it: Current) -> Option<Order> {
@@ -518,7 +551,7 @@
             self.settle(it.plan, true);
             return None;
         }
-        let all = votes.yes.count_ones() == u32::from(self.size);
+        let all = votes.yes.len() == u32::from(self.size);
         (all && reading.held == Some(step)).then_some(Order::Go(step))
     }
 
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -175,6 +175,8 @@
         OldBallot = 7, "old-ballot";
         /// An item of the platform that does not decode.
         BadDocument = 8, "bad-document";
+        /// A group with more ranks than a switch takes: it is served without maps.
+        LargeGroup = 9, "large-group";
     }
 }
 
--- a/crates/sablepass-core/tests/barrier.rs
+++ b/crates/sablepass-core/tests/barrier.rs
@@ -14,7 +14,8 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use sablepass_core::expert::barrier::{Done, Member, Message, Order, Output, Plan, Reading};
+use sablepass_core::expert::barrier::{Done, Error, Member, Message, Order, Output, Plan, Reading};
+use sablepass_core::expert::members::{self, MEMBERS, Members};
 
 /// A fault put into the engines or the network, which the search must find.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -136,7 +137,7 @@
         let reading = Reading { step: 1, ..Reading::default() };
         Self {
             engines: vec![Engine { reading, fence: 0 }; size.into()],
-            agents: (0..size).map(|me| Member::open(me, size, 10)).collect(),
+            agents: (0..size).map(|me| Member::open(me, size, 10).expect("opened")).collect(),
             incarnations: vec![0; size.into()],
             mail: BTreeSet::new(),
             orders: BTreeSet::new(),
@@ -254,12 +255,12 @@
                     Message::Votes { plan, yes, no: true }
                         if limits.mutation == Mutation::ChangesVote =>
                     {
-                        Message::Votes { plan, yes: yes | 1 << from, no: false }
+                        Message::Votes { plan, yes: yes.union(&Members::one(from)), no: false }
                     }
                     other => other,
                 };
                 let outputs = self.agents[usize::from(to)].on_message(from, epoch, message);
-                self.carry_out(to, outputs);
+                self.carry_out(to, outputs.expect("of this group"));
             }
             Action::Execute(it) => self.execute(limits, it, true),
             Action::ExecuteUnanswered(it) => self.execute(limits, it, false),
@@ -279,7 +280,7 @@
                 self.incarnations[index] += 1;
                 self.waits[index] = None;
                 // A clock that went back: the fence starts lower than it was.
-                self.agents[index] = Member::open(rank, limits.members, 5);
+                self.agents[index] = Member::open(rank, limits.members, 5).expect("opened");
             }
             Action::Form => {
                 for engine in &mut self.engines {
@@ -328,7 +329,7 @@
             }
             for (from, to, epoch, message) in std::mem::take(&mut world.mail) {
                 let outputs = world.agents[usize::from(to)].on_message(from, epoch, message);
-                world.carry_out(to, outputs);
+                world.carry_out(to, outputs.expect("of this group"));
             }
             for rank in 0..limits.members {
                 if world.waits[usize::from(rank)].is_none() {
@@ -473,40 +474,92 @@
     }
 }
 
-/// Without faults a plan is carried out, and the next one after it.
-#[test]
-fn verify_plans_are_carried_out() {
-    let limits = Limits { unanswered: 0, plans: &[(0, PLAN), (0, NEXT)], last_step: 6, ..SMALL };
-    let mut world = World::open(&limits);
-    let settle = |world: &mut World| {
-        for _ in 0..20 {
-            for it in world.orders.clone() {
-                world.execute(&limits, it, true);
-            }
-            for (from, to, epoch, message) in std::mem::take(&mut world.mail) {
-                world.make(&limits, Action::Deliver(from, to, epoch, message)).expect("kept");
-            }
-            for rank in 0..2 {
-                if world.waits[usize::from(rank)].is_none() {
-                    world.read(rank);
-                }
+/// Delivers all mail and carries out all orders, some times over.
+fn settle(world: &mut World, limits: &Limits) {
+    for _ in 0..20 {
+        for it in world.orders.clone() {
+            world.execute(limits, it, true);
+        }
+        for (from, to, epoch, message) in std::mem::take(&mut world.mail) {
+            world.make(limits, Action::Deliver(from, to, epoch, message)).expect("kept");
+        }
+        for rank in 0..limits.members {
+            if world.waits[usize::from(rank)].is_none() {
+                world.read(rank);
             }
         }
-    };
-    settle(&mut world);
-    for version in [1, 2] {
-        world.make(&limits, Action::Propose).expect("kept");
-        settle(&mut world);
-        while world.step < 1 + 2 * version {
-            world.make(&limits, Action::Step).expect("kept");
+    }
+}
+
+/// Without faults plans are carried out, one after the other.
+fn carries_out(limits: &Limits) {
+    let mut world = World::open(limits);
+    settle(&mut world, limits);
+    for (_, plan) in limits.plans {
+        world.make(limits, Action::Propose).expect("kept");
+        settle(&mut world, limits);
+        while world.step < plan.step {
+            let before = world.step;
+            world.make(limits, Action::Step).expect("kept");
+            assert!(world.step > before, "{} members: step {before} lasts", limits.members);
         }
-        settle(&mut world);
-        let all = world.engines.iter().all(|it| it.reading.version == version);
-        assert!(all, "{:#?} {:#?}", world.engines, world.agents);
+        settle(&mut world, limits);
+        let on = world.engines.iter().filter(|it| it.reading.version == plan.version).count();
+        assert_eq!(on, usize::from(limits.members), "ranks on version {}", plan.version);
         assert!(world.agents.iter().all(Member::is_free));
     }
 }
 
+#[test]
+fn verify_plans_are_carried_out_at_any_size() {
+    for members in [1, 2, 3, 16, 127, 128, 129, 130, 192] {
+        let plans = &[(0, PLAN), (0, NEXT)];
+        carries_out(&Limits { members, unanswered: 0, plans, last_step: 6, ..SMALL });
+    }
+}
+
+#[test]
+fn verify_no_two_members_share_a_place_in_a_set() {
+    let mut all = Members::default();
+    for member in 0..MEMBERS {
+        assert!(!all.contains(member), "{member}");
+        assert!(all.insert(member));
+        assert_eq!((all.len(), all.last()), (u32::from(member) + 1, Some(member)));
+        assert_eq!(Members::parse(&all.encode(), member + 1), Ok(all));
+    }
+    assert!(!all.insert(MEMBERS), "no group has it");
+}
+
+#[test]
+fn verify_sets_of_other_groups_are_refused() {
+    let unknown = |member, size| Err(members::Error::Unknown { member, size });
+    assert_eq!(Members::parse(&Members::one(130).encode(), 130), unknown(130, 130));
+    assert_eq!(Members::parse(&[0; 129], MEMBERS), Err(members::Error::Length { bytes: 129 }));
+    assert_eq!(Members::parse(&[], 2), Ok(Members::default()));
+}
+
+#[test]
+fn verify_groups_beyond_the_bound_are_refused() {
+    let size = MEMBERS + 1;
+    assert_eq!(Member::open(0, size, 0).err(), Some(Error::TooMany { size }));
+    assert!(Member::open(MEMBERS - 1, MEMBERS, 0).is_ok());
+    let source = members::Error::Unknown { member: 4, size: 4 };
+    assert_eq!(Member::open(4, 4, 0).err(), Some(Error::Members { source }));
+}
+
+#[test]
+fn verify_messages_of_strangers_change_nothing() {
+    let mut world = World::open(&SMALL);
+    settle(&mut world, &SMALL);
+    let member = &mut world.agents[0];
+    let before = member.clone();
+    let votes = Message::Votes { plan: PLAN, yes: Members::one(2), no: false };
+    let source = members::Error::Unknown { member: 2, size: 2 };
+    assert_eq!(member.on_message(1, 0, votes), Err(Error::Members { source }));
+    assert_eq!(member.on_message(2, 0, Message::Ask(PLAN)), Err(Error::Members { source }));
+    assert_eq!(*member, before);
+}
+
 /// The order among what a member wants done.
 fn ordered(outputs: &[Output]) -> Option<Order> {
     outputs.iter().find_map(|it| match it {
@@ -519,7 +572,7 @@
 fn verify_an_unanswered_go_is_given_again_without_a_tick() {
     let plan = Plan { version: 2, step: 9 };
     let idle = Reading { epoch: 1, step: 5, version: 1, prepared: Some(2), ..Reading::default() };
-    let mut member = Member::open(0, 1, 0);
+    let mut member = Member::open(0, 1, 0).expect("opened");
     assert_eq!(ordered(&member.on_reading(idle)), Some(Order::Bar));
     member.on_done(Done::Taken);
     assert_eq!(ordered(&member.on_reading(idle)), None);
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -389,7 +389,7 @@
     pub version: u64,
     #[prost(uint64, tag = "6")]
     pub step: u64,
-    /// Of votes: ranks known to be armed, 16 big-endian bytes with a bit a rank.
+    /// Of votes: ranks known to be armed, a bit a rank, the lowest in the lowest bit of the first byte; none after the last that is not 0.
     #[prost(bytes = "bytes", tag = "7")]
     pub yes: ::prost::bytes::Bytes,
     /// Of votes: a rank refused.
