--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -94,7 +94,8 @@
         // Fences grow from agent to agent by the time of day; one that is too
         // low after a clock went back is found out by the first order.
         let hall = settings.node.hall.clone();
-        let ranks = Ranks::open(log.clone(), metrics.clone(), hall, clock::time_of_day());
+        let (link, fence) = (settings.link, clock::time_of_day());
+        let ranks = Ranks::open(log.clone(), metrics.clone(), hall, link, fence);
         let mut observer = Self {
             settings,
             target,
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -23,7 +23,6 @@
 use sablepass_edge::mesh::PeerKey;
 use sablepass_edge::telemetry::Metrics;
 use sablepass_platform::engine::{self, Group, Lists, Picked};
-use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
 use slog::Logger;
 
@@ -70,6 +69,13 @@
     unanswered: bool,
 }
 
+/// How the planner is to be told the counts.
+#[derive(Clone, Copy, Debug)]
+struct Sampled {
+    /// Choices of a layer that are drawn; none for all counts as they are.
+    draws: Option<u32>,
+}
+
 /// A map that the own rank is to prepare.
 struct Wanted {
     version: u64,
@@ -101,11 +107,13 @@
     ranks: BTreeMap<u16, Rank>,
     /// The own hall.
     hall: String,
+    /// Mbit/s that the machine's link takes.
+    link: f64,
     /// Connections to other agents, of whatever group, and their halls.
     agents: BTreeMap<PeerKey, String>,
     lists: Option<Lists>,
-    /// The planner is to be told the counts.
-    sampled: bool,
+    /// How the planner is to be told the counts, if it is.
+    sampled: Option<Sampled>,
     /// The own rank's counts, and the planner that was told them.
     counts: demand::Counts,
     told: Option<PeerKey>,
@@ -132,8 +140,9 @@
 }
 
 impl Ranks {
-    /// Opens without knowledge, in a hall. Orders carry fences above `fence`.
-    pub fn open(log: Logger, metrics: Arc<Metrics>, hall: String, fence: u64) -> Self {
+    /// Opens without knowledge, in a hall, behind a link of so many Mbit/s. Orders
+    /// carry fences above `fence`.
+    pub fn open(log: Logger, metrics: Arc<Metrics>, hall: String, link: f64, fence: u64) -> Self {
         Self {
             log,
             metrics,
@@ -144,9 +153,10 @@
             fence,
             ranks: BTreeMap::new(),
             hall,
+            link,
             agents: BTreeMap::new(),
             lists: None,
-            sampled: false,
+            sampled: None,
             counts: demand::Counts::default(),
             told: None,
             demand: None,
@@ -187,7 +197,7 @@
     /// elsewhere.
     pub fn wants_counts(&self) -> bool {
         let planner = self.group.as_ref().is_some_and(|it| it.rank == 0);
-        self.is_active() && (planner || self.sampled)
+        self.is_active() && (planner || self.sampled.is_some())
     }
 
     /// Lag of the map in force under what is in demand, if this agent plans.
@@ -351,8 +361,10 @@
             self.counts.restart();
         }
         let chosen = self.counts.advance(it.counts).unwrap_or_default();
-        let tally = self.tally(now, false);
-        let tally = tally.map(|it| wire::Tally { chosen, ..it });
+        let tally = match chosen.is_empty() {
+            true => self.tally(now, false),
+            false => self.chosen(now, &chosen),
+        };
         tally.map(|it| Do::Send(planner, Body::Tally(it))).into_iter().collect()
     }
 
@@ -384,7 +396,7 @@
         let outputs = member.tick();
         let mut list = self.carry_out(outputs);
         let rank = self.group.as_ref().map(|it| it.rank);
-        if rank != Some(0) && !self.sampled {
+        if rank != Some(0) && self.sampled.is_none() {
             list.extend(self.tell_planner(now));
         }
         let planner = self.group.as_ref().is_some_and(|it| it.rank == 0 && it.open);
--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -68,6 +68,18 @@
     NoMap,
 }
 
+impl Obstacle {
+    /// The counter label.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Switching => "waits-switching",
+            Self::OldCounts => "waits-old-counts",
+            Self::RankMissing => "waits-rank-missing",
+            Self::NoMap => "waits-no-map",
+        }
+    }
+}
+
 impl Ranks {
     /// Takes the counts of an interval, and says what is to be done for a
     /// better map.
@@ -167,6 +179,7 @@
             self.obstacle = Some((it, now, false));
         } else if !told && now >= since + OBSTACLE {
             let ranks: Vec<u16> = self.silent_ranks(now);
+            self.metrics.plans.with_label_values(&[it.label()]).inc();
             slog::warn!(self.log, "planner waits"; "why" => ?it, "silent_ranks" => ?ranks,
                 "member" => ?self.member.as_ref().map(|it| (it.plan(), it.reading().copied())));
             self.obstacle = Some((it, since, true));
--- a/crates/sablepass-agent/src/ranks/tally.rs
+++ b/crates/sablepass-agent/src/ranks/tally.rs
@@ -5,16 +5,20 @@
 //! requests chose.
 
 use sablepass_core::expert::demand;
+use sablepass_core::expert::draw::{self, Telling};
 use sablepass_core::id::Millis;
+use sablepass_core::reason::Ignored;
 use sablepass_edge::mesh::PeerKey;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
 
 use crate::ranks::planner::UNANSWERED;
-use crate::ranks::{Do, Rank, Ranks};
+use crate::ranks::{Do, Rank, Ranks, Sampled};
 
 /// Thousandths, as paces are told on the wire.
 const PACE_UNIT: f64 = 1_000.0;
+/// Milliseconds between two tellings of counts.
+const COUNTS_EVERY: f64 = 100.0;
 /// Separates the layers of a rank's experts on the wire.
 const LAYER_END: u32 = 65_535;
 
@@ -39,15 +43,56 @@
             experts: experts.collect(),
             pace: (group.pace * PACE_UNIT).round() as u32,
             samples: false,
+            draws: 0,
+            totals: Vec::new(),
+            drawn: Vec::new(),
             unanswered: self.unanswered.is_some_and(|at| now < at + UNANSWERED),
         })
     }
 
+    /// How the planner has the ranks tell their counts.
+    fn telling(&self) -> Telling {
+        let (layers, experts) =
+            self.bounds.as_ref().map_or((0, 0), |it| (it.layers as usize, it.experts as usize));
+        draw::telling(demand::SAMPLE, layers, experts, self.link, COUNTS_EVERY)
+    }
+
     /// The ranks whose counts the planner asks for.
     pub(super) fn sample(&self) -> Vec<bool> {
         let size = self.group.as_ref().map_or(0, |it| it.size);
         let near = |rank| rank == 0 || self.ranks.get(&rank).is_some_and(|it| it.near);
-        demand::sample(&(0..size).map(near).collect::<Vec<bool>>())
+        let near: Vec<bool> = (0..size).map(near).collect();
+        demand::sample(&near, self.telling().ranks)
+    }
+
+    /// What the own rank's requests chose, for the planner.
+    pub(super) fn chosen(&self, now: Millis, chosen: &[u64]) -> Option<wire::Tally> {
+        let tally = self.tally(now, false)?;
+        let experts = self.bounds.as_ref()?.experts as usize;
+        let Some(draws) = self.sampled?.draws else {
+            return Some(wire::Tally { chosen: chosen.to_vec(), ..tally });
+        };
+        let start = rand::random();
+        let draw = |it: &[u64]| draw::Layer::draw(it, draws, start);
+        let layers: Vec<draw::Layer> = chosen.chunks(experts.max(1)).map(draw).collect();
+        Some(wire::Tally {
+            totals: layers.iter().map(|it| it.total).collect(),
+            drawn: layers.iter().flat_map(draw::Layer::encode).collect(),
+            ..tally
+        })
+    }
+
+    /// Counts that a rank told, or what its draws stand for; none if it told none.
+    fn told(&self, it: &wire::Tally) -> Result<Option<Vec<u64>>, draw::Error> {
+        if it.totals.is_empty() {
+            return Ok(Some(it.chosen.clone()).filter(|it| !it.is_empty()));
+        }
+        let (layers, experts) =
+            self.bounds.as_ref().map_or((0, 0), |it| (it.layers as usize, it.experts as usize));
+        let told = draw::parse(&it.totals, &it.drawn, layers)?;
+        let counts: Vec<Vec<u64>> =
+            told.iter().map(|it| it.counts(experts)).collect::<Result<_, _>>()?;
+        Ok(Some(counts.concat()))
     }
 
     pub(super) fn tell(&self, now: Millis, peer: PeerKey) -> Option<Do> {
@@ -63,7 +108,8 @@
 
     fn tell_one(&self, tally: &wire::Tally, asked: &[PeerKey], peer: PeerKey) -> Do {
         let samples = asked.contains(&peer);
-        Do::Send(peer, Body::Tally(wire::Tally { samples, ..tally.clone() }))
+        let draws = self.telling().draws.filter(|_| samples).unwrap_or(0);
+        Do::Send(peer, Body::Tally(wire::Tally { samples, draws, ..tally.clone() }))
     }
 
     /// The agents that the planner asks for counts; none if it is not here.
@@ -90,7 +136,8 @@
             _ => layers(&it.experts),
         };
         if rank == 0 {
-            self.sampled = it.samples;
+            let draws = Some(it.draws).filter(|it| *it > 0);
+            self.sampled = it.samples.then_some(Sampled { draws });
         }
         let told = Rank {
             peer,
@@ -107,11 +154,8 @@
         let changed = same.is_none();
         self.ranks.insert(rank, told);
         let mine = self.is_mine(&it.group, it.epoch);
-        if mine
-            && !it.chosen.is_empty()
-            && let Some(demand) = &mut self.demand
-        {
-            demand.told(now, rank.into(), &it.chosen);
+        if mine {
+            self.count(now, rank, &it);
         }
         let mut list = self.try_switch(now);
         if changed {
@@ -124,6 +168,21 @@
         list
     }
 
+    /// Takes a rank's counts into the demand. Those of another shape are counted
+    /// as ignored.
+    fn count(&mut self, now: Millis, rank: u16, it: &wire::Tally) {
+        let told = self.told(it);
+        let Some(demand) = &mut self.demand else { return };
+        let fits = match told {
+            Ok(None) => true,
+            Ok(Some(counts)) => demand.told(now, rank.into(), &counts),
+            Err(_) => false,
+        };
+        if !fits {
+            self.metrics.ignored(Ignored::BadFrame);
+        }
+    }
+
     /// Tells the planner how the own rank stands.
     pub(super) fn tell_planner(&self, now: Millis) -> Option<Do> {
         let planner = self.ranks.get(&0)?.peer;
--- a/crates/sablepass-agent/src/settings.rs
+++ b/crates/sablepass-agent/src/settings.rs
@@ -43,6 +43,14 @@
     /// expert map. Takes engines that check fences. Default true.
     #[serde(default = "default_gate")]
     pub keeps_maps: bool,
+    /// Mbit/s of the machine's link, of which a planner takes half for counts of
+    /// chosen experts. Default 1,000.
+    #[serde(default = "default_link")]
+    pub link: f64,
+}
+
+fn default_link() -> f64 {
+    1_000.0
 }
 
 fn default_gate() -> bool {
@@ -86,6 +94,7 @@
             checker.fits("target", &self.target, fits, "http:// with an IP address and port")?;
         }
         checker.fits("limit", self.limit, (1..=10_000).contains(&self.limit), "1 to 10000")?;
+        checker.fits("link", self.link, (0.1..=1e6).contains(&self.link), "0.1 to 1000000")?;
         let spans = [("heartbeat", self.heartbeat), ("keep", self.keep), ("read", self.read)];
         for (key, value) in spans {
             checker.fits(key, value, (20..=86_400_000).contains(&value), "20 to 86400000")?;
--- a/crates/sablepass-core/src/expert/demand.rs
+++ b/crates/sablepass-core/src/expert/demand.rs
@@ -14,19 +14,18 @@
 
 /// Snapshots kept: some seconds of them.
 const KEEP: usize = 64;
-/// Ranks that tell their counts. Groups of the first deployments have 16 ranks,
-/// all of which told theirs; with 72 ranks of 12 layers and 144 experts they
-/// filled the planner's link of 8 Mbit/s.
+/// Most ranks that tell their counts. All of a group of 72 told theirs, of 12
+/// layers and 144 experts, and filled the planner's link of 8 Mbit/s.
 pub const SAMPLE: usize = 24;
 
 /// The ranks that are to tell their counts: those in the planner's hall first,
 /// since bytes between halls are dear, then by number. `near` tells of each
-/// rank whether it is there.
-pub fn sample(near: &[bool]) -> Vec<bool> {
+/// rank whether it is there, `ranks` how many are to tell at most.
+pub fn sample(near: &[bool], ranks: usize) -> Vec<bool> {
     let mut order: Vec<usize> = (0..near.len()).collect();
     order.sort_by_key(|it| !near[*it]);
     let mut chosen = vec![false; near.len()];
-    for rank in order.into_iter().take(SAMPLE) {
+    for rank in order.into_iter().take(ranks) {
         chosen[rank] = true;
     }
     chosen
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -330,6 +330,18 @@
     /// An order to the rank went unanswered lately.
     #[prost(bool, tag = "12")]
     pub unanswered: bool,
+    /// With `samples`: how many choices of a layer the receiver is to tell the
+    /// sender; 0 for the counts as they are.
+    #[prost(uint32, tag = "13")]
+    pub draws: u32,
+    /// Choices of each layer since this agent last told the receiver, where only
+    /// some of them are told in `drawn`.
+    #[prost(uint64, repeated, tag = "14")]
+    pub totals: ::prost::alloc::vec::Vec<u64>,
+    /// Layer by layer: how many were drawn, and each one's expert as the distance
+    /// from the one before.
+    #[prost(uint32, repeated, tag = "15")]
+    pub drawn: ::prost::alloc::vec::Vec<u32>,
 }
 /// What an entry tells the agent beside a listed target of a service whose
 /// targets are ranks of a group.
