--- a/crates/sablepass-core/src/balance.rs
+++ b/crates/sablepass-core/src/balance.rs
@@ -3,6 +3,7 @@
 
 //! Choosing a target among the candidates of a model.
 
+use rand::seq::index;
 use rand::{Rng, RngExt};
 
 use crate::rendezvous;
@@ -16,8 +17,8 @@
     LeastLoad,
     /// The less loaded of two random ones.
     TwoChoices,
-    /// The least loaded of all, whatever its hall; a random one of several.
-    /// For ranks in lock-step, of which the most loaded one sets the pace.
+    /// The least loaded of three random ones, whatever their hall. For ranks in
+    /// lock-step, of which the most loaded one sets the pace.
     Even,
     /// The owner of the prompt's prefix unless it is over its load bound,
     /// else the less loaded of two random ones.
@@ -43,6 +44,14 @@
 /// in Mirrokni et al., "Consistent Hashing with Bounded Loads" (2016).
 pub const LOAD_BOUND: f64 = 1.25;
 
+/// Random ones of which the least loaded is chosen. All entries know the same
+/// reports, up to 200 ms old, and do not know what the others have just sent: with
+/// the least loaded of all, 36 of them before 192 ranks sent to the same few, and
+/// 38% of the requests waited in a queue while places were free. With 2, 3, 4 and 6
+/// it was 2.6%, 2.4%, 2.1% and 3.6%, and with 4 entries before 16 ranks 2.3%, 1.0%,
+/// 0.7% and 1.2%; by the model of `tests/crowd.rs`, with 75% of the places taken.
+const CHOICES: usize = 3;
+
 /// A candidate as an entry sees it.
 #[derive(Clone, Debug)]
 pub struct Candidate<'a> {
@@ -98,7 +107,7 @@
         let pool = all.clone().filter(healthy).collect();
         let pool = first_of([pool, all.collect()]);
         if self.policy == Policy::Even {
-            return least_of_all(rng, &pool, candidates);
+            return least_of_some(rng, &pool, candidates);
         }
         let free: Vec<usize> = pool.iter().copied().filter(|&it| !candidates[it].full()).collect();
         let near = free.iter().copied().filter(|&it| candidates[it].near).collect();
@@ -137,12 +146,15 @@
     lists.into_iter().find(|it| !it.is_empty()).unwrap_or_default()
 }
 
-/// The least loaded of a pool; of several, any one.
-fn least_of_all(rng: &mut impl Rng, pool: &[usize], candidates: &[Candidate<'_>]) -> Option<usize> {
-    let load = |it: usize| candidates[it].load();
-    let least = pool.iter().map(|&it| load(it)).min_by(f64::total_cmp)?;
-    let ties: Vec<usize> = pool.iter().copied().filter(|&it| load(it) <= least).collect();
-    Some(ties[rng.random_range(0..ties.len())])
+/// The least loaded of [`CHOICES`] random ones of a pool.
+fn least_of_some(
+    rng: &mut impl Rng,
+    pool: &[usize],
+    candidates: &[Candidate<'_>],
+) -> Option<usize> {
+    let drawn = index::sample(rng, pool.len(), CHOICES.min(pool.len()));
+    let load = |it: &usize| candidates[*it].load();
+    drawn.iter().map(|it| pool[it]).min_by(|a, b| load(a).total_cmp(&load(b)))
 }
 
 fn two_choices(rng: &mut impl Rng, open: &[usize], load: impl Fn(usize) -> f64) -> usize {
