--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -9,7 +9,7 @@
 //! connection both sides say every second what they hold, and at once when it
 //! changes; whoever is behind pulls. What is held is [`crate::spread`]'s.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -114,7 +114,7 @@
     Config(Rc<Catalogue>),
     /// The instance list changed.
     Instances(Rc<BTreeMap<String, Instance>>),
-    /// Names of the entries connected, without this process.
+    /// Names of the entries that there are, without this process.
     Entries(Vec<String>),
 }
 
@@ -145,6 +145,16 @@
     spread: bool,
     heard: Millis,
     revision: u64,
+    /// Entries that it said it is connected to.
+    entries: Vec<String>,
+}
+
+impl Peer {
+    /// Its name, if it is an entry.
+    fn entry(&self) -> Option<&String> {
+        let known = self.introduction.as_ref()?;
+        (known.role == Role::Entry.name()).then_some(&known.name)
+    }
 }
 
 /// The actor.
@@ -159,6 +169,8 @@
     addr: SocketAddr,
     peers: HashMap<PeerKey, Peer>,
     next_peer: u64,
+    /// Which entries are connected has changed since that was told.
+    met: bool,
     pub(crate) endpoints: BTreeMap<String, Endpoint>,
     pub(crate) wanted: Vec<Wanted>,
     pub(crate) spread: Spread,
@@ -199,6 +211,7 @@
             addr,
             peers: HashMap::new(),
             next_peer: 0,
+            met: false,
             endpoints: BTreeMap::new(),
             wanted: Vec::new(),
             spread,
@@ -278,8 +291,15 @@
             spread,
         });
         call!([link], send(hello));
-        let peer =
-            Peer { link, introduction: None, endpoint, spread, heard: clock::now(), revision: 0 };
+        let peer = Peer {
+            link,
+            introduction: None,
+            endpoint,
+            spread,
+            heard: clock::now(),
+            revision: 0,
+            entries: Vec::new(),
+        };
         self.peers.insert(key, peer);
         key
     }
@@ -305,6 +325,10 @@
             Body::Digest(it) => self.digest(now, key, &it),
             Body::Pull(it) => self.pull(key, &it),
             Body::Delta(it) => self.delta(cx, it),
+            Body::Entries(it) => {
+                peer.entries = it.names;
+                self.meet();
+            }
             other if peer.introduction.is_some() => self.owner.fwd(Event::Message(key, other)),
             _ => self.metrics.ignored(Ignored::BadFrame),
         }
@@ -339,25 +363,40 @@
         call!([peer.link], send(digest));
         self.owner.fwd(Event::Up(key, introduction));
         self.count_links();
+        self.met = true;
         self.meet();
     }
 
-    /// Tells which entries are connected, for the share of each in common duties.
+    /// Tells which entries there are, for the share of each in common duties: those
+    /// connected, and those that these are connected to. Where entries find each
+    /// other by three seeds only these see all of them.
     fn meet(&mut self) {
-        let entry = Role::Entry.name();
-        let known = self.peers.values().filter_map(|it| it.introduction.as_ref());
-        let mut names: Vec<String> =
-            known.filter(|it| it.role == entry).map(|it| it.name.clone()).collect();
-        names.sort();
-        names.dedup();
+        let direct = self.peers.values().filter_map(Peer::entry);
+        let told = self.peers.values().flat_map(|it| &it.entries);
+        let known: BTreeSet<&String> = direct.chain(told).collect();
+        let others = known.into_iter().filter(|it| **it != self.node.name);
+        let names: Vec<String> = others.cloned().collect();
         self.owner.fwd(Event::Entries(names.clone()));
         self.spread.meet(names);
     }
 
+    /// Tells entries which others are connected here, if that changed.
+    fn tell_entries(&mut self) {
+        if self.role != Role::Entry || !std::mem::take(&mut self.met) {
+            return;
+        }
+        let direct: BTreeSet<&String> = self.peers.values().filter_map(Peer::entry).collect();
+        let names: Vec<String> = direct.into_iter().cloned().collect();
+        for peer in self.peers.values().filter(|it| it.entry().is_some()) {
+            call!([peer.link], send(Body::Entries(wire::Entries { names: names.clone() })));
+        }
+    }
+
     pub(crate) fn closed(&mut self, _cx: CX![], key: PeerKey) {
         let Some(peer) = self.peers.remove(&key) else {
             return;
         };
+        self.met |= peer.entry().is_some();
         let now = clock::now();
         if let Some(endpoint) = peer.endpoint.and_then(|it| self.endpoints.get_mut(&it)) {
             endpoint.peer = None;
@@ -455,6 +494,7 @@
         self.ticks += 1;
         let all = self.ticks.is_multiple_of(RARE);
         self.tell(|it| it.spread || all);
+        self.tell_entries();
         self.drop_silent(cx, now);
         let every = Duration::from_millis(self.node.digest_every);
         after!(every, [cx], tick());
--- a/crates/sablepass-edge/src/settings.rs
+++ b/crates/sablepass-edge/src/settings.rs
@@ -127,6 +127,10 @@
     /// Milliseconds that a watch of the service waits. Default 20,000.
     #[serde(default = "default_watch")]
     pub watch: u64,
+    /// Milliseconds that a watch of a process waits which hears of changes from
+    /// others that read. Default 20,000.
+    #[serde(default = "default_watch")]
+    pub watch_rest: u64,
     /// Format of logs.
     #[serde(default)]
     pub log: LogFormat,
@@ -180,6 +184,7 @@
             ("node.digest_every", self.digest_every),
             ("node.patience", self.patience),
             ("node.watch", self.watch),
+            ("node.watch_rest", self.watch_rest),
         ];
         for (key, value) in spans {
             checker.fits(key, value, (20..=600_000).contains(&value), "20 to 600000")?;
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -114,7 +114,7 @@
     list: Source,
     /// The list as parsed. Lines that do not parse are left out.
     instances: Rc<BTreeMap<String, Instance>>,
-    /// Entries that this process is connected to.
+    /// Entries that there are, without this process.
     entries: Vec<String>,
     started: Millis,
     /// When the service that readers share the reading of last answered anybody.
@@ -157,7 +157,7 @@
         }
     }
 
-    /// Says which entries this process is connected to.
+    /// Says which other entries there are.
     pub fn meet(&mut self, entries: Vec<String>) {
         self.entries = entries;
     }
@@ -409,7 +409,7 @@
             let source = self.source(what);
             let due = source.ordered.is_none() && now >= source.next;
             if due && self.on_duty(now, what) {
-                let wait = self.wait(what);
+                let wait = self.wait(now, what);
                 self.source(what).order(now, wait);
             }
         }
@@ -417,10 +417,11 @@
 
     /// How long a call may wait for a change. Until a first one succeeded it
     /// does not wait: an empty service would hold it. The list of the own
-    /// form is not watched.
-    fn wait(&mut self, what: What) -> Duration {
+    /// form is not watched. Whoever hears of changes from the readers watches
+    /// for longer, in case that it does not.
+    fn wait(&mut self, now: Millis, what: What) -> Duration {
         let watched = self.node.form == Form::Keys || what == What::Declarations;
-        let watch = self.node.watch;
+        let watch = if self.ranks_as_reader(now) { self.node.watch } else { self.node.watch_rest };
         let wait = if watched && self.source(what).good { watch } else { 0 };
         Duration::from_millis(wait)
     }
--- a/crates/sablepass-entry/src/answers.rs
+++ b/crates/sablepass-entry/src/answers.rs
@@ -49,12 +49,14 @@
             .collect();
         let requests = self.open.len();
         let connections = self.pool.len();
+        let entries = self.targets.entries();
         let ret = ret_some_do!(move |mesh: serde_json::Value| {
             let mut status = mesh;
             status["role"] = "entry".into();
             status["connections"] = connections.into();
             status["requests"] = requests.into();
             status["targets"] = targets.into();
+            status["entries"] = entries.into();
             reply.send(admin::Reply::ok(&status));
         });
         call!([self.mesh], status(ret));
--- a/crates/sablepass-stand/src/site.rs
+++ b/crates/sablepass-stand/src/site.rs
@@ -72,7 +72,13 @@
 
     /// Starts an entry that may ask the others when the store is silent.
     pub fn add_entry(&mut self, more: &str) -> usize {
-        let seeds: Vec<String> = self.entries.iter().map(|it| it.addr("peers")).collect();
+        self.add_entry_at(more, self.entries.len())
+    }
+
+    /// The same, where only the first so many entries are its seeds.
+    pub fn add_entry_at(&mut self, more: &str, seeds: usize) -> usize {
+        let seeds = self.entries.iter().take(seeds);
+        let seeds: Vec<String> = seeds.map(|it| it.addr("peers")).collect();
         let name = format!("entry-{}", self.entries.len() + 1);
         let text = format!(
             "http = \"127.0.0.1:0\"\ndialect = \"routes\"\npolicy = \"even\"\nretry_slack = 90\n{more}\n\
--- a/crates/sablepass-stand/tests/site.rs
+++ b/crates/sablepass-stand/tests/site.rs
@@ -54,6 +54,18 @@
     }
 }
 
+/// Retries and places are shared over all entries, and few of them read the list,
+/// also where most know but one of the others at their start.
+#[test]
+fn verify_entries_that_meet_at_a_seed_know_of_each_other() {
+    let mut site = Site::open(1);
+    for _ in 0..6 {
+        site.add_entry_at("", 1);
+    }
+    let known = |entry| site.status(entry)["entries"].as_u64();
+    wait_for("all entries are known", || (0..6).all(|it| known(it) == Some(6)));
+}
+
 #[test]
 fn verify_caller_that_leaves_cancels() {
     let site = site(1);
--- a/crates/sablepass-wire/src/frame.rs
+++ b/crates/sablepass-wire/src/frame.rs
@@ -104,5 +104,6 @@
         Body::Barrier(_) => "barrier",
         Body::Bounds(_) => "bounds",
         Body::MapPull(_) => "map-pull",
+        Body::Entries(_) => "entries",
     }
 }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -51,6 +51,8 @@
         Bounds(super::Bounds),
         #[prost(message, tag = "20")]
         MapPull(super::MapPull),
+        #[prost(message, tag = "21")]
+        Entries(super::Entries),
     }
 }
 /// First frame in each direction of a connection.
@@ -69,6 +71,12 @@
     #[prost(bool, tag = "5")]
     pub spread: bool,
 }
+/// The entries that the sender is connected to, told to entries.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Entries {
+    #[prost(string, repeated, tag = "1")]
+    pub names: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 /// One attempt to run a request at a target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Dispatch {
