--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -17,6 +17,7 @@
 use sablepass_core::expert::demand::{self, Demand};
 use sablepass_core::expert::foresight::Foresight;
 use sablepass_core::expert::map::{Bounds, Map};
+use sablepass_core::expert::rebalance::Rest;
 use sablepass_core::expert::watch::Watch;
 use sablepass_core::id::Millis;
 use sablepass_core::reason::Ignored;
@@ -98,14 +99,6 @@
     lag: f64,
 }
 
-/// A search that found no better map.
-struct Searched {
-    /// How long the next one waits.
-    until: Millis,
-    /// Lag of the map in force then.
-    lag: f64,
-}
-
 /// The member, and the planner beside rank 0.
 pub struct Ranks {
     log: Logger,
@@ -143,8 +136,8 @@
     /// When an order last went unanswered.
     unanswered: Option<Millis>,
     proposed: Option<Proposed>,
-    /// The last search, if it found no better map.
-    searched: Option<Searched>,
+    /// After a search that found no better map.
+    rest: Option<Rest>,
     /// Highest version known to be used up.
     highest: u64,
     /// What keeps the planner from planning, since when, and whether that was said.
@@ -186,7 +179,7 @@
             ticks: 0,
             unanswered: None,
             proposed: None,
-            searched: None,
+            rest: None,
             highest: 0,
             obstacle: None,
             paced: None,
@@ -311,7 +304,7 @@
         self.wanted = None;
         self.proposed = None;
         self.lag = None;
-        self.searched = None;
+        self.rest = None;
         self.lists = None;
         let bounds = self.bounds.as_ref();
         self.demand = bounds
--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -7,12 +7,12 @@
 use sablepass_core::expert::barrier::{Member, Plan};
 use sablepass_core::expert::difference;
 use sablepass_core::expert::map::{Bounds, Paces};
-use sablepass_core::expert::rebalance;
+use sablepass_core::expert::rebalance::{self, Rest};
 use sablepass_core::id::Millis;
 use sablepass_edge::clock;
 use sablepass_wire::generated as wire;
 
-use crate::ranks::{Do, Proposed, Rank, Ranks, Searched};
+use crate::ranks::{Do, Proposed, Rank, Ranks};
 
 /// Age of a rank's counts beyond which the planner does not plan: two and a
 /// half of the intervals at which they are told.
@@ -41,15 +41,6 @@
 const LEAD_PASSES: u64 = 1;
 /// By how much versions jump when ranks refuse one: another planner used more.
 const VERSION_JUMP: u64 = 1_000;
-/// How many times as long as a search that found nothing took the next one waits,
-/// unless demand shifts or the map becomes less even: searches then take an
-/// eleventh of the processor. One of 192 ranks takes 25 ms of a core, of which an
-/// agent there has 0.15.
-const SEARCH_REST: Millis = 10;
-/// How many times as uneven the map must have become for the next search to come
-/// sooner. A rest that nothing broke left a group of 192 with a lag of 2.05 for a
-/// second; intervals of one demand differ by less.
-const MORE_UNEVEN: f64 = 1.08;
 /// Requests that a rank runs, over some time, below which its group has next to
 /// nothing to do: copying slows nobody down then.
 const IDLE: f64 = 0.05;
@@ -103,7 +94,7 @@
         if shifted {
             slog::info!(self.log, "demand shifted"; "life" => self.watch.life(now),
                 "step" => self.group.as_ref().map(|it| it.reading.step));
-            self.searched = None;
+            self.rest = None;
             self.foresight.shifted();
         }
         self.weigh();
@@ -221,18 +212,15 @@
         let map = self.map_in_force()?;
         let change = rebalance::decide(&options, map, self.watch.demand()?, &self.paces());
         if change.is_none() {
-            let until = now + clock::now().saturating_sub(now) * SEARCH_REST;
-            self.searched = self.lag.map(|lag| Searched { until, lag });
+            self.rest = self.lag.map(|lag| Rest::begin(now, clock::now(), lag));
         }
         change
     }
 
-    /// Whether a search found nothing just now, and the map has become no less even
-    /// since.
+    /// Whether a search just now found nothing, and nothing speaks for another.
     fn rests(&self, now: Millis) -> bool {
-        let same = |lag: f64, it: &Searched| lag < it.lag * MORE_UNEVEN;
-        let rests = |it: &Searched| now < it.until && self.lag.is_some_and(|lag| same(lag, it));
-        self.searched.as_ref().is_some_and(rests)
+        let rest = self.rest.as_ref().zip(self.lag);
+        rest.is_some_and(|(rest, lag)| rest.lasts(now, lag))
     }
 
     /// Compares the map in force with what was worked out for it.
--- a/crates/sablepass-core/src/expert/rebalance.rs
+++ b/crates/sablepass-core/src/expert/rebalance.rs
@@ -15,6 +15,7 @@
 
 use crate::expert::map::{Expert, Layer, Map, Paces, Rank};
 use crate::expert::place;
+use crate::id::Millis;
 
 /// New experts at the rank that gets most, for which the search notes a map.
 const COPIES: [usize; 9] = [1, 2, 3, 4, 6, 8, 12, 16, 24];
@@ -68,6 +69,35 @@
     }
 }
 
+/// How many times as long as a search that found nothing took the next one waits:
+/// searches then take an eleventh of the processor. One of 192 ranks takes 25 ms of
+/// a core, of which an agent there has 0.15.
+const REST_TIMES: Millis = 10;
+/// How many times as uneven the map must have become for a rest to end sooner. One
+/// that nothing ended left a group of 192 ranks with a lag of 2.05 for a second;
+/// intervals of one demand differ by less.
+const MORE_UNEVEN: f64 = 1.08;
+
+/// The time after a search that found no better map, in which none is made.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rest {
+    until: Millis,
+    /// Lag of the map in force at that search.
+    lag: f64,
+}
+
+impl Rest {
+    /// Begins after a search from `began` to `ended`, under a map of this lag.
+    pub fn begin(began: Millis, ended: Millis, lag: f64) -> Self {
+        Self { until: ended + ended.saturating_sub(began) * REST_TIMES, lag }
+    }
+
+    /// Whether it lasts, while the map in force has this lag by now.
+    pub fn lasts(&self, now: Millis, lag: f64) -> bool {
+        now < self.until && lag < self.lag * MORE_UNEVEN
+    }
+}
+
 /// A map to change to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
--- a/crates/sablepass-core/tests/rebalance.rs
+++ b/crates/sablepass-core/tests/rebalance.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sablepass_core::expert::map::{Expert, Map, Paces, Rank, Shape};
-use sablepass_core::expert::rebalance::{self, Change, Options};
+use sablepass_core::expert::rebalance::{self, Change, Options, Rest};
 use sablepass_core::expert::watch::Watch;
 
 const SHAPE: Shape = Shape { ranks: 12, layers: 3, experts: 96, slots: 11 };
@@ -181,3 +181,12 @@
     assert!(!watch.take(0, vec![vec![10.0, 20.0]]));
     assert_eq!(watch.demand(), None);
 }
+
+#[test]
+fn verify_a_rest_after_a_search_ends_when_the_map_becomes_less_even() {
+    let rest = Rest::begin(1_000, 1_150, 1.4);
+    assert!(rest.lasts(1_200, 1.4) && rest.lasts(2_649, 1.5));
+    assert!(!rest.lasts(2_650, 1.4), "it is over");
+    assert!(!rest.lasts(1_200, 1.52), "a shift that was not seen");
+    assert!(!Rest::begin(1_000, 1_000, 1.4).lasts(1_000, 1.4), "a quick search needs none");
+}
