--- a/crates/sablepass-core/src/expert/place.rs
+++ b/crates/sablepass-core/src/expert/place.rs
@@ -184,40 +184,7 @@
     paces: &Paces,
     allowed: impl Fn(Rank, Expert) -> bool,
 ) -> Option<Change> {
-    let loads = layer.rank_loads(tokens);
-    let mean = loads.iter().sum::<f64>() / loads.len() as f64;
-    if mean <= 0.0 {
-        return None;
-    }
-    let time = |rank: usize| loads[rank] * paces.of(Rank(rank as u16));
-    let worst = (0..loads.len()).max_by(|a, b| time(*a).total_cmp(&time(*b)))?;
-    let others = lightest(loads.len(), worst, time);
-    let worst = Rank(worst as u16);
-    let view = View::open(layer, tokens, paces, loads);
-    let mut room = Vec::new();
-    let mut best: Option<(f64, Change)> = None;
-    let mut weigh = |change: Change| {
-        let Some(gain) = view.gain(change, &mut room) else { return };
-        let gain = gain / change.moves().max(1) as f64 * (1.0 + surplus(layer, change));
-        if gain > LEAST_GAIN && best.is_none_or(|it| gain > it.0) {
-            best = Some((gain, change));
-        }
-    };
-    if Pace::of(paces.of(worst)) != Pace::Sound {
-        layer.slots_of(worst).for_each(|it| weigh(Change::Drop(it)));
-    }
-    for (from, hot) in heaviest(layer, tokens, worst) {
-        for rank in others.iter().map(|it| Rank(*it as u16)) {
-            let takes = allowed(rank, hot);
-            for to in layer.slots_of(rank).filter(|_| takes) {
-                weigh(Change::Put(to, hot));
-                if layer.expert(to).is_some_and(|it| allowed(worst, it)) {
-                    weigh(Change::Swap(from, to));
-                }
-            }
-        }
-    }
-    best.map(|it| it.1)
+    Steps::open(layer.clone(), tokens, paces).best(allowed)
 }
 
 /// The lightest ranks beside the worst one, those first. A group of 192 ranks
@@ -255,61 +222,125 @@
     held
 }
 
-/// The slots that hold each expert, so that a step is weighed without a look at
-/// every slot: a search of 192 ranks took 40 to 130 ms with that look.
-struct Holders {
-    /// Where the slots of an expert start, and those of the next.
-    starts: Vec<u32>,
-    slots: Vec<Slot>,
+/// Small steps of a layer, with what weighs them kept from one to the next: a
+/// search of 192 ranks makes 1,500, and took 40 to 130 ms where each looked at every
+/// slot, and 14 to 27 ms where each worked out all loads anew.
+pub struct Steps<'a> {
+    layer: Layer,
+    tokens: &'a [f64],
+    paces: &'a Paces,
+    loads: Vec<f64>,
+    /// What each rank's load adds to the potential.
+    terms: Vec<f64>,
+    mean: f64,
+    /// The slots that hold each expert, in order.
+    holders: Vec<Vec<Slot>>,
 }
 
-impl Holders {
-    fn open(layer: &Layer) -> Self {
-        let mut starts = Vec::with_capacity(layer.experts() + 1);
-        let mut sum = 0;
-        for expert in 0..layer.experts() {
-            starts.push(sum);
-            sum += u32::from(layer.replicas(Expert(expert as u16)));
-        }
-        starts.push(sum);
-        let mut next = starts.clone();
-        let mut slots = vec![Slot(0); sum as usize];
+impl<'a> Steps<'a> {
+    /// Begins at a layer.
+    pub fn open(layer: Layer, tokens: &'a [f64], paces: &'a Paces) -> Self {
+        let loads = layer.rank_loads(tokens);
+        let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+        let mut holders = vec![Vec::new(); layer.experts()];
         for slot in layer.slots() {
-            let Some(it) = layer.expert(slot) else { continue };
-            let next = &mut next[usize::from(it.0)];
-            slots[*next as usize] = slot;
-            *next += 1;
+            if let Some(it) = layer.expert(slot) {
+                holders[usize::from(it.0)].push(slot);
+            }
         }
-        Self { starts, slots }
+        let mut steps = Self { layer, tokens, paces, loads, terms: Vec::new(), mean, holders };
+        let term = |(rank, load): (usize, &f64)| steps.term(rank, *load);
+        steps.terms = steps.loads.iter().enumerate().map(term).collect();
+        steps
     }
 
-    fn of(&self, it: Expert) -> impl Iterator<Item = Slot> {
-        let at = usize::from(it.0);
-        let range = self.starts[at] as usize..self.starts[at + 1] as usize;
-        self.slots[range].iter().copied()
+    /// The layer as it is now.
+    pub fn layer(&self) -> &Layer {
+        &self.layer
     }
-}
 
-/// A layer with its loads, to weigh changes without making them.
-struct View<'a> {
-    layer: &'a Layer,
-    tokens: &'a [f64],
-    paces: &'a Paces,
-    loads: Vec<f64>,
-    /// What each rank's load adds to the potential.
-    terms: Vec<f64>,
-    mean: f64,
-    holders: Holders,
-}
+    /// Time of the rank that takes longest, over the mean load.
+    pub fn lag(&self) -> f64 {
+        if self.mean <= 0.0 {
+            return 1.0;
+        }
+        (0..self.loads.len()).map(|it| self.time(it)).fold(0.0, f64::max) / self.mean
+    }
+
+    fn time(&self, rank: usize) -> f64 {
+        self.loads[rank] * self.paces.of(Rank(rank as u16))
+    }
+
+    /// The best step for the slowest rank among those that bring experts only to
+    /// ranks that may take them; none if nothing helps.
+    pub fn best(&self, allowed: impl Fn(Rank, Expert) -> bool) -> Option<Change> {
+        if self.mean <= 0.0 {
+            return None;
+        }
+        let ranks = 0..self.loads.len();
+        let worst = ranks.max_by(|a, b| self.time(*a).total_cmp(&self.time(*b)))?;
+        let others = lightest(self.loads.len(), worst, |it| self.time(it));
+        let (layer, worst) = (&self.layer, Rank(worst as u16));
+        let mut room = Vec::new();
+        let mut best: Option<(f64, Change)> = None;
+        let mut weigh = |change: Change| {
+            let Some(gain) = self.gain(change, &mut room) else { return };
+            let gain = gain / change.moves().max(1) as f64 * (1.0 + surplus(layer, change));
+            if gain > LEAST_GAIN && best.is_none_or(|it| gain > it.0) {
+                best = Some((gain, change));
+            }
+        };
+        if Pace::of(self.paces.of(worst)) != Pace::Sound {
+            layer.slots_of(worst).for_each(|it| weigh(Change::Drop(it)));
+        }
+        for (from, hot) in heaviest(layer, self.tokens, worst) {
+            for rank in others.iter().map(|it| Rank(*it as u16)) {
+                let takes = allowed(rank, hot);
+                for to in layer.slots_of(rank).filter(|_| takes) {
+                    weigh(Change::Put(to, hot));
+                    if layer.expert(to).is_some_and(|it| allowed(worst, it)) {
+                        weigh(Change::Swap(from, to));
+                    }
+                }
+            }
+        }
+        best.map(|it| it.1)
+    }
+
+    /// Makes a step, if the layer's rules allow.
+    pub fn apply(&mut self, change: Change) -> bool {
+        let experts = |it: &Self| -> Vec<Expert> {
+            change.slots().filter_map(|slot| it.layer.expert(slot)).collect()
+        };
+        let mut touched = experts(self);
+        if !change.apply(&mut self.layer) {
+            return false;
+        }
+        touched.extend(experts(self));
+        touched.sort_unstable();
+        touched.dedup();
+        let mut ranks: Vec<usize> = change.slots().map(|it| self.rank_at(it)).collect();
+        for it in touched {
+            let slots = self.layer.slots_with(it).collect();
+            self.holders[usize::from(it.0)] = slots;
+            ranks.extend(self.holders[usize::from(it.0)].iter().map(|it| self.rank_at(*it)));
+        }
+        ranks.sort_unstable();
+        ranks.dedup();
+        for rank in ranks {
+            self.loads[rank] = self.load(rank);
+            self.terms[rank] = self.term(rank, self.loads[rank]);
+        }
+        true
+    }
+
+    fn rank_at(&self, slot: Slot) -> usize {
+        usize::from(self.layer.rank(slot).0)
+    }
 
-impl<'a> View<'a> {
-    fn open(layer: &'a Layer, tokens: &'a [f64], paces: &'a Paces, loads: Vec<f64>) -> Self {
-        let mean = loads.iter().sum::<f64>() / loads.len() as f64;
-        let holders = Holders::open(layer);
-        let mut view = Self { layer, tokens, paces, loads, terms: Vec::new(), mean, holders };
-        let term = |(rank, load): (usize, &f64)| view.term(rank, *load);
-        view.terms = view.loads.iter().enumerate().map(term).collect();
-        view
+    fn load(&self, rank: usize) -> f64 {
+        let held = self.layer.slots_of(Rank(rank as u16)).filter_map(|it| self.layer.expert(it));
+        held.map(|it| self.share(it, self.layer.replicas(it))).sum()
     }
 
     fn share(&self, it: Expert, replicas: u16) -> f64 {
@@ -332,7 +363,7 @@
                 None => new.push((rank, load)),
             }
         };
-        let layer = self.layer;
+        let layer = &self.layer;
         match change {
             Change::Put(to, hot) => {
                 let rank = layer.rank(to);
@@ -341,7 +372,7 @@
                 }
                 let count = layer.replicas(hot);
                 let (before, after) = (self.share(hot, count), self.share(hot, count + 1));
-                for slot in self.holders.of(hot) {
+                for &slot in &self.holders[usize::from(hot.0)] {
                     add(layer.rank(slot), after - before);
                 }
                 add(rank, after);
@@ -352,7 +383,7 @@
                     }
                     let (before, after) = (self.share(old, count), self.share(old, count - 1));
                     add(rank, -before);
-                    for slot in self.holders.of(old).filter(|it| *it != to) {
+                    for &slot in self.holders[usize::from(old.0)].iter().filter(|it| **it != to) {
                         add(layer.rank(slot), after - before);
                     }
                 }
@@ -375,7 +406,7 @@
                 }
                 let (before, after) = (self.share(old, count), self.share(old, count - 1));
                 add(layer.rank(from), -before);
-                for slot in self.holders.of(old).filter(|it| *it != from) {
+                for &slot in self.holders[usize::from(old.0)].iter().filter(|it| **it != from) {
                     add(layer.rank(slot), after - before);
                 }
             }
--- a/crates/sablepass-core/src/expert/rebalance.rs
+++ b/crates/sablepass-core/src/expert/rebalance.rs
@@ -14,7 +14,7 @@
 //! it brings all at once.
 
 use crate::expert::map::{Expert, Layer, Map, Paces, Rank};
-use crate::expert::place;
+use crate::expert::place::Steps;
 use crate::id::Millis;
 
 /// New experts at the rank that gets most, for which the search notes a map.
@@ -70,8 +70,7 @@
 }
 
 /// How many times as long as a search that found nothing took the next one waits:
-/// searches then take an eleventh of the processor. One of 192 ranks takes 25 ms of
-/// a core, of which an agent there has 0.15.
+/// searches then take an eleventh of the processor.
 const REST_TIMES: Millis = 10;
 /// How many times as uneven the map must have become for a rest to end sooner, so
 /// that a shift which was not seen as one is answered. Chosen, not measured.
@@ -181,10 +180,10 @@
     let most = options.spare * map.layers.len();
     for copies in COPIES.into_iter().take_while(|it| *it <= most) {
         search.spread(copies);
-        let lag = mean_lag(&search.map, demand, paces);
+        let (map, lag) = search.map();
         let copies = search.new.iter().copied().max().unwrap_or(0);
         if points.last().is_none_or(|it| lag < it.lag) {
-            points.push(Point { map: search.map.clone(), lag, copies });
+            points.push(Point { map, lag, copies });
         }
         if copies as f64 * options.copy >= options.life {
             break;
@@ -196,10 +195,8 @@
 /// Small steps from the map in force, within the bounds on new experts.
 struct Search<'a> {
     options: &'a Options,
-    demand: &'a [Vec<f64>],
-    paces: &'a Paces,
     start: &'a Map,
-    map: Map,
+    layers: Vec<Steps<'a>>,
     /// New experts of each rank by layer, and over all layers.
     here: Vec<Vec<usize>>,
     new: Vec<usize>,
@@ -214,19 +211,27 @@
     ) -> Self {
         let new = vec![0; start.shape.ranks];
         let here = vec![new.clone(); start.layers.len()];
-        Self { options, demand, paces, start, map: start.clone(), here, new }
+        let layers = start.layers.iter().zip(demand);
+        let layers = layers.map(|(layer, it)| Steps::open(layer.clone(), it, paces)).collect();
+        Self { options, start, layers, here, new }
+    }
+
+    /// The map that the steps have led to, and its mean lag.
+    fn map(&self) -> (Map, f64) {
+        let layers = self.layers.iter().map(|it| it.layer().clone()).collect();
+        let lags = self.layers.iter().map(Steps::lag).sum::<f64>();
+        (Map { shape: self.start.shape, layers }, lags / self.layers.len().max(1) as f64)
     }
 
     /// Takes steps, those of the most uneven layer first, while a rank gets no
     /// more than so many new experts.
     fn spread(&mut self, copies: usize) {
-        let lag = |it: &Self, layer: usize| it.map.layers[layer].lag(&it.demand[layer], it.paces);
-        let mut lags: Vec<f64> = (0..self.map.layers.len()).map(|it| lag(self, it)).collect();
+        let mut lags: Vec<f64> = self.layers.iter().map(Steps::lag).collect();
         loop {
             let worst = (0..lags.len()).max_by(|a, b| lags[*a].total_cmp(&lags[*b]));
             let Some(layer) = worst.filter(|it| lags[*it] > EVEN) else { return };
             if self.step(layer, copies) {
-                lags[layer] = lag(self, layer);
+                lags[layer] = self.layers[layer].lag();
             } else {
                 // Nothing more can be done for it with so few.
                 lags[layer] = 0.0;
@@ -235,21 +240,21 @@
     }
 
     fn step(&mut self, at: usize, copies: usize) -> bool {
-        let (start, layer) = (&self.start.layers[at], &self.map.layers[at]);
-        let here = &self.here[at];
+        let (start, here) = (&self.start.layers[at], &self.here[at]);
         let allowed = |rank: Rank, it| {
             let rank_at = usize::from(rank.0);
             let free = here[rank_at] < self.options.spare && self.new[rank_at] < copies;
             free || start.holds(rank, it)
         };
-        let change = place::best_allowed(layer, &self.demand[at], self.paces, allowed);
-        let Some(change) = change.filter(|it| it.apply(&mut self.map.layers[at])) else {
+        let change = self.layers[at].best(allowed);
+        let Some(change) = change.filter(|it| self.layers[at].apply(*it)) else {
             return false;
         };
         for slot in change.slots() {
-            let rank = self.map.layers[at].rank(slot);
+            let layer = self.layers[at].layer();
+            let rank = layer.rank(slot);
             let rank_at = usize::from(rank.0);
-            let now = new_experts(&self.start.layers[at], &self.map.layers[at], rank);
+            let now = new_experts(start, layer, rank);
             self.new[rank_at] = self.new[rank_at] + now - self.here[at][rank_at];
             self.here[at][rank_at] = now;
         }
