--- a/crates/sablepass-core/src/expert/barrier.rs
+++ b/crates/sablepass-core/src/expert/barrier.rs
@@ -30,10 +30,8 @@
 use crate::expert::members::{self, MEMBERS, Members};
 use crate::expert::tree::Tree;
 
-/// Members that are asked at a tick: each that waits learns what so many others
-/// know, so the votes of 192 are with all after three ticks, whoever of those in
-/// between is gone, with 16 messages a member and tick.
-const ASKS: usize = 8;
+mod ways;
+
 /// Plans whose vote is remembered, for members that ask late.
 const SETTLED: usize = 16;
 /// How much a fence jumps when an engine knows a higher one.
@@ -273,14 +271,6 @@
         self.fence += FENCE_JUMP;
     }
 
-    /// Begins a plan at all members, this one included.
-    pub fn propose(&mut self, plan: Plan) -> Vec<Output> {
-        let up = self.tree.parent(self.me).is_some().then_some(0);
-        let mut outputs = self.tell(up, Message::Switch(plan));
-        outputs.extend(self.take(self.me, self.epoch(), Message::Switch(plan)));
-        outputs
-    }
-
     /// Takes a message of a member.
     pub fn on_message(
         &mut self,
@@ -324,34 +314,6 @@
         self.settled.contains_key(&plan) || self.plan() == Some(plan)
     }
 
-    /// Passes a plan on to the members below, the first time.
-    fn pass_plan(&self, plan: Plan) -> Vec<Output> {
-        if self.knows(plan) {
-            return Vec::new();
-        }
-        self.tell(self.tree.children(self.me), Message::Switch(plan))
-    }
-
-    /// Passes votes on that others wait for: up once all from below are there, and
-    /// both ways once it is clear what comes of the plan, but not to the member
-    /// `knows` that said so.
-    fn pass_votes(&mut self, plan: Plan, knows: Option<u16>) -> Vec<Output> {
-        let Some(votes) = self.votes.get_mut(&plan) else { return Vec::new() };
-        let decided = votes.no || votes.yes.len() == u32::from(self.size);
-        let gathered = votes.yes.contains_all(&self.below);
-        let spreads = decided && !votes.spread;
-        let gathers = gathered && !votes.gathered;
-        if !spreads && !gathers {
-            return Vec::new();
-        }
-        votes.gathered = true;
-        votes.spread |= spreads;
-        let message = Message::Votes { plan, yes: votes.yes, no: votes.no };
-        let below = self.tree.children(self.me).filter(|_| spreads);
-        let to = self.tree.parent(self.me).into_iter().chain(below);
-        self.tell(to.filter(|it| Some(*it) != knows), message)
-    }
-
     fn begin(&mut self, plan: Plan) {
         let barred = self.asked == Some(plan) || self.barring == Some(plan);
         if self.knows(plan) || barred || self.current.is_some() || !self.barred {
@@ -365,29 +327,6 @@
         self.current = Some(Current { refusing: passed, ..Current::open(plan, self.me) });
     }
 
-    fn on_ask(&mut self, from: u16, plan: Plan) -> Vec<Output> {
-        let current = self.current.filter(|it| it.plan == plan);
-        let in_force = self.reading.is_some_and(|it| it.version == plan.version);
-        let vote = match current {
-            Some(it) => it.vote,
-            None => self.settled.get(&plan).copied().or(in_force.then_some(true)),
-        };
-        if let Some(yes) = vote {
-            return vec![Output::Send(from, self.epoch(), self.known(plan, yes))];
-        }
-        if current.is_none() {
-            self.asked = Some(plan);
-        }
-        self.advance()
-    }
-
-    /// The votes known on a plan, with the own one.
-    fn known(&self, plan: Plan, yes: bool) -> Message {
-        let votes = self.votes.get(&plan).copied().unwrap_or_default();
-        let mine = if yes { Members::one(self.me) } else { Members::default() };
-        Message::Votes { plan, yes: votes.yes.union(&mine), no: votes.no || !yes }
-    }
-
     /// Takes the engine's account.
     pub fn on_reading(&mut self, reading: Reading) -> Vec<Output> {
         if self.pending.is_some() {
@@ -474,34 +413,10 @@
         outputs
     }
 
-    /// Asks some of the members whose votes are missing since the last tick, others
-    /// each time.
-    fn ask(&mut self) -> Vec<Output> {
-        let Some(it) = &mut self.current else { return Vec::new() };
-        let waits = it.vote == Some(true) && !it.undone;
-        let heard = self.votes.get(&it.plan).map_or(Members::default(), |it| it.yes);
-        if !waits || !std::mem::replace(&mut it.waited, true) {
-            return Vec::new();
-        }
-        let next = (it.asked + 1..self.size).chain(0..=it.asked);
-        let missing = next.filter(|it| !heard.contains(*it));
-        let asked: Vec<u16> = missing.take(ASKS).collect();
-        if asked.len() == ASKS {
-            it.asked = asked[ASKS - 1];
-        }
-        let plan = it.plan;
-        self.tell(asked, Message::Ask(plan))
-    }
-
     fn epoch(&self) -> u64 {
         self.reading.map_or(0, |it| it.epoch)
     }
 
-    fn tell(&self, to: impl IntoIterator<Item = u16>, message: Message) -> Vec<Output> {
-        let epoch = self.epoch();
-        to.into_iter().map(|it| Output::Send(it, epoch, message)).collect()
-    }
-
     /// Does what is next, as far as the account allows.
     fn advance(&mut self) -> Vec<Output> {
         let Some(reading) = self.reading.filter(|_| self.fresh) else { return Vec::new() };
@@ -539,19 +454,6 @@
         Some(Order::Disarm(plan.version))
     }
 
-    /// Passes on a vote that was not told yet.
-    fn announce(&mut self) -> Vec<Output> {
-        let mut outputs = Vec::new();
-        for plan in std::mem::take(&mut self.refused) {
-            self.votes.entry(plan).or_default().no = true;
-            outputs.extend(self.pass_votes(plan, None));
-        }
-        if let Some(Current { plan, vote: Some(_), .. }) = self.current {
-            outputs.extend(self.pass_votes(plan, None));
-        }
-        outputs
-    }
-
     fn order(&mut self, order: Order) -> Output {
         self.pending = Some(order);
         Output::Order { order, epoch: self.epoch(), fence: self.next_fence() }
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -16,10 +16,8 @@
 use std::time::Duration;
 
 use sablepass_core::catalogue::Catalogue;
-use sablepass_core::config::What;
 use sablepass_core::id::{Incarnation, Millis};
 use sablepass_core::reason::Ignored;
-use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
 use slog::Logger;
@@ -38,6 +36,8 @@
 use crate::spread::Spread;
 use crate::telemetry::Metrics;
 
+mod held;
+
 /// Longest wait before a failed connection is dialled again.
 const REDIAL_LAST: Millis = 2_000;
 /// A connection for spreading on which nothing arrives for this long is closed.
@@ -417,78 +417,6 @@
         self.metrics.links.with_label_values(&["accepted"]).set(accepted as i64);
     }
 
-    // What is held.
-
-    fn digest_body(&self, now: Millis) -> Body {
-        Body::Digest(self.spread.digest(now))
-    }
-
-    fn digest(&mut self, now: Millis, key: PeerKey, it: &wire::Digest) {
-        let Some(peer) = self.peers.get_mut(&key) else {
-            return;
-        };
-        peer.revision = it.revision;
-        for pull in self.spread.compare(now, it) {
-            call!([peer.link], send(Body::Pull(pull)));
-        }
-    }
-
-    fn pull(&mut self, key: PeerKey, it: &wire::Pull) {
-        let Some(peer) = self.peers.get(&key) else {
-            return;
-        };
-        match self.spread.deltas(it) {
-            Ok(deltas) => {
-                for delta in deltas {
-                    call!([peer.link], send(delta));
-                }
-            }
-            Err(_) => self.metrics.ignored(Ignored::BadFrame),
-        }
-    }
-
-    fn delta(&mut self, cx: CX![], it: wire::Delta) {
-        match convert::parse_delta(it) {
-            Ok((what, delta)) => {
-                let changed = self.spread.merge(what, delta);
-                self.changed(cx, changed);
-            }
-            Err(_) => self.metrics.ignored(Ignored::BadFrame),
-        }
-    }
-
-    fn read(&mut self, cx: CX![], read: reader::Read) {
-        let changed = self.spread.read(clock::now(), read);
-        self.changed(cx, changed);
-    }
-
-    fn changed(&mut self, cx: CX![], changed: Option<What>) {
-        match changed {
-            None => return,
-            Some(What::Declarations) => {
-                let catalogue = self.spread.catalogue();
-                self.owner.fwd(Event::Config(Rc::new(catalogue)));
-            }
-            Some(What::Instances) => {
-                let instances = self.spread.instances().clone();
-                self.owner.fwd(Event::Instances(instances));
-                self.place(cx);
-            }
-        }
-        self.announce();
-    }
-
-    fn announce(&self) {
-        self.tell(|_| true);
-    }
-
-    fn tell(&self, wanted: impl Fn(&Peer) -> bool) {
-        let digest = self.digest_body(clock::now());
-        for peer in self.peers.values().filter(|it| wanted(it)) {
-            call!([peer.link], send(digest.clone()));
-        }
-    }
-
     fn tick(&mut self, cx: CX![]) {
         let now = clock::now();
         self.ticks += 1;
--- /dev/null
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -0,0 +1,90 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! What a mesh says of the documents that it holds, and takes in of others'.
+
+use std::rc::Rc;
+
+use sablepass_core::config::What;
+use sablepass_core::id::Millis;
+use sablepass_core::reason::Ignored;
+use sablepass_wire::convert;
+use sablepass_wire::generated as wire;
+use sablepass_wire::generated::frame::Body;
+use stakker::{CX, call};
+
+use crate::clock;
+use crate::mesh::{Event, Mesh, Peer, PeerKey};
+use crate::reader;
+
+impl Mesh {
+    pub(super) fn digest_body(&self, now: Millis) -> Body {
+        Body::Digest(self.spread.digest(now))
+    }
+
+    pub(super) fn digest(&mut self, now: Millis, key: PeerKey, it: &wire::Digest) {
+        let Some(peer) = self.peers.get_mut(&key) else {
+            return;
+        };
+        peer.revision = it.revision;
+        for pull in self.spread.compare(now, it) {
+            call!([peer.link], send(Body::Pull(pull)));
+        }
+    }
+
+    pub(super) fn pull(&mut self, key: PeerKey, it: &wire::Pull) {
+        let Some(peer) = self.peers.get(&key) else {
+            return;
+        };
+        match self.spread.deltas(it) {
+            Ok(deltas) => {
+                for delta in deltas {
+                    call!([peer.link], send(delta));
+                }
+            }
+            Err(_) => self.metrics.ignored(Ignored::BadFrame),
+        }
+    }
+
+    pub(super) fn delta(&mut self, cx: CX![], it: wire::Delta) {
+        match convert::parse_delta(it) {
+            Ok((what, delta)) => {
+                let changed = self.spread.merge(what, delta);
+                self.changed(cx, changed);
+            }
+            Err(_) => self.metrics.ignored(Ignored::BadFrame),
+        }
+    }
+
+    pub(super) fn read(&mut self, cx: CX![], read: reader::Read) {
+        let changed = self.spread.read(clock::now(), read);
+        self.changed(cx, changed);
+    }
+
+    fn changed(&mut self, cx: CX![], changed: Option<What>) {
+        match changed {
+            None => return,
+            Some(What::Declarations) => {
+                let catalogue = self.spread.catalogue();
+                self.owner.fwd(Event::Config(Rc::new(catalogue)));
+            }
+            Some(What::Instances) => {
+                let instances = self.spread.instances().clone();
+                self.owner.fwd(Event::Instances(instances));
+                self.place(cx);
+            }
+        }
+        self.announce();
+    }
+
+    fn announce(&self) {
+        self.tell(|_| true);
+    }
+
+    pub(super) fn tell(&self, wanted: impl Fn(&Peer) -> bool) {
+        let digest = self.digest_body(clock::now());
+        for peer in self.peers.values().filter(|it| wanted(it)) {
+            call!([peer.link], send(digest.clone()));
+        }
+    }
+}
