--- a/crates/sablepass-core/src/expert/barrier/ways.rs
+++ b/crates/sablepass-core/src/expert/barrier/ways.rs
@@ -11,6 +11,7 @@
 /// know, so the votes of 192 are with all after three ticks, whoever of those in
 /// between is gone, with 16 messages a member and tick.
 const ASKS: usize = 8;
+
 impl Member {
     /// Begins a plan at all members, this one included.
     pub fn propose(&mut self, plan: Plan) -> Vec<Output> {
