--- a/crates/sablepass-agent/src/ranks/tally.rs
+++ b/crates/sablepass-agent/src/ranks/tally.rs
@@ -50,10 +50,14 @@
         })
     }
 
+    /// Layers of the declared maps, and experts of a layer.
+    fn layers_experts(&self) -> (usize, usize) {
+        self.bounds.as_ref().map_or((0, 0), |it| (it.layers as usize, it.experts as usize))
+    }
+
     /// How the planner has the ranks tell their counts.
     fn telling(&self) -> Telling {
-        let (layers, experts) =
-            self.bounds.as_ref().map_or((0, 0), |it| (it.layers as usize, it.experts as usize));
+        let (layers, experts) = self.layers_experts();
         draw::telling(demand::SAMPLE, layers, experts, self.link, COUNTS_EVERY)
     }
 
@@ -87,8 +91,7 @@
         if it.totals.is_empty() {
             return Ok(Some(it.chosen.clone()).filter(|it| !it.is_empty()));
         }
-        let (layers, experts) =
-            self.bounds.as_ref().map_or((0, 0), |it| (it.layers as usize, it.experts as usize));
+        let (layers, experts) = self.layers_experts();
         let told = draw::parse(&it.totals, &it.drawn, layers)?;
         let counts: Vec<Vec<u64>> =
             told.iter().map(|it| it.counts(experts)).collect::<Result<_, _>>()?;
--- a/crates/sablepass-core/src/expert/place.rs
+++ b/crates/sablepass-core/src/expert/place.rs
@@ -174,17 +174,7 @@
 /// The best small step for a layer's slowest rank, by potential gained for
 /// each loading of weights; none if nothing helps.
 pub fn best_change(layer: &Layer, tokens: &[f64], paces: &Paces) -> Option<Change> {
-    best_allowed(layer, tokens, paces, |_, _| true)
-}
-
-/// The same among those that bring experts only to ranks that may take them.
-pub fn best_allowed(
-    layer: &Layer,
-    tokens: &[f64],
-    paces: &Paces,
-    allowed: impl Fn(Rank, Expert) -> bool,
-) -> Option<Change> {
-    Steps::open(layer.clone(), tokens, paces).best(allowed)
+    Steps::open(layer.clone(), tokens, paces).best(|_, _| true)
 }
 
 /// The lightest ranks beside the worst one, those first. A group of 192 ranks
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -325,10 +325,11 @@
             Body::Digest(it) => self.digest(now, key, &it),
             Body::Pull(it) => self.pull(key, &it),
             Body::Delta(it) => self.delta(cx, it),
-            Body::Entries(it) => {
+            Body::Entries(it) if peer.entry().is_some() => {
                 peer.entries = it.names;
                 self.meet();
             }
+            Body::Entries(_) => self.metrics.ignored(Ignored::BadFrame),
             other if peer.introduction.is_some() => self.owner.fwd(Event::Message(key, other)),
             _ => self.metrics.ignored(Ignored::BadFrame),
         }
--- a/crates/sablepass-stand/tests/site.rs
+++ b/crates/sablepass-stand/tests/site.rs
@@ -12,6 +12,9 @@
 use sablepass_stand::keys;
 use sablepass_stand::replica::{EVENTS, Mode, Replica};
 use sablepass_stand::site::{self, CUSTOMER, HOST, KEY, Site, ask};
+use sablepass_wire::frame::Codec;
+use sablepass_wire::generated as wire;
+use sablepass_wire::generated::frame::Body;
 use serde_json::{Value, json};
 
 fn site(replicas: usize) -> Site {
@@ -66,6 +69,24 @@
     wait_for("all entries are known", || (0..6).all(|it| known(it) == Some(6)));
 }
 
+/// Whoever has not said that it is an entry changes nobody's share.
+#[test]
+fn verify_names_of_entries_are_taken_from_entries_only() {
+    let mut site = Site::open(1);
+    site.add_entry("");
+    site.settle(1);
+    let names = (0..50).map(|it| format!("made-up-{it}")).collect();
+    let mut bytes = Vec::new();
+    let entries = Body::Entries(wire::Entries { names });
+    Codec::open().encode(entries, &mut bytes).expect("encoded");
+    let mut stranger = TcpStream::connect(site.entries[0].addr("peers")).expect("connected");
+    stranger.write_all(&bytes).expect("sent");
+    let admin = site.entries[0].addr("admin");
+    let ignored = || metric(&admin, "sablepass_ignored_total", "reason=\"bad-frame\"");
+    wait_for("the names are counted as ignored", || ignored() >= 1.0);
+    assert_eq!(site.status(0)["entries"].as_u64(), Some(1));
+}
+
 #[test]
 fn verify_caller_that_leaves_cancels() {
     let site = site(1);
