Count the entries by the agents' word, up at once and down within a second

The count also never fell. Change: agents, which every entry dials as soon as it has the list, tell with each report how many entries are connected. core::sharers takes the most that anybody sees at once, and falls after 0.8 s in which all that is heard says fewer; one that hears nobody keeps its share. Until an agent has told, for a second at most, the retry budget is shared among 64. A report that counts none or more than 4,096 is a typed error and is counted. Ruled out: a declared number (an operator who adds entries forgets it), and the last number that a peer knew (all peers are restarted here).

--- a/crates/sablepass-agent/src/keeper.rs
+++ b/crates/sablepass-agent/src/keeper.rs
@@ -25,6 +25,7 @@
 use stakker::{ActorOwn, CX, call};
 
 use crate::group::Group;
+use crate::listeners::Listeners;
 use crate::orders::Heard;
 use crate::run::{Content, Job, Part};
 use crate::settings::Settings;
@@ -77,7 +78,7 @@
     pub(crate) gate: Gate,
     pub(crate) active: HashMap<AttemptId, Active>,
     pub(crate) ended: VecDeque<AttemptId>,
-    pub(crate) entries: Vec<PeerKey>,
+    pub(crate) entries: Listeners,
     pub(crate) load: Option<Load>,
     /// When the target last refused a connection, until it is known to take them again.
     pub(crate) away: Option<Millis>,
@@ -112,7 +113,7 @@
             agents: HashMap::new(),
             active: HashMap::new(),
             ended: VecDeque::new(),
-            entries: Vec::new(),
+            entries: Listeners::default(),
             load: None,
             away: None,
             capacity: 0,
@@ -132,7 +133,7 @@
     pub fn mesh_event(&mut self, cx: CX![], event: mesh::Event) {
         match event {
             mesh::Event::Up(peer, it) if it.role == "entry" && it.dialled.is_none() => {
-                self.entries.push(peer);
+                self.entries.up(peer, it.name);
                 self.report();
             }
             mesh::Event::Up(peer, it) => self.agent_up(peer, it.name),
@@ -365,7 +366,7 @@
     /// Contact with an entry is lost: what may run again elsewhere is
     /// stopped, what must not runs on and its answer is kept.
     fn down(&mut self, peer: PeerKey) {
-        self.entries.retain(|it| *it != peer);
+        self.entries.down(peer);
         self.agents.remove(&peer);
         if let Some(group) = &mut self.group {
             group.down(peer);
--- a/crates/sablepass-agent/src/leaving.rs
+++ b/crates/sablepass-agent/src/leaving.rs
@@ -60,9 +60,10 @@
             pace: 0,
             size: 0,
             lag: 0,
+            entries: self.entries.count(),
         });
-        for peer in &self.entries {
-            self.send(Some(*peer), report.clone());
+        for peer in self.entries.peers() {
+            self.send(Some(peer), report.clone());
         }
     }
 
--- /dev/null
+++ b/crates/sablepass-agent/src/listeners.rs
@@ -0,0 +1,37 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! The entries connected to an agent, which it tells how its target stands.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sablepass_edge::mesh::PeerKey;
+
+/// Connections from entries.
+#[derive(Debug, Default)]
+pub struct Listeners {
+    names: BTreeMap<PeerKey, String>,
+}
+
+impl Listeners {
+    /// Records a connection from the entry of this name.
+    pub fn up(&mut self, peer: PeerKey, name: String) {
+        self.names.insert(peer, name);
+    }
+
+    /// Records the end of a connection.
+    pub fn down(&mut self, peer: PeerKey) {
+        self.names.remove(&peer);
+    }
+
+    /// The connections.
+    pub fn peers(&self) -> impl Iterator<Item = PeerKey> {
+        self.names.keys().copied()
+    }
+
+    /// Entries there are: one that started anew has two connections until the
+    /// old one is found to be dead.
+    pub fn count(&self) -> u32 {
+        self.names.values().collect::<BTreeSet<_>>().len() as u32
+    }
+}
--- a/crates/sablepass-agent/src/main.rs
+++ b/crates/sablepass-agent/src/main.rs
@@ -12,6 +12,7 @@
 mod group;
 mod keeper;
 mod leaving;
+mod listeners;
 mod member;
 mod observer;
 mod orders;
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -16,7 +16,7 @@
 use sablepass_core::membership::Pace;
 use sablepass_edge::caller::Answer;
 use sablepass_edge::instance::{Instance, Role};
-use sablepass_edge::mesh::{self, Mesh, PeerKey, Wanted};
+use sablepass_edge::mesh::{self, Mesh, Wanted};
 use sablepass_edge::telemetry::Metrics;
 use sablepass_edge::{admin, clock, runtime};
 use sablepass_platform::engine;
@@ -26,6 +26,7 @@
 use stakker::{ActorOwn, CX, after, call, ret_some_do};
 
 use crate::engine::{Ask, Engine, Heard};
+use crate::listeners::Listeners;
 use crate::ranks::{Do, Ranks};
 use crate::settings::Settings;
 
@@ -52,7 +53,7 @@
     metrics: Arc<Metrics>,
     mesh: ActorOwn<Mesh>,
     engine: ActorOwn<Engine>,
-    entries: Vec<PeerKey>,
+    entries: Listeners,
     reading: Option<Reading>,
     /// The target answered the last time.
     good: bool,
@@ -103,7 +104,7 @@
             metrics,
             mesh,
             engine,
-            entries: Vec::new(),
+            entries: Listeners::default(),
             reading: None,
             good: false,
             ranks,
@@ -125,8 +126,8 @@
         match event {
             mesh::Event::Up(peer, it) if it.role == Role::Entry.name() => {
                 if it.dialled.is_none() {
-                    slog::info!(self.log, "entry up"; "entry" => it.name);
-                    self.entries.push(peer);
+                    slog::info!(self.log, "entry up"; "entry" => &it.name);
+                    self.entries.up(peer, it.name);
                 }
             }
             mesh::Event::Up(peer, it) => {
@@ -135,7 +136,7 @@
                 self.carry_out(list);
             }
             mesh::Event::Down(peer) => {
-                self.entries.retain(|it| *it != peer);
+                self.entries.down(peer);
                 self.ranks.down(peer);
             }
             mesh::Event::Message(_, Body::Bounds(it)) => self.take_bounds(it),
@@ -308,9 +309,10 @@
             pace: convert::pace_number(self.state().pace),
             size: self.group().map_or(0, |it| it.size.into()),
             lag: self.lag(THOUSANDTHS),
+            entries: self.entries.count(),
         });
-        for peer in &self.entries {
-            call!([self.mesh], send(*peer, report.clone()));
+        for peer in self.entries.peers() {
+            call!([self.mesh], send(peer, report.clone()));
         }
     }
 
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod reason;
 pub mod rendezvous;
 pub mod route;
+pub mod sharers;
 pub mod starts;
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -15,6 +15,9 @@
 /// allowed to agents is stalled: its load is read less often than heartbeats come.
 const STALLED: Millis = 3;
 
+/// How long a report counts for what changes by itself: some heartbeats.
+const TOLD: Millis = 1_000;
+
 /// How long a target takes, where others wait for it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Pace {
@@ -73,6 +76,8 @@
     /// Thousandths of the mean that the rank with most of the experts' work has,
     /// if its agent plans its group's maps; else 0.
     pub lag: u32,
+    /// Entries connected to the agent; 0 if it did not say.
+    pub entries: u32,
     /// Time since the engine last answered its agent; none if it is not asked.
     pub engine_age: Option<Millis>,
 }
@@ -274,6 +279,14 @@
         (fresh && member.report.lag > 0).then_some(member.report.lag)
     }
 
+    /// The most entries that an agent heard lately is connected to; none if
+    /// none was heard.
+    pub fn entries(&self, now: Millis) -> Option<usize> {
+        let fresh = |it: &&Member| it.reported && now.saturating_sub(it.heard) < TOLD;
+        let told = self.members.values().filter(fresh).map(|it| it.report.entries);
+        told.max().filter(|it| *it > 0).map(|it| it as usize)
+    }
+
     /// The agent, in whatever state.
     pub fn get(&self, name: &str) -> Option<&Member> {
         self.members.get(name)
--- a/crates/sablepass-core/tests/membership.rs
+++ b/crates/sablepass-core/tests/membership.rs
@@ -15,6 +15,7 @@
         pace: Pace::Sound,
         size: 0,
         lag: 0,
+        entries: 1,
         engine_age: None,
     }
 }
--- a/crates/sablepass-entry/src/answers.rs
+++ b/crates/sablepass-entry/src/answers.rs
@@ -49,7 +49,7 @@
             .collect();
         let requests = self.open.len();
         let connections = self.pool.len();
-        let entries = self.targets.entries();
+        let entries = self.targets.sharers().count();
         let ret = ret_some_do!(move |mesh: serde_json::Value| {
             let mut status = mesh;
             status["role"] = "entry".into();
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -11,8 +11,8 @@
 use sablepass_core::reason::{Ignored, Refusal};
 use sablepass_edge::mesh::{self, Introduction, PeerKey};
 use sablepass_edge::{clock, server};
-use sablepass_wire::convert;
 use sablepass_wire::generated::frame::Body;
+use sablepass_wire::{convert, generated as wire};
 use stakker::{CX, call};
 
 use crate::open::Open;
@@ -40,13 +40,18 @@
             }
             mesh::Event::Entries(names) => {
                 self.targets.meet(names.len());
-                let entries = self.targets.entries();
-                let burst = self.settings.budget(entries).burst;
-                self.budgets.values_mut().for_each(|it| it.limit(burst));
+                self.count_entries();
             }
         }
     }
 
+    /// Counts the entries anew, and shares the retries among as many.
+    pub(crate) fn count_entries(&mut self) {
+        self.targets.count_entries(clock::now());
+        let burst = self.settings.budget(self.targets.sharers()).burst;
+        self.budgets.values_mut().for_each(|it| it.limit(burst));
+    }
+
     pub(crate) fn forget(&mut self, targets: &[String]) {
         for target in targets {
             slog::info!(self.log, "target gone"; "target" => target);
@@ -110,31 +115,43 @@
     }
 
     fn message(&mut self, cx: CX![], peer: PeerKey, body: Body) {
-        if let Body::Report(it) = &body
-            && let Some(began) = self.targets.heard_beside(clock::now(), peer, convert::report(it))
-        {
-            began.iter().for_each(|it| self.relieve(cx, it));
+        if let Body::Report(it) = body {
+            self.report(cx, peer, &it);
             return;
         }
         let Some(name) = self.targets.name(peer).map(str::to_owned) else {
             self.metrics.ignored(Ignored::BadFrame);
             return;
         };
-        if let Body::Report(it) = &body {
-            let known = self.targets.members().get(&name);
-            if known.is_some_and(|known| known.leaving && !it.leaving) {
-                // Leaving is for good; what says otherwise was sent before.
-                self.metrics.ignored(Ignored::LateHeartbeat);
-            }
-            self.targets.heard(clock::now(), &name, convert::report(it));
-            return;
-        }
         match convert::answer(body) {
             Ok(Some((attempt, event))) => self.answer(cx, &name, attempt, event),
             Ok(None) | Err(_) => self.metrics.ignored(Ignored::BadFrame),
         }
     }
 
+    /// Takes an agent's heartbeat.
+    fn report(&mut self, cx: CX![], peer: PeerKey, it: &wire::Report) {
+        let now = clock::now();
+        let Ok(report) = convert::report(it) else {
+            self.metrics.ignored(Ignored::BadFrame);
+            return;
+        };
+        if let Some(began) = self.targets.heard_beside(now, peer, report) {
+            began.iter().for_each(|it| self.relieve(cx, it));
+            return;
+        }
+        let Some(name) = self.targets.name(peer).map(str::to_owned) else {
+            self.metrics.ignored(Ignored::BadFrame);
+            return;
+        };
+        let known = self.targets.members().get(&name);
+        if known.is_some_and(|known| known.leaving && !report.leaving) {
+            // Leaving is for good; what says otherwise was sent before.
+            self.metrics.ignored(Ignored::LateHeartbeat);
+        }
+        self.targets.heard(now, &name, report);
+    }
+
     /// Moves what runs at a target that crawls to others, as far as it can go
     /// on there: while it runs, all ranks of the group are as slow.
     fn relieve(&mut self, cx: CX![], target: &str) {
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -242,7 +242,7 @@
 
     /// The retry budget of a service.
     pub(crate) fn budget(&mut self, served: &Served) -> &mut Budget {
-        let options = self.settings.budget(self.targets.entries());
+        let options = self.settings.budget(self.targets.sharers());
         let open = || Budget::open(options);
         self.budgets.entry(served.clone()).or_insert_with(open)
     }
@@ -387,6 +387,7 @@
         for peer in self.targets.silent(now) {
             call!([self.mesh], drop_peer(peer));
         }
+        self.count_entries();
         self.targets.watch_groups(now);
         self.begin_waiting(cx);
         let ids: Vec<RequestId> = self.open.keys().copied().collect();
@@ -447,7 +448,7 @@
             dialect: self.settings.dialect,
             ..fresh
         };
-        let burst = self.settings.budget(self.targets.entries()).burst;
+        let burst = self.settings.budget(self.targets.sharers()).burst;
         self.budgets.values_mut().for_each(|it| it.limit(burst));
     }
 
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use sablepass_core::balance::Policy;
+use sablepass_core::sharers::Sharers;
 use sablepass_core::{admit, budget, flight};
 use sablepass_edge::settings::{self, Checker, Error};
 use serde::Deserialize;
@@ -93,6 +94,9 @@
 /// Entries among which the common retries are shared at least: there may be
 /// some that this one has not met.
 const RETRY_SHARERS: usize = 4;
+/// The same while this one has just started and heard of none: more than there
+/// are on any deployment known. Agents tell within some 300 ms.
+const RETRY_UNKNOWN: usize = 64;
 
 fn default_policy() -> String {
     "affinity".to_owned()
@@ -187,9 +191,10 @@
         admit::Options { limit: self.exchanges, ..admit::Options::default() }
     }
 
-    /// Options of the retry budget of a service, where there are so many entries.
-    pub fn budget(&self, entries: usize) -> budget::Options {
-        let share = |it: f64| it * RETRY_PART / entries.max(RETRY_SHARERS) as f64;
+    /// Options of the retry budget of a service, shared with these entries.
+    pub fn budget(&self, entries: &Sharers) -> budget::Options {
+        let least = if entries.is_known() { RETRY_SHARERS } else { RETRY_UNKNOWN };
+        let share = |it: f64| it * RETRY_PART / entries.count().max(least) as f64;
         let burst = self.retry_slack.map_or(RETRY_BURST, share);
         budget::Options { ratio: self.retry_ratio, burst }
     }
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -21,6 +21,7 @@
 use sablepass_core::membership::{Members, Pace, Report};
 use sablepass_core::once::Key;
 use sablepass_core::rendezvous;
+use sablepass_core::sharers::Sharers;
 use sablepass_edge::instance::Instance;
 use sablepass_edge::mesh::{PeerKey, Wanted};
 
@@ -115,7 +116,11 @@
     suspects: BTreeSet<String>,
     /// Agents of those, by connection.
     agents: HashMap<PeerKey, IpAddr>,
-    entries: usize,
+    /// Entries met over connections to them, this one included.
+    met: usize,
+    /// Entries that the instance list names.
+    listed_entries: usize,
+    sharers: Sharers,
     chooser: Chooser,
 }
 
@@ -124,7 +129,6 @@
     pub fn open(options: Options, policy: balance::Policy) -> Self {
         Self {
             members: Members::open(options.silence),
-            options,
             catalogue: Rc::default(),
             serving: HashMap::new(),
             subsets: HashMap::new(),
@@ -138,8 +142,11 @@
             groups: HashMap::new(),
             suspects: BTreeSet::new(),
             agents: HashMap::new(),
-            entries: 1,
+            met: 1,
+            listed_entries: 0,
+            sharers: Sharers::open(options.agent_port.is_some()),
             chooser: Chooser::open(policy),
+            options,
         }
     }
 
@@ -159,15 +166,20 @@
         self.index();
     }
 
-    /// Says with how many other entries targets and budgets are shared.
+    /// Says how many other entries this one knows of by itself.
     pub fn meet(&mut self, others: usize) {
-        // An entry that is out of contact may still work.
-        self.entries = self.entries.max(others + 1);
+        self.met = others + 1;
+    }
+
+    /// Counts the entries anew, by connections to them and by the agents' word.
+    pub fn count_entries(&mut self, now: Millis) {
+        let met = self.met.max(self.listed_entries);
+        self.sharers.watch(now, met, self.members.entries(now));
     }
 
-    /// Entries that there are, as far as this one knows.
-    pub fn entries(&self) -> usize {
-        self.entries
+    /// Those that share targets and budgets.
+    pub fn sharers(&self) -> &Sharers {
+        &self.sharers
     }
 
     /// The processes to be connected to: agents of declared targets, and those
@@ -361,7 +373,8 @@
         let none = Vec::new();
         let subset = self.subsets.get(served).unwrap_or(&none);
         let declared = self.serving.get(served).map_or(1, Vec::len).max(1);
-        let sharing = (self.entries as f64 * subset.len() as f64 / declared as f64).max(1.0);
+        let sharing =
+            (self.sharers.count() as f64 * subset.len() as f64 / declared as f64).max(1.0);
         let mut room = Room { capacity: 0.0, load: 0.0 };
         for name in subset.iter().filter(|it| self.open_for(now, it)) {
             let Some(candidate) = self.candidate(now, name) else {
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -51,7 +51,7 @@
         let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
         let there = names.iter().filter(|it| !self.replaced.contains(*it));
         let places = there.filter_map(|it| Some(self.listed.get(it)?.instance.capacity));
-        f64::from(places.sum::<u32>()) / self.entries.max(1) as f64
+        f64::from(places.sum::<u32>()) / self.sharers.count() as f64
     }
 
     /// Streams that this entry's part of a group has beyond those with which its
@@ -63,7 +63,7 @@
         let room = self.room(now, served);
         let ranks = self.serving.get(served).map_or(0, Vec::len).max(1) as f64;
         let places = self.places(served);
-        let part = times.sequences(pause * PAUSE_PART, lag) * ranks / self.entries.max(1) as f64;
+        let part = times.sequences(pause * PAUSE_PART, lag) * ranks / self.sharers.count() as f64;
         Some(room.load + 1.0 - part.max(places * LEAST_PART))
     }
 
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -29,7 +29,7 @@
             self.learning.get_or_insert(now);
         }
         let entries = instances.values().filter(|it| it.role == Role::Entry).count();
-        self.entries = self.entries.max(entries);
+        self.listed_entries = entries;
         let leaving = instances.iter().filter(|(_, it)| it.leaving);
         self.leaving = leaving.map(|(name, _)| name.clone()).collect();
         for (name, it) in instances.iter().filter(|(_, it)| it.role == Role::Target) {
--- a/crates/sablepass-stand/tests/ranks.rs
+++ b/crates/sablepass-stand/tests/ranks.rs
@@ -167,6 +167,38 @@
     fleet.check();
 }
 
+/// Entries of the fleet that has no seeds.
+const ENTRIES: usize = 5;
+
+/// Entries share the places of a group and the budget of retries. They find each
+/// other by seeds only; where these are gone, the agents know how many there are.
+#[test]
+fn verify_entries_count_each_other_by_the_agents_word() {
+    let mut fleet = fleet(true);
+    let port = format!("agent_port = {}", fleet.port);
+    for _ in 1..ENTRIES {
+        fleet.site.add_entry_at(&port, 0);
+    }
+    let counts = |it: &Fleet, entries: std::ops::Range<usize>, all: usize| {
+        entries
+            .into_iter()
+            .all(|entry| it.site.status(entry)["entries"].as_u64() == Some(all as u64))
+    };
+    wait_for("all entries are counted", || counts(&fleet, 0..ENTRIES, ENTRIES));
+    // All are killed at once and start anew.
+    for it in 0..ENTRIES {
+        fleet.site.entries[it].kill();
+    }
+    for _ in 0..ENTRIES {
+        fleet.site.add_entry_at(&port, 0);
+    }
+    wait_for("all are counted again", || counts(&fleet, ENTRIES..2 * ENTRIES, ENTRIES));
+    fleet.site.entries[ENTRIES].kill();
+    wait_for("the one that is gone is not", || {
+        counts(&fleet, ENTRIES + 1..2 * ENTRIES, ENTRIES - 1)
+    });
+}
+
 /// Routes of a large configuration, and how often it is published.
 const ROUTES: usize = 1_000;
 const STORM: u64 = 5;
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -19,6 +19,9 @@
 use crate::generated as wire;
 use crate::generated::frame::Body;
 
+/// Entries that an agent may count: the connections that it accepts.
+pub const MOST_ENTRIES: u32 = 4_096;
+
 /// Why a message is not a core value.
 #[derive(Debug, Snafu, PartialEq, Eq)]
 pub enum Error {
@@ -146,8 +149,11 @@
 }
 
 /// Reads a heartbeat.
-pub fn report(it: &wire::Report) -> membership::Report {
-    membership::Report {
+pub fn report(it: &wire::Report) -> Result<membership::Report, Error> {
+    if it.entries == 0 || it.entries > MOST_ENTRIES {
+        return Err(Error::Field { message: "report", field: "entries" });
+    }
+    Ok(membership::Report {
         in_flight: it.in_flight.max(it.engine_load),
         capacity: it.capacity,
         leaving: it.leaving,
@@ -155,9 +161,10 @@
         pace: pace(it.pace),
         size: it.size,
         lag: it.lag,
+        entries: it.entries,
         // The agent of a plain service has no reading, which it says by the greatest age.
         engine_age: (it.load_age != u32::MAX).then_some(it.load_age.into()),
-    }
+    })
 }
 
 /// The message of what bounds the maps of a service's groups.
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -224,6 +224,9 @@
     /// told beside the rank that plans its group's maps; 0 by others.
     #[prost(uint32, tag = "9")]
     pub lag: u32,
+    /// Entries connected to the agent.
+    #[prost(uint32, tag = "10")]
+    pub entries: u32,
 }
 /// What configuration a process holds.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/sablepass-wire/tests/wire.rs
+++ b/crates/sablepass-wire/tests/wire.rs
@@ -156,3 +156,13 @@
     let second = TALLIES * (asked * with_counts + (RANKS - 1 - asked) * without);
     assert!(second * 2 < LINK, "{second} bytes a second");
 }
+
+#[test]
+fn verify_reports_that_count_no_entry_or_too_many_are_refused() {
+    for (entries, taken) in
+        [(0, false), (1, true), (4_096, true), (4_097, false), (u32::MAX, false)]
+    {
+        let told = wire::Report { entries, ..wire::Report::default() };
+        assert_eq!(convert::report(&told).is_ok(), taken, "{entries} entries");
+    }
+}
