Reset connections to targets whose request nobody wants any more

A machine beside the target that sleeps takes both in when it wakes: the request is whole, an end of input says nothing against running it, and it begins seconds after its caller has gone. Change: connections to targets are closed with a reset while they carry something (SO_LINGER of 0), in order while they rest. What is unread at the other side is then never read, or known to be unwanted. Ruled out: the time budget cut to the silence that callers bear (2 s): a stream lasts longer than that under load and would be cut itself.

--- a/crates/sablepass-edge/src/client.rs
+++ b/crates/sablepass-edge/src/client.rs
@@ -162,6 +162,7 @@
         let interest = Interest::READABLE | Interest::WRITABLE;
         let source = TcpStream::connect(addr)
             .and_then(|it| socket::guard(&it, options.unacked, options.probe).map(|()| it))
+            .and_then(|it| socket::reset_on_close(&it).map(|()| it))
             .and_then(|it| poll.add(it, interest, PRIORITY, ready));
         let source = match source {
             Ok(it) => it,
@@ -410,6 +411,17 @@
     }
 }
 
+/// One that carries nothing is closed in order.
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if matches!(self.phase, Phase::Idle) {
+            self.tcp.out_eof = true;
+            // The socket is closed either way.
+            let _ = self.tcp.flush();
+        }
+    }
+}
+
 /// How long the other side keeps a resting connection, in whole seconds.
 fn rest(response: &http::Response<()>) -> Option<Duration> {
     let value = response.headers().get("keep-alive")?.to_str().ok()?;
--- a/crates/sablepass-edge/src/socket.rs
+++ b/crates/sablepass-edge/src/socket.rs
@@ -20,3 +20,9 @@
         socket2::TcpKeepalive::new().with_time(probe).with_interval(probe).with_retries(PROBES);
     socket.set_tcp_keepalive(&probes)
 }
+
+/// Has the kernel reset a connection that is closed while something is under way
+/// on it, so that a request which the other side has not read is never read.
+pub fn reset_on_close(stream: &TcpStream) -> std::io::Result<()> {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -8,7 +8,7 @@
 //! that repeats the request's.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -49,6 +49,8 @@
     Hold(u64),
     /// Its answer has no length and ends with its connection.
     Unsized,
+    /// Its machine is asleep: what reaches it is read when it wakes.
+    Asleep,
 }
 
 /// A request that it began to run.
@@ -108,7 +110,12 @@
 impl Replica {
     /// Starts a replica of a service.
     pub fn spawn(service: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("the replica listens");
+        Self::spawn_at(service, Ipv4Addr::LOCALHOST.into())
+    }
+
+    /// Starts one on a machine of its own.
+    pub fn spawn_at(service: &str, ip: IpAddr) -> Self {
+        let listener = TcpListener::bind((ip, 0)).expect("the replica listens");
         let addr = listener.local_addr().expect("it has an address");
         let state = State { mode: Mode::Good, runs: Vec::new(), connections: 0, group: None };
         let replica = Self {
@@ -182,7 +189,13 @@
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut input = Vec::new();
+        let mut slept = self.sleep();
         while let Some(mut run) = self.take(&mut stream, &mut input)? {
+            slept |= self.sleep();
+            if slept && stream.take_error()?.is_some() {
+                // Its connection was reset: nobody wants it.
+                return Ok(());
+            }
             let mode = self.lock().mode;
             if run.line.ends_with(" /-/report") {
                 self.write(&mut stream, &run, "HTTP/1.1 200 OK\r\n", &self.report())?;
@@ -211,6 +224,16 @@
         Ok(())
     }
 
+    /// Waits until its machine wakes. Whether it slept.
+    fn sleep(&self) -> bool {
+        let mut state = self.lock();
+        let asleep = state.mode == Mode::Asleep;
+        while state.mode == Mode::Asleep {
+            state = self.state.1.wait(state).unwrap_or_else(PoisonError::into_inner);
+        }
+        asleep
+    }
+
     /// Reads a whole request; none when the connection ends before one.
     fn take(&self, stream: &mut TcpStream, input: &mut Vec<u8>) -> std::io::Result<Option<Run>> {
         let mut proto = Reply::new().map_err(std::io::Error::other)?;
