Leave targets whose machine is quiet, and move what waits there

Every request in the first seconds of a sleep was sent there as well: entries went by the instance list, and the silence of agents was not looked at for targets of the list. Change: a target whose agent has told nothing for 600 ms, three of its reports, over a connection that stands, gets nothing more while others are there; a request there of which nothing has come for 400 ms goes on elsewhere within the retry budget, if it may. Half of all quiet at once means that this process slept, and counts for nothing. An agent whose connection ended says nothing: its target may live. Ruled out: leaving at the agent's silence alone (an agent of 0.15 cores may be slow; its target's streams go on). Requests that must not repeat stay.

--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -20,6 +20,10 @@
 use crate::outcome::{Failure, Ran};
 use crate::reason::{Ignored, Refusal, Retry};
 
+/// Time without a part of an answer after which its target counts as silent: two
+/// passes of the longest that callers are promised on the users' platform.
+const SILENT: Millis = 400;
+
 /// Limits of a [`Flight`].
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -119,6 +123,8 @@
     },
     /// The target takes so long that it holds up all that others run.
     TargetCrawls,
+    /// Nothing is heard of the target's machine, nor of the request there.
+    TargetQuiet,
     /// The caller went away.
     CallerGone,
 }
@@ -253,6 +259,12 @@
         self.events.as_ref().and_then(Splitter::last)
     }
 
+    /// Whether nothing of the answer has come for longer than a target takes
+    /// between two parts of one.
+    pub fn is_silent(&self, now: Millis) -> bool {
+        self.state == State::Sent && now >= self.heard + SILENT
+    }
+
     /// Whether the final answer was given.
     pub fn ended(&self) -> bool {
         self.state == State::Ended
@@ -312,7 +324,8 @@
                 self.heard = self.heard.max(heard);
                 self.on_tick(now, budget)
             }
-            Event::TargetCrawls => self.on_crawling(now, budget),
+            Event::TargetCrawls => self.leave(now, Retry::SlowTarget, budget),
+            Event::TargetQuiet => self.leave(now, Retry::QuietTarget, budget),
             Event::CallerGone => self.on_gone(),
         }
     }
@@ -542,13 +555,18 @@
 
     /// Moves what can go on elsewhere. Anything else stays where it is: it is
     /// no failure, only late.
-    fn on_crawling(&mut self, now: Millis, budget: &mut dyn FnMut() -> bool) -> Vec<Action> {
+    fn leave(
+        &mut self,
+        now: Millis,
+        retry: Retry,
+        budget: &mut dyn FnMut() -> bool,
+    ) -> Vec<Action> {
         if self.state != State::Sent || !self.may_move(now) || !budget() {
             return Vec::new();
         }
         let ran = if self.delivered { Ran::Ran } else { Ran::Unknown };
         let mut actions = vec![Action::Cancel(self.attempt())];
-        actions.extend(self.move_on(Retry::SlowTarget, ran));
+        actions.extend(self.move_on(retry, ran));
         actions
     }
 
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -7,7 +7,7 @@
 //! Leaving is sticky: an incarnation that once said it leaves is never
 //! chosen again, whatever arrives late.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::id::{Incarnation, Millis};
 
@@ -18,6 +18,11 @@
 /// How long a report counts for what changes by itself: some heartbeats.
 const TOLD: Millis = 1_000;
 
+/// Time without a word from an agent whose connection stands after which its
+/// machine counts as asleep: three of the reports that agents give every 200 ms
+/// by the settings of the users' platform.
+const QUIET: Millis = 600;
+
 /// How long a target takes, where others wait for it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Pace {
@@ -104,6 +109,8 @@
     pub report: Report,
     /// It reported at all.
     pub reported: bool,
+    /// The connection to the agent beside it stands.
+    pub linked: bool,
     /// When that came.
     pub heard: Millis,
     /// When the target itself, not only its agent, last gave a sign of life.
@@ -143,6 +150,7 @@
             incarnation,
             report: Report::default(),
             reported: false,
+            linked: false,
             heard: now,
             alive: now,
             leaving,
@@ -208,12 +216,33 @@
         };
         member.heard = now;
         member.reported = true;
+        member.linked = true;
         member.alive = now.saturating_sub(report.engine_age.unwrap_or(0));
         member.report = report;
         member.others = report.in_flight.saturating_sub(member.own);
         member.leaving |= report.leaving;
     }
 
+    /// Records that the connection to the agent beside a listed target ended.
+    /// Its process may have died and the target go on.
+    pub fn unlinked(&mut self, name: &str) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.linked = false;
+        }
+    }
+
+    /// Listed targets whose machine counts as asleep. None while that holds for
+    /// half of them: then it is this process that heard nothing.
+    pub fn quiet(&self, now: Millis) -> BTreeSet<String> {
+        let linked = || {
+            let told = |it: &Member| it.source == Source::Listing && it.linked;
+            self.members.iter().filter(move |it| told(it.1))
+        };
+        let quiet = linked().filter(|it| now.saturating_sub(it.1.heard) >= QUIET);
+        let quiet: BTreeSet<String> = quiet.map(|it| it.0.clone()).collect();
+        if quiet.len() * 2 < linked().count() { quiet } else { BTreeSet::new() }
+    }
+
     /// Records that the connection went down.
     pub fn down(&mut self, name: &str) {
         if let Some(member) = self.members.get_mut(name) {
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -153,6 +153,8 @@
         Stalled = 6, "stalled";
         /// The target takes so long that it holds up all that others run.
         SlowTarget = 7, "slow-target";
+        /// Nothing is heard of the target's machine, nor of the request there.
+        QuietTarget = 8, "quiet-target";
     }
 }
 
--- a/crates/sablepass-core/tests/membership.rs
+++ b/crates/sablepass-core/tests/membership.rs
@@ -107,3 +107,23 @@
     assert_eq!(rests, [500, 1_000, 2_000, 4_000, 4_000, 4_000].map(Some));
     assert_eq!(members.failed("unknown"), None);
 }
+
+#[test]
+fn verify_a_machine_that_tells_nothing_counts_as_asleep() {
+    let mut members = Members::open(3_000);
+    for name in ["a", "b", "c", "d"] {
+        members.listed(0, name, false);
+        members.heard(0, name, report(1, false));
+    }
+    for now in (200..=800).step_by(200) {
+        ["b", "c", "d"].iter().for_each(|it| members.heard(now, it, report(1, false)));
+    }
+    assert!(members.quiet(599).is_empty());
+    assert_eq!(members.quiet(800).into_iter().collect::<Vec<_>>(), ["a"]);
+    // Its agent died, which says nothing of the target.
+    members.unlinked("a");
+    assert!(members.quiet(800).is_empty());
+    // All are silent: this process slept.
+    members.heard(801, "a", report(1, false));
+    assert!(members.quiet(5_000).is_empty());
+}
--- a/crates/sablepass-core/tests/scenarios.rs
+++ b/crates/sablepass-core/tests/scenarios.rs
@@ -226,6 +226,7 @@
                 Vec::new()
             }
             "crawls" => self.event(Event::TargetCrawls),
+            "quiet" => self.event(Event::TargetQuiet),
             "gone" => self.event(Event::CallerGone),
             "wait" => {
                 let span: u64 = args.next_pos().ok_or("wait MS")?.parse()?;
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -389,6 +389,9 @@
         }
         self.count_entries();
         self.targets.watch_groups(now);
+        for target in self.targets.watch_quiet(now) {
+            slog::warn!(self.log, "target quiet"; "target" => target);
+        }
         self.begin_waiting(cx);
         let ids: Vec<RequestId> = self.open.keys().copied().collect();
         for id in ids {
@@ -414,8 +417,15 @@
             }
             return;
         }
-        let heard = open.flight.target().map_or(0, |it| self.targets.last_alive(it));
         let now = clock::now();
+        let quiet = open.flight.target().is_some_and(|it| self.targets.is_quiet(it));
+        if quiet && open.flight.is_silent(now) {
+            self.event(cx, id, 0, Event::TargetQuiet);
+        }
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let heard = open.flight.target().map_or(0, |it| self.targets.last_alive(it));
         if open.flight.due(now, heard) {
             self.event(cx, id, 0, Event::Tick { heard });
         }
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -116,6 +116,8 @@
     suspects: BTreeSet<String>,
     /// Agents of those, by connection.
     agents: HashMap<PeerKey, IpAddr>,
+    /// Targets whose machine counts as asleep.
+    quiet: BTreeSet<String>,
     /// Entries met over connections to them, this one included.
     met: usize,
     /// Entries that the instance list names.
@@ -142,6 +144,7 @@
             groups: HashMap::new(),
             suspects: BTreeSet::new(),
             agents: HashMap::new(),
+            quiet: BTreeSet::new(),
             met: 1,
             listed_entries: 0,
             sharers: Sharers::open(options.agent_port.is_some()),
@@ -258,7 +261,10 @@
 
     /// Records the end of a connection, and returns whose it was.
     pub fn down(&mut self, peer: PeerKey) -> Option<String> {
-        self.agents.remove(&peer);
+        if let Some(ip) = self.agents.remove(&peer) {
+            let there = self.listed.iter().filter(|it| it.1.instance.addr.ip() == ip);
+            there.for_each(|it| self.members.unlinked(it.0));
+        }
         let name = self.names.remove(&peer)?;
         self.links.remove(&name);
         self.members.down(&name);
@@ -355,6 +361,19 @@
         self.names.iter().filter(|(_, name)| silent(name)).map(|(peer, _)| *peer).collect()
     }
 
+    /// Looks again whose machine counts as asleep. Returns those that do since now.
+    pub fn watch_quiet(&mut self, now: Millis) -> Vec<String> {
+        let quiet = self.members.quiet(now);
+        let fresh = quiet.difference(&self.quiet).cloned().collect();
+        self.quiet = quiet;
+        fresh
+    }
+
+    /// Whether a target's machine counts as asleep.
+    pub fn is_quiet(&self, name: &str) -> bool {
+        self.quiet.contains(name)
+    }
+
     /// Whether a target may get new work.
     fn open_for(&self, now: Millis, name: &str) -> bool {
         let stop = self.catalogue.stops.get(name);
@@ -419,6 +438,9 @@
         let open: Vec<&String> = names.iter().filter(|it| self.open_for(now, it)).collect();
         let fresh: Vec<&String> = open.iter().copied().filter(|it| !tried.contains(it)).collect();
         let names = if fresh.is_empty() { open } else { fresh };
+        let awake: Vec<&String> =
+            names.iter().copied().filter(|it| !self.quiet.contains(*it)).collect();
+        let names = if awake.is_empty() { names } else { awake };
         let candidates: Vec<Candidate<'_>> =
             names.iter().filter_map(|it| self.candidate(now, it)).collect();
         let index = self.chooser.choose(rng, prefix, &candidates)?;
--- a/crates/sablepass-stand/tests/asleep.rs
+++ b/crates/sablepass-stand/tests/asleep.rs
@@ -1,16 +1,28 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! Machines beside targets that sleep for a while and wake: real entries, with
-//! stand-ins for the targets. The judge is what the targets ran.
+//! Machines beside targets that sleep for a while and wake: real entries and
+//! agents, with stand-ins for the targets. The judge is what the targets ran.
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use sablepass_stand::client::{metric, wait_for};
-use sablepass_stand::replica::Mode;
+use sablepass_stand::process::Process;
+use sablepass_stand::ranks;
+use sablepass_stand::replica::{Mode, Replica};
 use sablepass_stand::site::{HOST, KEY, Site, ask};
 
+/// Targets, each with a machine of its own.
+const MACHINES: usize = 3;
+/// Callers that ask at once.
+const CALLERS: usize = 12;
+/// Time in which all of them are answered while one machine sleeps: less than
+/// the five seconds that each of them has.
+const ANSWERED: Duration = Duration::from_millis(3_000);
+
 /// A caller that asks and is gone once its request has been sent on.
 fn ask_and_leave(site: &Site, id: &str) {
     let before = site.replicas[0].connections();
@@ -45,3 +57,48 @@
         assert_eq!(site.runs(&format!("left-{number}")), 0, "caller {number} was gone");
     }
 }
+
+/// A site whose targets have machines of their own, with an agent on each.
+fn fleet() -> (Site, Vec<Process>) {
+    let mut site = Site::open(0);
+    let port = ranks::free_port(MACHINES);
+    for machine in 0..MACHINES {
+        let replica = Replica::spawn_at("orders", ranks::loopback(machine));
+        site.list(&replica, "ready");
+        site.replicas.push(replica);
+    }
+    site.configure(&ranks::Group::configuration(2));
+    site.add_entry(&format!("agent_port = {port}"));
+    let addrs: Vec<SocketAddr> = site.replicas.iter().map(|it| it.addr).collect();
+    let beside = |it: SocketAddr| site.add_agent(SocketAddr::new(it.ip(), port), it);
+    let agents = addrs.into_iter().map(beside).collect();
+    site.settle(MACHINES);
+    let admin = site.entries[0].addr("admin");
+    wait_for("all agents tell", || {
+        metric(&admin, "sablepass_link_messages_total", "kind=\"report\"") > 3.0 * MACHINES as f64
+    });
+    (site, agents)
+}
+
+#[test]
+fn verify_requests_leave_a_machine_that_sleeps() {
+    let (site, agents) = fleet();
+    agents[0].pause();
+    site.replicas[0].set(Mode::Asleep);
+    let began = Instant::now();
+    let ask = |number: usize| {
+        let addr = site.http(0);
+        thread::spawn(move || ask("POST", "/stream/x", &format!("s{number}"), "").send(&addr))
+    };
+    let callers: Vec<_> = (0..CALLERS).map(ask).collect();
+    for it in callers {
+        let answer = it.join().expect("the caller ends");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert!(began.elapsed() < ANSWERED, "{:?}", began.elapsed());
+    site.replicas[0].set(Mode::Good);
+    agents[0].wake();
+    for number in 0..CALLERS {
+        assert_eq!(site.runs(&format!("s{number}")), 1, "what was moved is not begun again");
+    }
+}
