One queue decides who begins: in time first, late ones in the room they leave

Cause: after a loss 680 streams were sent into 640 places within 0.2 s of a group's opening (passes of 177 to 265 ms), and what waited for a group was kept by one path, what waited for its turn by another (forming, starts), each with a bound of its own. An entry counted an equal part of what it had just sent, as if the others sent nothing; a service of several groups counted as one, so that a group that was down or held lent its places to the other; what broke off elsewhere took places before those in time.

--- a/crates/sablepass-agent/src/leaving.rs
+++ b/crates/sablepass-agent/src/leaving.rs
@@ -61,6 +61,8 @@
             size: 0,
             lag: 0,
             entries: self.entries.count(),
+            group: 0,
+            stands: false,
         });
         for peer in self.entries.peers() {
             self.send(Some(peer), report.clone());
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -14,6 +14,8 @@
 use sablepass_core::expert::map::Bounds;
 use sablepass_core::id::Millis;
 use sablepass_core::membership::Pace;
+use sablepass_core::pass::Steps;
+use sablepass_core::rendezvous;
 use sablepass_edge::caller::Answer;
 use sablepass_edge::instance::{Instance, Role};
 use sablepass_edge::mesh::{self, Mesh, Wanted};
@@ -55,6 +57,7 @@
     engine: ActorOwn<Engine>,
     entries: Listeners,
     reading: Option<Reading>,
+    steps: Steps,
     /// The target answered the last time.
     good: bool,
     ranks: Ranks,
@@ -75,6 +78,8 @@
 struct State {
     /// Its group is not complete, so that nothing sent there runs.
     closed: bool,
+    /// Its group makes no step although there is work.
+    stands: bool,
     /// How long it takes, for which its group waits.
     pace: Pace,
     /// Lag of the group's map in tenths, where this agent plans it.
@@ -106,6 +111,7 @@
             engine,
             entries: Listeners::default(),
             reading: None,
+            steps: Steps::default(),
             good: false,
             ranks,
             bounds: BTreeMap::new(),
@@ -249,6 +255,8 @@
             self.good = true;
             slog::info!(self.log, "target regained"; "target" => %self.target);
         }
+        let busy = report.running + report.waiting > 0;
+        self.steps.watch(now, report.group.as_ref().map_or(0, |it| it.reading.step), busy);
         let list = self.ranks.report(now, report.group.clone(), report.running);
         self.carry_out(list);
         self.reading = Some(Reading { report, at: now });
@@ -277,6 +285,7 @@
     fn state(&self) -> State {
         State {
             closed: self.group().is_some_and(|it| !it.open),
+            stands: self.steps.stands(clock::now()),
             pace: self.group().map_or(Pace::Sound, |it| Pace::of(it.pace)),
             lag: self.lag(TENTHS),
         }
@@ -310,6 +319,8 @@
             size: self.group().map_or(0, |it| it.size.into()),
             lag: self.lag(THOUSANDTHS),
             entries: self.entries.count(),
+            stands: self.state().stands,
+            group: self.group().map_or(0, |it| rendezvous::stable_hash(&it.name) as u32),
         });
         for peer in self.entries.peers() {
             call!([self.mesh], send(peer, report.clone()));
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -17,7 +17,7 @@
 use sablepass_core::expert::demand::{self, Demand};
 use sablepass_core::expert::foresight::Foresight;
 use sablepass_core::expert::map::{Bounds, Map};
-use sablepass_core::expert::rebalance::Rest;
+use sablepass_core::expert::rebalance::{self, Rest};
 use sablepass_core::expert::watch::Watch;
 use sablepass_core::id::Millis;
 use sablepass_core::reason::Ignored;
@@ -215,9 +215,12 @@
         self.is_active() && (planner || self.sampled.is_some())
     }
 
-    /// Lag of the map in force under what is in demand, if this agent plans.
+    /// Lag of the map in force under what is in demand, if this agent plans. That of
+    /// a group's first map is known before any counts are.
     pub fn lag(&self) -> Option<f64> {
-        self.lag.filter(|_| self.is_active())
+        let group = self.group.as_ref().filter(|it| it.rank == 0 && it.open);
+        let first = group.filter(|it| it.reading.version == 0).map(|_| rebalance::FIRST_LAG);
+        self.lag.filter(|_| self.is_active()).or(first)
     }
 
     /// A connection to another agent came up.
--- a/crates/sablepass-core/src/forming.rs
+++ b/crates/sablepass-core/src/forming.rs
@@ -10,9 +10,6 @@
 
 use crate::id::Millis;
 
-/// Time beyond the declared one in which a group still opens: reports of its
-/// ranks are 200 ms old, and their agents pass them on every 200.
-const MARGIN: Millis = 500;
 /// Time from the first list on in which a rank that nothing is known of counts
 /// as there: the agents beside the targets are dialled and tell how they stand
 /// in some 300 ms.
@@ -29,20 +26,55 @@
     pub unknown: u32,
 }
 
+/// How long after a rank came back the next one is expected: after a loss of
+/// all machines they came back within 0.3 s, and the last one 0.5 s later.
+const RETURNING: Millis = 800;
+/// Time from a group's opening until entries know of it: reports of its ranks
+/// are up to 200 ms old.
+const TOLD: Millis = 100;
+
+/// Times of a group, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// From the return of its last rank until it opens, as declared.
+    pub form: Millis,
+    /// For which it stands before it gives up a rank that it lost. Whoever starts
+    /// after a loss of all finds the ranks complete before that is over.
+    pub stall: Millis,
+}
+
+/// When a closed group opens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Opens {
+    /// Milliseconds from now.
+    pub within: Millis,
+    /// All ranks are there; else they are coming back.
+    pub sure: bool,
+}
+
 /// A group as one entry sees it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Forming {
     /// Since when all ranks are there.
     complete: Option<Millis>,
+    /// When a rank last came back, where ranks are coming back.
+    returned: Option<Millis>,
+    known: u32,
     closed: bool,
 }
 
 impl Forming {
     /// Takes what is known now. `young` is whether this process began to learn
-    /// of the ranks less than [`GRACE`] ago.
+    /// of the ranks less than [`GRACE`] ago: what it finds then has just come
+    /// back, as this process has.
     pub fn watch(&mut self, now: Millis, ranks: Ranks, young: bool) {
         let unknown = if young { ranks.unknown } else { 0 };
         let complete = unknown > 0 || (ranks.size > 0 && ranks.closed >= ranks.size);
+        let returning = young || self.returned.is_some_and(|it| now < it + RETURNING);
+        if ranks.closed > self.known && returning {
+            self.returned = Some(now);
+        }
+        self.known = ranks.closed;
         self.closed = ranks.closed > 0 || unknown > 0;
         self.complete = if complete { self.complete.or(Some(now)) } else { None };
     }
@@ -52,9 +84,23 @@
         self.closed
     }
 
-    /// Whether it is expected to open soon, given the time in which a complete
-    /// group does so.
-    pub fn opens_soon(&self, now: Millis, form: Millis) -> bool {
-        self.closed && self.complete.is_some_and(|since| now < since + form + MARGIN)
+    /// When it is expected to open; none if it is open or nobody knows.
+    pub fn opens(&self, now: Millis, times: Times) -> Option<Opens> {
+        let form = times.form;
+        if !self.closed {
+            return None;
+        }
+        let within = |since: Millis| (since + form + TOLD).saturating_sub(now);
+        if let Some(since) = self.complete {
+            let due = now < since + form + times.stall;
+            return due.then(|| Opens { within: within(since), sure: true });
+        }
+        let returning = self.returned.is_some_and(|it| now < it + RETURNING);
+        returning.then(|| Opens { within: within(now), sure: false })
+    }
+
+    /// Whether it is expected to open soon.
+    pub fn opens_soon(&self, now: Millis, times: Times) -> bool {
+        self.opens(now, times).is_some()
     }
 }
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -81,6 +81,10 @@
     /// Thousandths of the mean that the rank with most of the experts' work has,
     /// if its agent plans its group's maps; else 0.
     pub lag: u32,
+    /// Which group it is a rank of, among those of its service.
+    pub group: u32,
+    /// Its group makes no step although there is work.
+    pub stands: bool,
     /// Entries connected to the agent; 0 if it did not say.
     pub entries: u32,
     /// Time since the engine last answered its agent; none if it is not asked.
@@ -122,10 +126,22 @@
     pub others: u32,
     /// Requests of this entry there now.
     pub own: u32,
+    /// Those that it had there when the target or its agent last told its load.
+    pub told: u32,
     /// Requests of this entry that failed there, one after the other.
     pub failures: u32,
 }
 
+impl Member {
+    /// Requests there that fall to one of so many entries: an equal part of
+    /// those last told, and all that this one has sent since. The others send
+    /// as many, of which nothing is known yet.
+    pub fn share(&self, entries: f64) -> f64 {
+        let told = f64::from(self.others + self.told) / entries;
+        (told + f64::from(self.own) - f64::from(self.told)).max(0.0)
+    }
+}
+
 /// All agents that this process has heard of.
 #[derive(Debug)]
 pub struct Members {
@@ -156,6 +172,7 @@
             leaving,
             others: 0,
             own,
+            told: 0,
             failures: known.map_or(0, |it| it.failures),
         };
         self.members.insert(name.to_owned(), member);
@@ -182,6 +199,7 @@
     pub fn told(&mut self, name: &str, requests: u32) {
         if let Some(member) = self.members.get_mut(name) {
             member.others = requests.saturating_sub(member.own);
+            member.told = member.own;
         }
     }
 
@@ -220,6 +238,7 @@
         member.alive = now.saturating_sub(report.engine_age.unwrap_or(0));
         member.report = report;
         member.others = report.in_flight.saturating_sub(member.own);
+        member.told = member.own;
         member.leaving |= report.leaving;
     }
 
@@ -301,6 +320,12 @@
         self.get(name).is_some_and(|it| !it.leaving && self.is_closed(now, it))
     }
 
+    /// Targets of which it was told lately that their group stands.
+    pub fn standing(&self, now: Millis) -> impl Iterator<Item = &String> {
+        let stands = move |it: &Member| it.report.stands && now.saturating_sub(it.heard) < TOLD;
+        self.members.iter().filter(move |it| stands(it.1)).map(|it| it.0)
+    }
+
     /// Lag of a group's map as told beside a rank; none if it was not told lately.
     pub fn lag(&self, now: Millis, name: &str) -> Option<u32> {
         let member = self.get(name)?;
--- a/crates/sablepass-core/src/pass.rs
+++ b/crates/sablepass-core/src/pass.rs
@@ -3,6 +3,8 @@
 
 //! How long the passes of a group of ranks take, from what its engines declare.
 
+use crate::id::Millis;
+
 /// Prompts, of the usual length, that the rank with most to read reads in a
 /// pass: on the captioning deployment four new ones come in a pass over twelve
 /// ranks, and calm passes took as much longer than their sequences explain.
@@ -47,3 +49,33 @@
         (((pause - self.base) / uneven - self.reading) / self.sequence).max(0.0)
     }
 }
+
+/// Time without a step after which a group with work stands: twice the longest
+/// pass that a group made under load.
+const STANDS: Millis = 500;
+
+/// The steps of a group as the agent beside one of its ranks reads them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Steps {
+    step: u64,
+    /// Since when it is the same with work there; none while there is no work.
+    since: Option<Millis>,
+}
+
+impl Steps {
+    /// Takes a reading: the last step, and whether the rank has work.
+    pub fn watch(&mut self, now: Millis, step: u64, busy: bool) {
+        if step != self.step || !busy {
+            self.since = None;
+        }
+        self.step = step;
+        if busy {
+            self.since.get_or_insert(now);
+        }
+    }
+
+    /// Whether the group stands: a step is held, or a rank does not answer.
+    pub fn stands(&self, now: Millis) -> bool {
+        self.since.is_some_and(|since| now >= since + STANDS)
+    }
+}
--- a/crates/sablepass-core/src/starts.rs
+++ b/crates/sablepass-core/src/starts.rs
@@ -1,12 +1,16 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! When streams of a service begin.
+//! Who begins: streams of a service that arrive, that wait for their group to
+//! open, and that wait for their turn.
 //!
 //! Callers are promised that a stream does not pause, and all ranks of a group
 //! pass together, so one stream too many makes all of them late. While passes
 //! would be too long with it, a stream waits its turn; where it would then be
-//! late it is refused at once and told when its turn would come.
+//! late it is refused at once and told when its turn would come. A stream that
+//! is late whatever is done, since its group was closed or it broke off
+//! elsewhere, still serves its caller: it takes the room that those in time
+//! leave, and waits for as long as its caller does.
 
 use std::collections::VecDeque;
 
@@ -20,23 +24,67 @@
 const OPENS: f64 = 200.0;
 /// Milliseconds that a stream is taken to last before one has ended.
 const LASTS: f64 = 2_000.0;
-/// Weight of a stream in both.
-const WEIGHT: f64 = 0.1;
+/// By what part a stream that took longer or less long moves both. They follow the
+/// median: a mean took the few streams that a held step had kept for 4 s for all.
+const STEP: f64 = 0.02;
+/// Milliseconds of silence for which callers of the users' platform wait at
+/// least, and as parts of their objective and of the pause they allow.
+const PATIENCE: Millis = 2_000;
+const PATIENCE_OBJECTIVES: Millis = 4;
+const PATIENCE_PAUSES: Millis = 8;
+/// Milliseconds of arrivals for which those that are late leave room. A group
+/// that opens has a better map about as long after it.
+const RESERVED: f64 = 600.0;
+/// Milliseconds over which arrivals are counted: longer than callers who lost
+/// their streams take to come back together.
+const COUNTED: f64 = 3_000.0;
+
+/// How long a caller waits for the first event of a stream, given within which
+/// time that is in time, and the longest pause between two events.
+pub fn patience(objective: Millis, pause: Millis) -> Millis {
+    PATIENCE.max(objective * PATIENCE_OBJECTIVES).max(pause * PATIENCE_PAUSES)
+}
+
+/// What a service has for streams that fall to this entry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Room {
+    /// Nothing bounds what begins.
+    Free,
+    /// Its group is open.
+    Open {
+        /// Streams with which passes are short enough.
+        places: f64,
+        /// Streams that run.
+        load: f64,
+        /// Prompts that may be read at once without a longer pass for all: one a rank.
+        reads: f64,
+    },
+    /// Its group is closed and about to open.
+    Opens {
+        /// When, in milliseconds from now.
+        within: Millis,
+        /// Streams with which passes are short enough on its first map.
+        places: f64,
+        /// All of its ranks are there, so that this is known and not hoped.
+        sure: bool,
+    },
+    /// Its group is closed, and nobody knows until when.
+    Closed,
+}
 
 /// A stream that asks to begin.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask {
     /// Its request.
     pub id: RequestId,
+    /// When it arrived.
+    pub arrived: Millis,
     /// Milliseconds within which its first event is in time.
     pub objective: Millis,
-    /// Milliseconds since it arrived.
-    pub waited: Millis,
-    /// Streams that the group has beyond those with which passes are short
-    /// enough; negative while there is room, none if that is not known.
-    pub excess: Option<f64>,
-    /// Streams of this entry that run.
-    pub running: u32,
+    /// Milliseconds within which its caller must get it.
+    pub patience: Millis,
+    /// It broke off elsewhere, so that it is late already.
+    pub resumed: bool,
 }
 
 /// When a stream may begin.
@@ -46,61 +94,210 @@
     Now,
     /// When it is its turn, in so many milliseconds by what is known.
     Wait(Millis),
-    /// Not in time; its turn would come in so many milliseconds.
-    Refuse(Millis),
+    /// Not in time; its turn would come in so many milliseconds, if anybody knows.
+    Refuse(Option<Millis>),
 }
 
 /// Streams of a service that wait, those that came first at the front.
 #[derive(Clone, Debug)]
 pub struct Starts {
-    waiting: VecDeque<RequestId>,
+    waiting: VecDeque<Ask>,
+    /// When streams began, for as long as their prompts are read.
+    begun: VecDeque<Millis>,
     /// Milliseconds that a stream lasts, and those to its first event, over some time.
     lasts: f64,
     opens: f64,
+    /// Arrivals of late, and when that was.
+    arrivals: f64,
+    counted: Millis,
 }
 
 impl Default for Starts {
     fn default() -> Self {
-        Self { waiting: VecDeque::new(), lasts: LASTS, opens: OPENS }
+        Self {
+            waiting: VecDeque::new(),
+            begun: VecDeque::new(),
+            lasts: LASTS,
+            opens: OPENS,
+            arrivals: 0.0,
+            counted: 0,
+        }
     }
 }
 
 impl Starts {
     /// Says when a stream may begin. One that is to wait is taken in.
-    pub fn ask(&mut self, ask: &Ask) -> Turn {
-        let Some(excess) = ask.excess else { return Turn::Now };
-        if self.waiting.is_empty() && excess < 0.0 {
-            return Turn::Now;
+    pub fn ask(&mut self, now: Millis, ask: &Ask, room: Room) -> Turn {
+        self.count(now, f64::from(u8::from(!ask.resumed)));
+        let turn = self.turn(now, ask, room);
+        match turn {
+            Turn::Now => self.begin(now),
+            Turn::Wait(_) => self.waiting.push_back(*ask),
+            Turn::Refuse(_) => {}
         }
-        let ahead = self.waiting.len() as f64 + 1.0 + excess.max(0.0);
-        let turn = ahead * self.lasts / f64::from(ask.running.max(1));
-        let longest = ask.objective as f64 - self.opens * OPENS_TIMES;
-        if ask.waited as f64 + turn > longest {
-            return Turn::Refuse(turn as Millis);
+        turn
+    }
+
+    fn turn(&self, now: Millis, ask: &Ask, room: Room) -> Turn {
+        let late = self.is_late(now, ask);
+        let longest = if late { ask.patience } else { ask.objective };
+        let waited = now.saturating_sub(ask.arrived) as f64;
+        match room {
+            Room::Free => Turn::Now,
+            Room::Closed => Turn::Refuse(None),
+            Room::Opens { within, places, sure } => {
+                // Those that wait are late when it opens, and leave room as such.
+                let all = self.waiting.len() as f64 + 1.0 + self.reserved();
+                let beyond = (all - places).max(0.0);
+                let turn = within as f64 + beyond * self.lasts / places.max(1.0);
+                match beyond <= 0.0 && self.in_time(waited, turn, ask.patience) {
+                    true => Turn::Wait(turn as Millis),
+                    false => Turn::Refuse(sure.then_some(turn as Millis)),
+                }
+            }
+            Room::Open { places, load, reads } => {
+                let excess = self.excess(now, ask, places, load);
+                let ahead = self.ahead(now, ask);
+                if ahead == 0 && self.fits(now, ask, room) {
+                    return Turn::Now;
+                }
+                if late && excess + (ahead as f64) < 0.0 {
+                    let turn = (ahead as f64 + 1.0) * self.opens / reads.max(1.0);
+                    return Turn::Wait(turn as Millis);
+                }
+                let before = ahead as f64 + 1.0 + excess.max(0.0);
+                let turn = before * self.lasts / load.max(1.0);
+                // Those in time take what ends, and those late what they leave of it.
+                let left = load / self.lasts - self.arrivals / COUNTED;
+                let real = if !late {
+                    turn
+                } else if left > 0.0 {
+                    before / left
+                } else {
+                    f64::MAX
+                };
+                match self.in_time(waited, real, longest) {
+                    true => Turn::Wait(real as Millis),
+                    false => Turn::Refuse(Some(turn as Millis)),
+                }
+            }
         }
-        self.waiting.push_back(ask.id);
-        Turn::Wait(turn as Millis)
+    }
+
+    /// Whether a stream has its first event in time if it begins in `turn`.
+    fn in_time(&self, waited: f64, turn: f64, longest: Millis) -> bool {
+        waited + turn + self.opens * OPENS_TIMES <= longest as f64
+    }
+
+    /// Places that those late leave to those that arrive.
+    fn reserved(&self) -> f64 {
+        self.arrivals * RESERVED / COUNTED
+    }
+
+    /// Streams beyond those with which passes are short enough, if this one
+    /// begins; negative while there is room.
+    fn excess(&self, now: Millis, ask: &Ask, places: f64, load: f64) -> f64 {
+        let late = self.is_late(now, ask);
+        let reserved = if late { self.reserved() } else { 0.0 };
+        load + 1.0 + reserved - places
+    }
+
+    /// Whether a stream can begin now. What is late can wait until the prompts of
+    /// others are read: many in one pass make it too long for all that run.
+    fn fits(&self, now: Millis, ask: &Ask, room: Room) -> bool {
+        match room {
+            Room::Free => true,
+            Room::Open { places, load, reads } => {
+                let calm = !self.is_late(now, ask) || self.reading(now) < reads;
+                calm && self.excess(now, ask, places, load) < 0.0
+            }
+            Room::Opens { .. } | Room::Closed => false,
+        }
+    }
+
+    /// Streams that began so lately that their prompts are read.
+    fn reading(&self, now: Millis) -> f64 {
+        let fresh = |it: &&Millis| now.saturating_sub(**it) as f64 <= self.opens;
+        self.begun.iter().rev().take_while(fresh).count() as f64
+    }
+
+    fn begin(&mut self, now: Millis) {
+        let opens = self.opens;
+        self.begun.retain(|it| now.saturating_sub(*it) as f64 <= opens);
+        self.begun.push_back(now);
+    }
+
+    /// Whether a stream's first event comes late even if it begins now.
+    fn is_late(&self, now: Millis, ask: &Ask) -> bool {
+        let waited = now.saturating_sub(ask.arrived) as f64;
+        ask.resumed || waited + self.opens * OPENS_TIMES > ask.objective as f64
+    }
+
+    /// Streams that wait and go before this one: those in time before those late.
+    fn ahead(&self, now: Millis, ask: &Ask) -> usize {
+        let late = self.is_late(now, ask);
+        self.waiting.iter().filter(|it| late || !self.is_late(now, it)).count()
     }
 
     /// Forgets streams that wait no more.
     pub fn retain(&mut self, waits: impl Fn(&RequestId) -> bool) {
-        self.waiting.retain(waits);
+        self.waiting.retain(|it| waits(&it.id));
+    }
+
+    /// Whether any stream waits.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty()
     }
 
     /// The stream whose turn is next.
-    pub fn front(&self) -> Option<RequestId> {
-        self.waiting.front().copied()
+    pub fn front(&self, now: Millis) -> Option<Ask> {
+        let timely = self.waiting.iter().find(|it| !self.is_late(now, it));
+        timely.or(self.waiting.front()).copied()
     }
 
     /// Takes out the stream whose turn is next, if there is room for it.
-    pub fn next(&mut self, excess: Option<f64>) -> Option<RequestId> {
-        let room = excess.is_none_or(|it| it < 0.0);
-        if room { self.waiting.pop_front() } else { None }
+    pub fn next(&mut self, now: Millis, room: Room) -> Option<RequestId> {
+        let ask = self.front(now)?;
+        if !self.fits(now, &ask, room) {
+            return None;
+        }
+        self.waiting.retain(|it| it.id != ask.id);
+        self.begin(now);
+        Some(ask.id)
+    }
+
+    /// Takes out a stream for which there will be no turn before its caller
+    /// leaves, with the time in which there might be one.
+    pub fn give_up(&mut self, now: Millis, room: Room) -> Option<(RequestId, Option<Millis>)> {
+        let over = |it: &Ask| {
+            let waited = now.saturating_sub(it.arrived) as f64;
+            waited + self.opens * OPENS_TIMES > it.patience as f64
+        };
+        let at = self.waiting.iter().position(|it| room == Room::Closed || over(it))?;
+        let ask = self.waiting.remove(at)?;
+        let turn = match room {
+            Room::Opens { within, sure: true, .. } => Some(within),
+            Room::Open { load, .. } => Some((self.lasts / load.max(1.0)) as Millis),
+            Room::Opens { .. } | Room::Free | Room::Closed => None,
+        };
+        Some((ask.id, turn))
     }
 
     /// Takes how long a stream lasted from its start on, and until its first event.
     pub fn lasted(&mut self, lasted: Millis, opened: Millis) {
-        self.lasts += WEIGHT * (lasted as f64 - self.lasts);
-        self.opens += WEIGHT * (opened as f64 - self.opens);
+        follow(&mut self.lasts, lasted as f64);
+        follow(&mut self.opens, opened as f64);
     }
+
+    fn count(&mut self, now: Millis, more: f64) {
+        let passed = now.saturating_sub(self.counted) as f64;
+        self.arrivals = self.arrivals * (-passed / COUNTED).exp() + more;
+        self.counted = now;
+    }
+}
+
+/// Moves a median towards a sample.
+fn follow(median: &mut f64, sample: f64) {
+    let times = if sample > *median { 1.0 + STEP } else { 1.0 / (1.0 + STEP) };
+    *median = (*median * times).max(1.0);
 }
--- a/crates/sablepass-core/tests/membership.rs
+++ b/crates/sablepass-core/tests/membership.rs
@@ -16,6 +16,8 @@
         size: 0,
         lag: 0,
         entries: 1,
+        group: 0,
+        stands: false,
         engine_age: None,
     }
 }
@@ -127,3 +129,31 @@
     members.heard(801, "a", report(1, false));
     assert!(members.quiet(5_000).is_empty());
 }
+
+/// Entries of the pattern and places that fall to each of them.
+const ENTRIES: usize = 16;
+const PLACES: f64 = 24.0;
+
+/// A herd: all entries know the same reports and begin at once. Each counts what it
+/// has sent since in full, since the others send as much; with an equal part of
+/// that, each of them filled the places of all.
+#[test]
+fn verify_a_herd_of_entries_stays_within_the_places_of_all() {
+    let mut begun = 0;
+    for _ in 0..ENTRIES {
+        let mut members = Members::open(1_000);
+        members.listed(0, "t", false);
+        members.heard(0, "t", report(0, false));
+        let share = |it: &Members| it.get("t").map_or(0.0, |it| it.share(ENTRIES as f64));
+        while share(&members) + 1.0 <= PLACES {
+            members.sent("t");
+            begun += 1;
+        }
+        // The report that follows tells of all of them, and the share is the same.
+        members.heard(200, "t", report((ENTRIES as f64 * PLACES) as u32, false));
+        assert!((share(&members) - PLACES).abs() < 1e-9);
+        members.ended("t");
+        assert!(share(&members) < PLACES, "what ends makes room at once");
+    }
+    assert!(begun as f64 <= ENTRIES as f64 * PLACES, "{begun}");
+}
--- a/crates/sablepass-entry/src/call.rs
+++ b/crates/sablepass-entry/src/call.rs
@@ -46,6 +46,8 @@
     pub issued: Option<Millis>,
     /// Whether the answer is streamed.
     pub stream: bool,
+    /// It goes on after what its caller got of an answer that broke off.
+    pub resumed: bool,
     /// The prompt's prefix.
     pub prefix: Option<String>,
     /// Path towards the target.
--- a/crates/sablepass-entry/src/openai.rs
+++ b/crates/sablepass-entry/src/openai.rs
@@ -106,6 +106,7 @@
         unsafe_repeat: parse_unsafe(fields)?,
         idempotency,
         issued: parse_number(fields, "x-sablepass-key-issued")?,
+        resumed: false,
         stream: false,
         prefix: None,
         path: String::new(),
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -92,6 +92,7 @@
             subset: settings.subset,
             lead: settings.stop_lead,
             silence: settings.silence,
+            stands: settings.stands,
             agent_port: settings.agent_port,
         };
         let policy = Policy::parse(&settings.policy).unwrap_or_default();
@@ -197,7 +198,7 @@
             return false;
         }
         let same = |it: &&Open| it.waiting.is_some() && it.served == open.served;
-        let most = self.targets.places(&open.served) * FORM_PART;
+        let most = self.targets.whole(&open.served).capacity * FORM_PART;
         (self.open.values().filter(same).count() as f64) < most
     }
 
--- a/crates/sablepass-entry/src/routes.rs
+++ b/crates/sablepass-entry/src/routes.rs
@@ -54,6 +54,7 @@
         idempotency: None,
         issued: None,
         stream: false,
+        resumed: asked.resumed,
         prefix: None,
         path: String::new(),
         head,
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -49,6 +49,10 @@
     /// request is sent elsewhere. Default 10,000.
     #[serde(default = "default_stall")]
     pub stall: u64,
+    /// Milliseconds for which a group of ranks stands before it gives up one that
+    /// it lost. Default 1,500.
+    #[serde(default = "default_stands")]
+    pub stands: u64,
     /// Milliseconds that a probe of lost contact may take. Default 5,000.
     #[serde(default = "default_probe")]
     pub probe: u64,
@@ -134,6 +138,10 @@
     flight::Options::default().stall
 }
 
+fn default_stands() -> u64 {
+    1_500
+}
+
 fn default_probe() -> u64 {
     flight::Options::default().probe
 }
@@ -171,6 +179,7 @@
             ("stop_lead", self.stop_lead),
             ("deadline", self.deadline),
             ("stall", self.stall),
+            ("stands", self.stands),
             ("probe", self.probe),
         ];
         for (key, value) in spans {
--- a/crates/sablepass-entry/src/starts.rs
+++ b/crates/sablepass-entry/src/starts.rs
@@ -5,7 +5,7 @@
 
 use sablepass_core::id::{Millis, RequestId};
 use sablepass_core::reason::Refusal;
-use sablepass_core::starts::{Ask, Turn};
+use sablepass_core::starts::{self, Ask, Room, Turn};
 use sablepass_edge::clock;
 use stakker::CX;
 
@@ -13,57 +13,77 @@
 use crate::targets::Served;
 
 impl Router {
-    /// Lets a stream wait or refuses it, if passes would be too long with it.
+    /// Lets a stream wait or refuses it, if passes would be too long with it or
+    /// its group is closed.
     pub(crate) fn defers(&mut self, cx: CX![], now: Millis, id: RequestId) -> bool {
         let Some(open) = self.open.get(&id) else { return true };
         let first = open.flight.attempt().number == 0;
         let Some(route) = open.route.as_ref().filter(|_| first) else { return false };
         let Some(pause) = route.pause else { return false };
-        let served = &open.served;
-        let ask = Ask {
-            id,
-            objective: route.objective,
-            waited: now.saturating_sub(open.run.arrived),
-            excess: self.targets.excess(now, served, pause as f64),
-            running: self.targets.own(served),
-        };
-        let turn = self.starts.entry(served.clone()).or_default().ask(&ask);
+        let (arrived, resumed) = (open.run.arrived, open.run.resumed);
+        let left = open.flight.request().deadline.saturating_sub(arrived);
+        let patience = starts::patience(route.objective, pause).min(left);
+        let ask = Ask { id, arrived, objective: route.objective, patience, resumed };
+        let served = open.served.clone();
+        // A report may have come since the last tick.
+        self.targets.watch_groups(now);
+        let room = self.targets.begins(now, &served, pause as f64);
+        let turn = self.starts.entry(served).or_default().ask(now, &ask, room);
         match turn {
             Turn::Now => false,
             Turn::Wait(turn) => {
+                let Some(open) = self.open.get(&id) else { return true };
                 slog::info!(self.log, "waits to begin"; "id" => &open.run.label, "turn" => turn,
-                    "excess" => ask.excess, "running" => ask.running);
+                    "room" => ?room, "resumed" => resumed);
                 true
             }
             Turn::Refuse(turn) => {
-                self.refuse_until(cx, id, turn);
+                self.refuse_until(cx, id, turn, room);
                 true
             }
         }
     }
 
-    fn refuse_until(&mut self, cx: CX![], id: RequestId, wait: Millis) {
+    fn refuse_until(&mut self, cx: CX![], id: RequestId, wait: Option<Millis>, room: Room) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        open.comeback = Some(wait);
-        let actions = open.flight.refuse(Refusal::Crowded);
+        open.comeback = wait;
+        let open_now = matches!(room, Room::Open { .. } | Room::Free);
+        let reason = if open_now { Refusal::Crowded } else { Refusal::GroupClosed };
+        let actions = open.flight.refuse(reason);
         self.act(cx, id, actions);
     }
 
-    /// Begins those streams that wait and for which there is room now.
+    /// Begins those streams that wait and for which there is room now, and
+    /// refuses those for which there will be none.
     pub(crate) fn begin_waiting(&mut self, cx: CX![]) {
         let services: Vec<Served> = self.starts.keys().cloned().collect();
         for served in services {
-            while let Some(id) = self.next_start(&served) {
+            let open = &self.open;
+            let Some(starts) = self.starts.get_mut(&served) else { continue };
+            starts.retain(|it| open.contains_key(it));
+            self.begin_some(cx, &served);
+        }
+    }
+
+    fn begin_some(&mut self, cx: CX![], served: &Served) {
+        while let Some(room) = self.front_room(served) {
+            let Some(starts) = self.starts.get_mut(served) else { return };
+            let now = clock::now();
+            if let Some(id) = starts.next(now, room) {
                 self.place(cx, id);
+            } else if let Some((id, turn)) = starts.give_up(now, room) {
+                self.refuse_until(cx, id, turn, room);
+            } else {
+                return;
             }
         }
     }
 
-    fn next_start(&mut self, served: &Served) -> Option<RequestId> {
-        let starts = self.starts.get_mut(served)?;
-        let open = &self.open;
-        starts.retain(|it| open.contains_key(it));
-        let pause = open.get(&starts.front()?)?.route.as_ref()?.pause?;
-        starts.next(self.targets.excess(clock::now(), served, pause as f64))
+    /// The room for the stream of a service whose turn is next.
+    fn front_room(&self, served: &Served) -> Option<Room> {
+        let now = clock::now();
+        let starts = self.starts.get(served)?;
+        let pause = self.open.get(&starts.front(now)?.id)?.route.as_ref()?.pause?;
+        Some(self.targets.begins(now, served, pause as f64))
     }
 }
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -47,6 +47,8 @@
     pub lead: Millis,
     /// Silence after which a target is not chosen.
     pub silence: Millis,
+    /// Time for which a group stands before it gives up a rank that it lost.
+    pub stands: Millis,
     /// Port of the agents beside listed targets.
     pub agent_port: Option<u16>,
 }
@@ -84,12 +86,14 @@
 }
 
 /// Capacity and load of a model that fall to this entry.
-#[derive(Clone, Copy, Debug)]
-pub struct Room {
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Share {
     /// Requests.
     pub capacity: f64,
     /// Requests.
     pub load: f64,
+    /// Targets that may get new work.
+    pub targets: f64,
 }
 
 /// The table of targets.
@@ -111,13 +115,15 @@
     /// When the first list came.
     learning: Option<Millis>,
     /// The groups of services whose targets are ranks.
-    groups: HashMap<Served, Forming>,
+    groups: HashMap<Served, BTreeMap<u32, Forming>>,
     /// Services of which a target refused work before its agent was heard.
     suspects: BTreeSet<String>,
     /// Agents of those, by connection.
     agents: HashMap<PeerKey, IpAddr>,
     /// Targets whose machine counts as asleep.
     quiet: BTreeSet<String>,
+    /// Those and targets whose group stands: they get no work while there are others.
+    idle: BTreeSet<String>,
     /// Entries met over connections to them, this one included.
     met: usize,
     /// Entries that the instance list names.
@@ -145,6 +151,7 @@
             suspects: BTreeSet::new(),
             agents: HashMap::new(),
             quiet: BTreeSet::new(),
+            idle: BTreeSet::new(),
             met: 1,
             listed_entries: 0,
             sharers: Sharers::open(options.agent_port.is_some()),
@@ -365,10 +372,18 @@
     pub fn watch_quiet(&mut self, now: Millis) -> Vec<String> {
         let quiet = self.members.quiet(now);
         let fresh = quiet.difference(&self.quiet).cloned().collect();
+        self.idle = self.members.standing(now).chain(&quiet).cloned().collect();
         self.quiet = quiet;
         fresh
     }
 
+    /// Those of some targets that are not idle, unless all are.
+    fn awake<'a>(&self, names: Vec<&'a String>) -> Vec<&'a String> {
+        let awake: Vec<&String> =
+            names.iter().copied().filter(|it| !self.idle.contains(*it)).collect();
+        if awake.is_empty() { names } else { awake }
+    }
+
     /// Whether a target's machine counts as asleep.
     pub fn is_quiet(&self, name: &str) -> bool {
         self.quiet.contains(name)
@@ -388,22 +403,40 @@
 
     /// Capacity and load of a model that fall to this entry: targets are
     /// shared with the other entries that keep connections to them.
-    pub fn room(&self, now: Millis, served: &Served) -> Room {
-        let none = Vec::new();
-        let subset = self.subsets.get(served).unwrap_or(&none);
-        let declared = self.serving.get(served).map_or(1, Vec::len).max(1);
-        let sharing =
-            (self.sharers.count() as f64 * subset.len() as f64 / declared as f64).max(1.0);
-        let mut room = Room { capacity: 0.0, load: 0.0 };
-        for name in subset.iter().filter(|it| self.open_for(now, it)) {
-            let Some(candidate) = self.candidate(now, name) else {
+    pub fn room(&self, now: Millis, served: &Served) -> Share {
+        let mut sum = Share::default();
+        for it in self.shares(now, served).into_values() {
+            sum.capacity += it.capacity;
+            sum.load += it.load;
+            sum.targets += it.targets;
+        }
+        sum
+    }
+
+    /// The same by group.
+    fn shares(&self, now: Millis, served: &Served) -> BTreeMap<u32, Share> {
+        let mut shares: BTreeMap<u32, Share> = BTreeMap::new();
+        let Some(subset) = self.subsets.get(served) else { return shares };
+        let sharing = self.sharing(served);
+        let open = subset.iter().filter(|it| self.open_for(now, it)).collect();
+        for name in self.awake(open) {
+            let (Some(it), Some(member)) = (self.candidate(now, name), self.members.get(name))
+            else {
                 continue;
             };
-            let capacity = f64::from(candidate.capacity);
-            room.capacity += capacity / sharing;
-            room.load += candidate.load() * capacity / sharing;
+            let share = shares.entry(member.report.group).or_default();
+            share.capacity += f64::from(it.capacity) / sharing;
+            share.load += member.share(sharing);
+            share.targets += 1.0;
         }
-        room
+        shares
+    }
+
+    /// Entries that share a target of what serves.
+    fn sharing(&self, served: &Served) -> f64 {
+        let subset = self.subsets.get(served).map_or(0, Vec::len) as f64;
+        let declared = self.serving.get(served).map_or(1, Vec::len).max(1) as f64;
+        (self.sharers.count() as f64 * subset / declared).max(1.0)
     }
 
     fn candidate<'a>(&self, now: Millis, name: &'a str) -> Option<Candidate<'a>> {
@@ -438,9 +471,7 @@
         let open: Vec<&String> = names.iter().filter(|it| self.open_for(now, it)).collect();
         let fresh: Vec<&String> = open.iter().copied().filter(|it| !tried.contains(it)).collect();
         let names = if fresh.is_empty() { open } else { fresh };
-        let awake: Vec<&String> =
-            names.iter().copied().filter(|it| !self.quiet.contains(*it)).collect();
-        let names = if awake.is_empty() { names } else { awake };
+        let names = self.awake(names);
         let candidates: Vec<Candidate<'_>> =
             names.iter().filter_map(|it| self.candidate(now, it)).collect();
         let index = self.chooser.choose(rng, prefix, &candidates)?;
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -4,15 +4,18 @@
 //! Targets that are ranks of a group: whether it is closed, whether it opens
 //! soon, and whether the others can take over what a crawling one has.
 //!
-//! All ranks of a service count as one group. Where a service has several, one
-//! that lacks a rank may be waited for in vain, which the wait's limit bounds.
+//! A service may have several groups. Agents tell which one their rank is of.
+
+use std::collections::BTreeMap;
 
 use sablepass_core::declaration::Kind;
-use sablepass_core::forming::{self, Forming, Ranks};
+use sablepass_core::expert::rebalance::FIRST_LAG;
+use sablepass_core::forming::{self, Forming, Opens, Ranks, Times};
 use sablepass_core::id::Millis;
 use sablepass_core::membership::Pace;
+use sablepass_core::starts::Room;
 
-use crate::targets::{Served, Targets};
+use crate::targets::{Served, Share, Targets};
 
 /// Targets of a kind are relieved while fewer than one in so many crawls: a
 /// move costs the others the prompt once more. Chosen, not measured.
@@ -24,6 +27,14 @@
 /// Part of its places that a group is always given: no caller waits while half
 /// of them are free.
 const LEAST_PART: f64 = 0.5;
+/// Part of its places that a group is given at most: entries choose by reports that
+/// are 200 ms old and do not fill all of them evenly, so that beyond it streams
+/// queue at some ranks, and passes at these are the longest.
+const MOST_PART: f64 = 0.85;
+/// Lag that the map of an open group is taken to have while its planner has not
+/// told: its processes may have started anew beside engines that went on. The
+/// slots of its ranks and the prompts that they read bound it all the same.
+const UNKNOWN_LAG: f64 = 1.0;
 /// Parts in which a lag is told.
 const THOUSANDTHS: f64 = 1_000.0;
 
@@ -42,48 +53,81 @@
         self.groups.retain(|it, _| served.contains(it));
         for it in served {
             let ranks = self.ranks(now, &it);
-            self.groups.entry(it).or_default().watch(now, ranks, young);
+            let groups = self.groups.entry(it).or_default();
+            groups.retain(|it, _| ranks.contains_key(it));
+            for (group, ranks) in ranks {
+                groups.entry(group).or_default().watch(now, ranks, young);
+            }
         }
     }
 
-    /// Places of this entry's part of what serves, whether it takes work or not.
-    pub fn places(&self, served: &Served) -> f64 {
+    /// This entry's part of what serves, whether it takes work or not.
+    pub fn whole(&self, served: &Served) -> Share {
         let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
         let there = names.iter().filter(|it| !self.replaced.contains(*it));
         let places = there.filter_map(|it| Some(self.listed.get(it)?.instance.capacity));
-        f64::from(places.sum::<u32>()) / self.sharers.count() as f64
+        let places: Vec<u32> = places.collect();
+        let capacity = f64::from(places.iter().sum::<u32>()) / self.sharers.count() as f64;
+        Share { capacity, load: 0.0, targets: places.len() as f64 }
     }
 
-    /// Streams that this entry's part of a group has beyond those with which its
-    /// passes take no longer than `pause`: negative while there is room. None if
-    /// what serves is no group, or its planner has not told how even its map is.
-    pub fn excess(&self, now: Millis, served: &Served, pause: f64) -> Option<f64> {
-        let times = self.catalogue.services.get(&served.1)?.engine.as_ref()?.times()?;
-        let lag = self.lag(now, served)?;
-        let room = self.room(now, served);
-        let ranks = self.serving.get(served).map_or(0, Vec::len).max(1) as f64;
-        let places = self.places(served);
-        let part = times.sequences(pause * PAUSE_PART, lag) * ranks / self.sharers.count() as f64;
-        Some(room.load + 1.0 - part.max(places * LEAST_PART))
+    /// What serves has for streams that fall to this entry, whose passes are to
+    /// take no longer than `pause`.
+    pub fn begins(&self, now: Millis, served: &Served, pause: f64) -> Room {
+        let service = self.catalogue.services.get(&served.1);
+        let Some(times) = service.and_then(|it| it.engine.as_ref()?.times()) else {
+            return Room::Free;
+        };
+        let pause = pause * PAUSE_PART;
+        let sharing = self.sharing(served);
+        let places = |it: &Share, lag: f64| {
+            let sequences = times.sequences(pause, lag) * it.targets / sharing;
+            sequences.clamp(it.capacity * LEAST_PART, it.capacity * MOST_PART)
+        };
+        let shares = self.shares(now, served);
+        if !shares.is_empty() {
+            let (mut all, mut load) = (0.0, 0.0);
+            for (group, it) in &shares {
+                let lag = self.lag(now, served, *group).unwrap_or(UNKNOWN_LAG);
+                all += places(it, lag);
+                load += it.load;
+            }
+            let ranks: f64 = shares.values().map(|it| it.targets).sum();
+            return Room::Open { places: all, load, reads: ranks / sharing };
+        }
+        if !self.closed(now, served) && !self.is_forming(served) {
+            return Room::Free;
+        }
+        let Some(Opens { within, sure }) = self.opens(now, served) else { return Room::Closed };
+        let it = self.whole(served);
+        Room::Opens { within, places: places(&it, FIRST_LAG), sure }
     }
 
     /// Lag of a group's map, as its planner told it.
-    fn lag(&self, now: Millis, served: &Served) -> Option<f64> {
+    fn lag(&self, now: Millis, served: &Served, group: u32) -> Option<f64> {
         let names = self.serving.get(served)?;
-        let lags = names.iter().filter_map(|it| self.members.lag(now, it));
+        let there = names.iter().filter(|it| {
+            let member = self.members.get(it);
+            member.is_some_and(|it| it.report.group == group)
+        });
+        let lags = there.filter_map(|it| self.members.lag(now, it));
         lags.max().map(|it| f64::from(it) / THOUSANDTHS)
     }
 
-    /// Requests that this entry has at what serves.
-    pub fn own(&self, served: &Served) -> u32 {
-        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
-        names.iter().filter_map(|it| self.members.get(it)).map(|it| it.own).sum()
+    /// Whether work for closed groups had better wait: one of them opens soon.
+    pub fn opens_soon(&self, now: Millis, served: &Served) -> bool {
+        self.opens(now, served).is_some()
     }
 
-    /// Whether work for a closed group had better wait: it opens soon.
-    pub fn opens_soon(&self, now: Millis, served: &Served) -> bool {
-        let form = self.form(served).unwrap_or(0);
-        self.groups.get(served).is_some_and(|it| it.opens_soon(now, form))
+    /// When the first of the closed groups opens, as far as is known.
+    fn opens(&self, now: Millis, served: &Served) -> Option<Opens> {
+        let times = Times { form: self.form(served).unwrap_or(0), stall: self.options.stands };
+        let groups = self.groups.get(served)?;
+        groups.values().filter_map(|it| it.opens(now, times)).min()
+    }
+
+    fn is_forming(&self, served: &Served) -> bool {
+        self.groups.get(served).is_some_and(|it| it.values().any(Forming::is_closed))
     }
 
     fn is_young(&self, now: Millis) -> bool {
@@ -98,20 +142,32 @@
         Some(service.engine.as_ref()?.ranks.as_ref()?.form as Millis)
     }
 
-    fn ranks(&self, now: Millis, served: &Served) -> Ranks {
+    /// What is known of the ranks, by group. Those of which nothing is known yet
+    /// may be of any.
+    fn ranks(&self, now: Millis, served: &Served) -> BTreeMap<u32, Ranks> {
         let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
-        let mut ranks = Ranks::default();
+        let mut groups: BTreeMap<u32, Ranks> = BTreeMap::new();
         let mut unknown = 0;
         for name in names.iter().filter(|it| !self.replaced.contains(*it)) {
             let Some(member) = self.members.get(name).filter(|it| !it.leaving) else { continue };
+            if !member.reported {
+                unknown += 1;
+                continue;
+            }
+            let ranks = groups.entry(member.report.group).or_default();
             ranks.size = ranks.size.max(member.report.size);
             ranks.closed += u32::from(self.members.closed(now, name));
-            unknown += u32::from(!member.reported);
+        }
+        if groups.is_empty() {
+            groups.insert(0, Ranks::default());
         }
         // Where nothing speaks against it, a rank counts as good: processes of
         // this system may have started anew while their targets went on.
-        let doubt = ranks.closed > 0 || self.suspects.contains(&served.1);
-        Ranks { unknown: if doubt { unknown } else { 0 }, ..ranks }
+        let suspect = self.suspects.contains(&served.1);
+        for ranks in groups.values_mut().filter(|it| it.closed > 0 || suspect) {
+            ranks.unknown = unknown;
+        }
+        groups
     }
 
     /// Whether a rank may be of a closed group, as this process has only begun
@@ -121,7 +177,7 @@
             return false;
         };
         let group = self.groups.get(&(Kind::Service, it.instance.serves.clone()));
-        group.is_some_and(Forming::is_closed)
+        group.is_some_and(|it| it.values().any(Forming::is_closed))
             && self.members.get(name).is_some_and(|it| !it.reported)
     }
 
--- a/crates/sablepass-stand/src/ranks.rs
+++ b/crates/sablepass-stand/src/ranks.rs
@@ -9,6 +9,7 @@
 //! `docs/design/0006-platform.md`.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -68,13 +69,29 @@
     IpAddr::V4(Ipv4Addr::new(127, 0, 1, number as u8 + 1))
 }
 
+/// An address of this machine's loopback that nothing else of this process or of
+/// others uses, so that a port found free there stays free.
+pub fn machine() -> IpAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let part = |it: u32| (1 + it % 250) as u8;
+    IpAddr::V4(Ipv4Addr::new(127, part(process), part(process / 250), part(number)))
+}
+
 /// A port that is free at the first so many loopback addresses.
 pub fn free_port(addresses: usize) -> u16 {
+    let addresses: Vec<IpAddr> = (0..addresses).map(loopback).collect();
+    free_port_at(&addresses)
+}
+
+/// A port that is free at all of these addresses.
+pub fn free_port_at(addresses: &[IpAddr]) -> u16 {
     loop {
-        let first = TcpListener::bind((loopback(0), 0)).expect("a port is free");
+        let first = TcpListener::bind((addresses[0], 0)).expect("a port is free");
         let port = first.local_addr().expect("it has an address").port();
-        let free = |it: usize| TcpListener::bind((loopback(it), port)).is_ok();
-        if (1..addresses).all(free) {
+        let free = |it: &IpAddr| TcpListener::bind((*it, port)).is_ok();
+        if addresses[1..].iter().all(free) {
             return port;
         }
     }
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -82,6 +82,8 @@
     connections: u32,
     /// What it tells of its group, if it is a rank of one.
     group: Option<Group>,
+    /// The last step that it told.
+    step: u64,
 }
 
 /// What a rank tells of its group.
@@ -91,6 +93,8 @@
     pub open: bool,
     /// Ranks of the whole group.
     pub size: u32,
+    /// It makes a step from one account of itself to the next.
+    pub steps: bool,
 }
 
 /// The replica. It serves until the process ends.
@@ -117,7 +121,8 @@
     pub fn spawn_at(service: &str, ip: IpAddr) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("the replica listens");
         let addr = listener.local_addr().expect("it has an address");
-        let state = State { mode: Mode::Good, runs: Vec::new(), connections: 0, group: None };
+        let state =
+            State { mode: Mode::Good, runs: Vec::new(), connections: 0, group: None, step: 1 };
         let replica = Self {
             id: format!("i-{:08x}", STARTED.fetch_add(1, Ordering::Relaxed)),
             service: service.to_owned(),
@@ -158,7 +163,10 @@
 
     fn report(&self) -> Vec<u8> {
         let mut report = serde_json::json!({ "queued": 1, "active": 2, "kvUsed": 0, "kvTotal": 9 });
-        if let Some(it) = self.lock().group {
+        let mut told = self.lock();
+        if let Some(it) = told.group {
+            told.step += u64::from(it.steps);
+            report["step"] = told.step.into();
             let state = if it.open { "open" } else { "broken" };
             report["group"] =
                 serde_json::json!({ "name": "g0", "epoch": 1, "rank": 0, "state": state });
--- a/crates/sablepass-stand/tests/asleep.rs
+++ b/crates/sablepass-stand/tests/asleep.rs
@@ -5,14 +5,14 @@
 //! agents, with stand-ins for the targets. The judge is what the targets ran.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use sablepass_stand::client::{metric, wait_for};
 use sablepass_stand::process::Process;
 use sablepass_stand::ranks;
-use sablepass_stand::replica::{Mode, Replica};
+use sablepass_stand::replica::{Group, Mode, Replica};
 use sablepass_stand::site::{HOST, KEY, Site, ask};
 
 /// Targets, each with a machine of its own.
@@ -61,12 +61,13 @@
 /// A site whose targets have machines of their own, with an agent on each.
 fn fleet() -> (Site, Vec<Process>) {
     let mut site = Site::open(0);
-    let port = ranks::free_port(MACHINES);
-    for machine in 0..MACHINES {
-        let replica = Replica::spawn_at("orders", ranks::loopback(machine));
+    let machines: Vec<IpAddr> = (0..MACHINES).map(|_| ranks::machine()).collect();
+    for machine in &machines {
+        let replica = Replica::spawn_at("orders", *machine);
         site.list(&replica, "ready");
         site.replicas.push(replica);
     }
+    let port = ranks::free_port_at(&machines);
     site.configure(&ranks::Group::configuration(2));
     site.add_entry(&format!("agent_port = {port}"));
     let addrs: Vec<SocketAddr> = site.replicas.iter().map(|it| it.addr).collect();
@@ -102,3 +103,27 @@
         assert_eq!(site.runs(&format!("s{number}")), 1, "what was moved is not begun again");
     }
 }
+
+/// One of two groups stands at a step that is held. What comes goes to the other.
+#[test]
+fn verify_work_goes_to_the_group_that_makes_steps() {
+    let (site, _agents) = fleet();
+    let group = |steps| Group { open: true, size: 1, steps };
+    site.replicas[0].tell(group(false));
+    site.replicas[1..].iter().for_each(|it| it.tell(group(true)));
+    let mut asked = 0;
+    let mut next = || {
+        asked += 1;
+        ask("POST", "/stream/x", &format!("n{asked}"), "").send(&site.http(0));
+        site.replicas[0].runs().len()
+    };
+    // Until this is known some go there; then none does, in twelve calls.
+    let known = |before: usize, next: &mut dyn FnMut() -> usize| (0..12).all(|_| next() == before);
+    wait_for("work leaves the group that stands", || {
+        let before = next();
+        known(before, &mut next)
+    });
+    site.replicas[0].tell(group(true));
+    let before = site.replicas[0].runs().len();
+    wait_for("work comes back once it goes on", || next() > before);
+}
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -162,6 +162,9 @@
         size: it.size,
         lag: it.lag,
         entries: it.entries,
+        group: it.group,
+        stands: it.stands,
+
         // The agent of a plain service has no reading, which it says by the greatest age.
         engine_age: (it.load_age != u32::MAX).then_some(it.load_age.into()),
     })
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -227,6 +227,12 @@
     /// Entries connected to the agent.
     #[prost(uint32, tag = "10")]
     pub entries: u32,
+    /// Hash of the name of the target's group; 0 if it is a rank of none.
+    #[prost(fixed32, tag = "11")]
+    pub group: u32,
+    /// The group makes no step although there is work.
+    #[prost(bool, tag = "12")]
+    pub stands: bool,
 }
 /// What configuration a process holds.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
