--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -388,10 +388,12 @@
         for peer in self.targets.silent(now) {
             call!([self.mesh], drop_peer(peer));
         }
-        self.count_entries();
         self.targets.watch_groups(now);
-        for target in self.targets.watch_quiet(now) {
-            slog::warn!(self.log, "target quiet"; "target" => target);
+        if self.targets.looks(now) {
+            self.count_entries();
+            for target in self.targets.watch_quiet(now) {
+                slog::warn!(self.log, "target quiet"; "target" => target);
+            }
         }
         self.begin_waiting(cx);
         let ids: Vec<RequestId> = self.open.keys().copied().collect();
--- a/crates/sablepass-entry/src/starts.rs
+++ b/crates/sablepass-entry/src/starts.rs
@@ -25,9 +25,12 @@
         let patience = starts::patience(route.objective, pause).min(left);
         let ask = Ask { id, arrived, objective: route.objective, patience, resumed };
         let served = open.served.clone();
-        // A report may have come since the last tick.
-        self.targets.watch_groups(now);
-        let room = self.targets.begins(now, &served, pause as f64);
+        let mut room = self.targets.begins(now, &served, pause as f64);
+        if matches!(room, Room::Opens { .. } | Room::Closed) {
+            // A report may have come since the last tick.
+            self.targets.watch_groups(now);
+            room = self.targets.begins(now, &served, pause as f64);
+        }
         let turn = self.starts.entry(served).or_default().ask(now, &ask, room);
         match turn {
             Turn::Now => false,
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -28,6 +28,9 @@
 /// How long a connection made for one key's owner is kept.
 const OWNER_KEEP: Millis = 60_000;
 
+/// Time between two looks at what all agents told: half of their heartbeat.
+const LOOK: Millis = 100;
+
 /// What targets are found by: kind and qualified model or service.
 pub type Served = (Kind, String);
 
@@ -120,6 +123,8 @@
     suspects: BTreeSet<String>,
     /// Agents of those, by connection.
     agents: HashMap<PeerKey, IpAddr>,
+    /// When what all agents told was last looked at.
+    looked: Millis,
     /// Targets whose machine counts as asleep.
     quiet: BTreeSet<String>,
     /// Those and targets whose group stands: they get no work while there are others.
@@ -150,6 +155,7 @@
             groups: HashMap::new(),
             suspects: BTreeSet::new(),
             agents: HashMap::new(),
+            looked: 0,
             quiet: BTreeSet::new(),
             idle: BTreeSet::new(),
             met: 1,
@@ -368,6 +374,15 @@
         self.names.iter().filter(|(_, name)| silent(name)).map(|(peer, _)| *peer).collect()
     }
 
+    /// Whether it is time to look again at what all agents told.
+    pub fn looks(&mut self, now: Millis) -> bool {
+        let due = now >= self.looked + LOOK;
+        if due {
+            self.looked = now;
+        }
+        due
+    }
+
     /// Looks again whose machine counts as asleep. Returns those that do since now.
     pub fn watch_quiet(&mut self, now: Millis) -> Vec<String> {
         let quiet = self.members.quiet(now);
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -32,8 +32,8 @@
 /// queue at some ranks, and passes at these are the longest.
 const MOST_PART: f64 = 0.85;
 /// Lag that the map of an open group is taken to have while its planner has not
-/// told: its processes may have started anew beside engines that went on. The
-/// slots of its ranks and the prompts that they read bound it all the same.
+/// told: its processes may have started anew beside engines that went on, and
+/// their last map is even. The slots of its ranks bound it all the same.
 const UNKNOWN_LAG: f64 = 1.0;
 /// Parts in which a lag is told.
 const THOUSANDTHS: f64 = 1_000.0;
