Test that tries to break the common budget of retries over all entries

200 days of two to forty entries that restart alone, in herds and are added, each retrying whatever it may: no window of ten seconds holds more than a fifth of its requests and the slack.

--- a/crates/sablepass-core/tests/sharers.rs
+++ b/crates/sablepass-core/tests/sharers.rs
@@ -3,7 +3,10 @@
 
 //! How many entries share common limits, while they die, restart and are added.
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use sablepass_core::budget::{Budget, Options};
+use sablepass_core::id::Millis;
 use sablepass_core::sharers::Sharers;
 
 #[test]
@@ -80,3 +83,93 @@
     }
     assert!(f64::from(made) <= SLACK, "{made} retries at once");
 }
+
+/// The budget as a service's targets see it: in any window of ten seconds no more
+/// retries than a fifth of the requests of that window, of the one before it or
+/// of the one half a window before, and the slack.
+const WINDOW: usize = 10_000 / STEP as usize;
+const ALLOWED: f64 = 0.2;
+/// What each entry earns by a request.
+const EARNED: f64 = 0.15;
+/// Milliseconds of a step, and steps of a day.
+const STEP: Millis = 25;
+const STEPS: usize = 1_600;
+
+struct Entry {
+    started: Millis,
+    sharers: Sharers,
+    budget: Budget,
+}
+
+fn options(it: &Sharers) -> Options {
+    let least = if it.is_known() { 4 } else { 64 };
+    Options { ratio: EARNED, burst: SLACK * 0.6 / it.count().max(least) as f64 }
+}
+
+impl Entry {
+    fn start(now: Millis) -> Self {
+        let sharers = Sharers::open(true);
+        Self { started: now, sharers, budget: Budget::open(options(&sharers)) }
+    }
+}
+
+/// Requests and retries of each step of a day on which every request asks for as
+/// many retries as it can get, while entries restart alone, in herds and are added.
+fn day(seed: u64) -> Vec<(u32, u32)> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut entries: Vec<Entry> = (0..rng.random_range(2..40)).map(|_| Entry::start(0)).collect();
+    let rate = rng.random_range(0.05..1.0);
+    let herds = [rng.random_range(100..800), rng.random_range(800..1_500)];
+    let mut steps = Vec::new();
+    for step in 0..STEPS {
+        let now = step as Millis * STEP;
+        if herds.contains(&step) {
+            let part = rng.random_range(0.3..1.0);
+            for it in &mut entries {
+                if rng.random_bool(part) {
+                    *it = Entry::start(now);
+                }
+            }
+        }
+        if rng.random_bool(0.01) {
+            let one = rng.random_range(0..entries.len());
+            entries[one] = Entry::start(now);
+        }
+        if rng.random_bool(0.002) {
+            entries.push(Entry::start(now));
+        }
+        let all = entries.len();
+        let mut made = (0, 0);
+        for it in &mut entries {
+            let told = (now >= it.started + TOLD).then_some(all);
+            it.sharers.watch(now, 1, told);
+            it.budget.limit(options(&it.sharers).burst);
+            if rng.random_bool(rate) {
+                made.0 += 1;
+                it.budget.earn();
+            }
+            while it.budget.spend() {
+                made.1 += 1;
+            }
+        }
+        steps.push(made);
+    }
+    steps
+}
+
+#[test]
+fn verify_retries_of_all_entries_stay_within_their_common_budget() {
+    for seed in 0..200 {
+        let steps = day(seed);
+        let sum = |from: usize, of: fn(&(u32, u32)) -> u32| -> f64 {
+            steps.iter().skip(from).take(WINDOW).map(of).map(f64::from).sum()
+        };
+        for from in WINDOW..STEPS - WINDOW {
+            let windows = [from, from - WINDOW, from - WINDOW / 2];
+            let requests = windows.map(|it| sum(it, |it| it.0)).into_iter().fold(0.0, f64::max);
+            let retries = sum(from, |it| it.1);
+            let most = requests * ALLOWED + SLACK;
+            assert!(retries <= most, "seed {seed}, step {from}: {retries} of {most}");
+        }
+    }
+}
