A fault soak of the real programs: sablepass-soak

Change: entries and agents as processes, stand-ins for the store, replicas (each behind a proxy) and a group of ranks; entries killed, paused, stopped and replaced, reloaded; agents killed and paused; demand that shifts; replicas that misbehave in nine ways, leave and are added; links cut, held, slowed, cut within a message; a store that is down, silent, slow, refuses or forgets; routes declared. Drawn from a seed, overlapping, with callers that keep their connections. The judge compares what callers were told with what targets ran: at most once, not-run, whole and own answers, leaving replicas, answers of what ran, configuration in force and never back, retries of all entries, nothing held, one map a step, stops that end.

--- a/crates/sablepass-stand/src/client.rs
+++ b/crates/sablepass-stand/src/client.rs
@@ -117,23 +117,44 @@
     }
 
     /// Sends it; `on_line` sees each line of the answer when it arrives.
-    pub fn send_with(&self, addr: &str, mut on_line: impl FnMut(&str)) -> Answer {
+    pub fn send_with(&self, addr: &str, on_line: impl FnMut(&str)) -> Answer {
+        Caller::open().exchange(self, addr, on_line)
+    }
+}
+
+/// A caller that keeps its connections.
+#[derive(Debug)]
+pub struct Caller {
+    agent: ureq::Agent,
+}
+
+impl Caller {
+    /// A caller without a connection.
+    pub fn open() -> Self {
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
             .timeout_connect(Some(TIMEOUT))
             .timeout_per_read(Some(TIMEOUT))
             .build();
-        let agent: ureq::Agent = config.into();
+        Self { agent: config.into() }
+    }
+
+    /// Sends a request and waits for the whole answer.
+    pub fn send(&self, ask: &Ask, addr: &str) -> Answer {
+        self.exchange(ask, addr, |_| {})
+    }
+
+    fn exchange(&self, ask: &Ask, addr: &str, mut on_line: impl FnMut(&str)) -> Answer {
         let mut request = ureq::http::Request::builder()
-            .method(self.method.as_str())
-            .uri(format!("http://{addr}{}", self.path));
-        for (name, value) in &self.headers {
+            .method(ask.method.as_str())
+            .uri(format!("http://{addr}{}", ask.path));
+        for (name, value) in &ask.headers {
             request = request.header(name, value);
         }
-        let Ok(request) = request.body(self.body.as_str()) else {
+        let Ok(request) = request.body(ask.body.as_str()) else {
             return Answer::default();
         };
-        let Ok(response) = agent.run(request) else {
+        let Ok(response) = self.agent.run(request) else {
             return Answer::default();
         };
         let mut answer = head(&response);
--- a/crates/sablepass-stand/src/keys.rs
+++ b/crates/sablepass-stand/src/keys.rs
@@ -16,6 +16,9 @@
 
 use crate::http;
 
+/// How long a slow one takes.
+const SLOW: Duration = Duration::from_millis(300);
+
 /// How it behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -25,6 +28,10 @@
     Down,
     /// It takes calls and never answers.
     Silent,
+    /// It takes 300 ms for each answer.
+    Slow,
+    /// It refuses every second call.
+    Refusing,
 }
 
 #[derive(Debug)]
@@ -124,24 +131,29 @@
             pairs.find(|it| it.0 == name).map_or("", |it| it.1).to_owned()
         };
         let prefix = field("pathPrefix");
-        let mode = {
+        let (mode, calls) = {
             let mut state = self.lock();
             state.calls += 1;
-            state.mode
+            (state.mode, state.calls)
         };
+        if mode == Mode::Slow {
+            std::thread::sleep(SLOW);
+        }
+        let refused = mode == Mode::Refusing && calls.is_multiple_of(2);
         let (status, body) = match (mode, path) {
+            _ if refused => (429, json!({ "error": "too many calls" })),
             (Mode::Down, _) => (503, json!({ "error": "down" })),
             (Mode::Silent, _) => {
                 self.wait_for_voice();
                 return;
             }
-            (Mode::Up, "/-/kv-range") => (200, self.range(&prefix)),
-            (Mode::Up, "/-/kv-watch") => {
+            (_, "/-/kv-range") => (200, self.range(&prefix)),
+            (_, "/-/kv-watch") => {
                 let after = field("after").parse().unwrap_or(0);
                 let wait = Duration::from_millis(field("waitMs").parse().unwrap_or(0));
                 self.watch(&prefix, after, wait)
             }
-            (Mode::Up, _) => (400, json!({ "error": "no such call" })),
+            (_, _) => (400, json!({ "error": "no such call" })),
         };
         // The asker may be gone.
         let _ = request.respond(http::answer_json(status, &body));
@@ -168,7 +180,7 @@
             if after < state.forgotten {
                 return (410, json!({ "error": "history gone" }));
             }
-            if state.mode != Mode::Up {
+            if matches!(state.mode, Mode::Down | Mode::Silent) {
                 return (503, json!({ "error": "down" }));
             }
             let newer = state
--- a/crates/sablepass-stand/src/lib.rs
+++ b/crates/sablepass-stand/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod ranks;
 pub mod replica;
 pub mod site;
+pub mod soak;
--- a/crates/sablepass-stand/src/ranks.rs
+++ b/crates/sablepass-stand/src/ranks.rs
@@ -198,8 +198,13 @@
 
     /// What a rank's replica writes into the store.
     pub fn entry(&self, rank: usize) -> String {
+        self.entry_of(rank, "orders")
+    }
+
+    /// The same, where the group serves this.
+    pub fn entry_of(&self, rank: usize, service: &str) -> String {
         json!({
-            "service": "orders", "address": self.addrs[rank].to_string(), "zone": "ba-1",
+            "service": service, "address": self.addrs[rank].to_string(), "zone": "ba-1",
             "version": "v1", "slots": 12, "state": "ready", "coldRemainingMs": 0, "seq": 4,
         })
         .to_string()
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use sablepass_edge::clock;
 use ureq_proto::server::{RecvRequestResult, Reply};
 
 /// Events of a stream.
@@ -66,6 +67,8 @@
     pub body: Vec<u8>,
     /// Its caller's connection closed before it was whole.
     pub dropped: bool,
+    /// When it began. Milliseconds since the Unix epoch.
+    pub began: u64,
 }
 
 impl Run {
@@ -150,6 +153,11 @@
         Self { id: id.to_owned(), ..self.clone() }
     }
 
+    /// The same replica as reached at another address, as through a proxy.
+    pub fn at(&self, addr: SocketAddr) -> Self {
+        Self { addr, ..self.clone() }
+    }
+
     /// Changes how it behaves.
     pub fn set(&self, mode: Mode) {
         self.lock().mode = mode;
@@ -221,6 +229,7 @@
             }
             let index = {
                 let mut state = self.lock();
+                run.began = clock::now();
                 state.runs.push(run.clone());
                 state.runs.len() - 1
             };
@@ -384,3 +393,8 @@
     input.truncate(start + *gained.as_ref().unwrap_or(&0));
     gained
 }
+
+/// All events of a stream, each once and in order.
+pub fn whole(id: &str) -> String {
+    (1..=EVENTS).map(|it| format!("id: {it}\ndata: {id}-{it}\n\n")).collect()
+}
--- a/crates/sablepass-stand/src/site.rs
+++ b/crates/sablepass-stand/src/site.rs
@@ -95,7 +95,7 @@
     }
 
     /// Starts an agent beside a target, at an address and port of its own.
-    pub fn add_agent(&mut self, at: SocketAddr, target: SocketAddr) -> Process {
+    pub fn add_agent(&self, at: SocketAddr, target: SocketAddr) -> Process {
         let seeds: Vec<String> = self.entries.iter().map(|it| it.addr("peers")).collect();
         let name = format!("agent-{}", at.ip());
         let text = format!(
--- /dev/null
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -0,0 +1,322 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! The fleet of a soak: it starts what runs, strikes it by the schedule, and
+//! remembers when it struck what.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
+
+use sablepass_edge::clock;
+use serde_json::{Value, json};
+
+use crate::client;
+use crate::process::Process;
+use crate::ranks::{self, Group};
+use crate::replica::{self, Replica};
+use crate::site::{self, Site};
+use crate::soak::Options;
+use crate::soak::callers::Board;
+use crate::soak::schedule::{Fault, Planned};
+use crate::{keys, soak};
+
+/// Ranks of the group whose maps change meanwhile, and experts of a layer there.
+const RANKS: usize = 4;
+const EXPERTS: u64 = 8;
+/// Longest time that an entry may take to stop.
+const STOPS: Duration = Duration::from_secs(10);
+/// Replicas that stay listed at least.
+const LEAST: usize = 2;
+
+/// What was struck.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Struck {
+    /// An entry, so that requests there may be lost.
+    Entry(usize),
+    /// A replica or the link to it.
+    Replica(usize),
+    /// The store.
+    Store,
+}
+
+/// Something struck, from when to when in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Strike {
+    /// What.
+    pub what: Struck,
+    /// From when.
+    pub from: u64,
+    /// To when.
+    pub until: u64,
+}
+
+/// The fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    pub(super) site: Site,
+    pub(super) group: Group,
+    agents: Vec<Process>,
+    port: u16,
+    proxies: Vec<Process>,
+    board: Arc<Board>,
+    /// Entries that take callers, by number.
+    alive: Vec<usize>,
+    /// Replicas that are listed as ready.
+    ready: Vec<usize>,
+    /// Since when each entry runs.
+    pub(super) began: Vec<u64>,
+    pub(super) strikes: Vec<Strike>,
+    /// Replicas that leave, and since when.
+    pub(super) leaving: Vec<(usize, u64)>,
+    /// When each added route was declared, the first one first.
+    pub(super) routes: Vec<u64>,
+    /// Entries that did not end in time after they were asked to stop.
+    pub(super) stuck: Vec<usize>,
+}
+
+impl Fleet {
+    /// Starts everything and waits until entries know all replicas.
+    pub fn open(options: &Options) -> Self {
+        let mut fleet = Self {
+            site: Site::open(0),
+            group: Group::spawn(RANKS),
+            agents: Vec::new(),
+            port: ranks::free_port(RANKS),
+            proxies: Vec::new(),
+            board: Arc::default(),
+            alive: Vec::new(),
+            ready: Vec::new(),
+            began: Vec::new(),
+            strikes: Vec::new(),
+            leaving: Vec::new(),
+            routes: Vec::new(),
+            stuck: Vec::new(),
+        };
+        fleet.site.configure(&fleet.configuration());
+        for rank in 0..RANKS {
+            let entry = fleet.group.entry_of(rank, "model");
+            fleet.site.store.put(&format!("servers/i-{rank}"), &entry);
+        }
+        (0..options.replicas).for_each(|_| fleet.add_replica());
+        (0..options.entries).for_each(|_| fleet.add_entry());
+        fleet.site.settle(options.replicas + RANKS);
+        for rank in 0..RANKS {
+            let agent = fleet.start_agent(rank);
+            fleet.agents.push(agent);
+        }
+        fleet
+    }
+
+    /// What callers go by.
+    pub fn board(&self) -> Arc<Board> {
+        self.board.clone()
+    }
+
+    fn configuration(&self) -> Value {
+        let mut it = site::configuration(1 + self.routes.len() as u64);
+        let model = Group::configuration(1)["services"][0].clone();
+        let services = it["services"].as_array_mut().expect("services");
+        services.push(model);
+        services[1]["name"] = "model".into();
+        let routes = it["routes"].as_array_mut().expect("routes");
+        let safe = routes[1].clone();
+        for number in 1..=self.routes.len() {
+            let mut route = safe.clone();
+            route["name"] = json!(format!("added-{number}"));
+            route["pathPrefix"] = json!(format!("/added-{number}/"));
+            routes.push(route);
+        }
+        it
+    }
+
+    fn add_entry(&mut self) {
+        let port = self.port;
+        let number = self.site.add_entry(&format!("agent_port = {port}"));
+        self.began.push(clock::now());
+        self.alive.push(number);
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let known = self.alive.iter().map(|it| (*it, self.site.http(*it))).collect();
+        *self.board.entries.lock().unwrap_or_else(PoisonError::into_inner) = known;
+    }
+
+    fn add_replica(&mut self) {
+        let replica = Replica::spawn("orders");
+        let to = replica.addr.to_string();
+        let any = "127.0.0.1:0";
+        let proxy = Process::spawn(
+            "sablepass-stand",
+            &["proxy", "--listen", any, "--control", any, "--to", &to],
+        );
+        let addr: SocketAddr = proxy.addr("listen").parse().expect("an address");
+        // Entries know it by its proxy's address.
+        let listed = replica.at(addr);
+        self.site.list(&listed, "ready");
+        self.site.replicas.push(listed);
+        self.proxies.push(proxy);
+        self.ready.push(self.site.replicas.len() - 1);
+    }
+
+    fn start_agent(&self, rank: usize) -> Process {
+        let at = SocketAddr::new(ranks::loopback(rank), self.port);
+        self.site.add_agent(at, self.group.addrs[rank])
+    }
+
+    /// Plays a schedule to its end.
+    pub fn play(&mut self, plan: &[Planned]) {
+        let started = Instant::now();
+        // Numbers stay fixed from a fault's beginning to its end.
+        let mut turns: Vec<(u64, bool, usize)> = Vec::new();
+        for (number, it) in plan.iter().enumerate() {
+            turns.push((it.at, true, number));
+            turns.push((it.at + it.lasts, false, number));
+        }
+        turns.sort_unstable();
+        let mut struck: Vec<Option<usize>> = vec![None; plan.len()];
+        for (at, begins, number) in turns {
+            let due = started + Duration::from_millis(at);
+            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            if begins {
+                struck[number] = self.begin(&plan[number]);
+            } else if let Some(who) = struck[number] {
+                self.end(&plan[number], who);
+            }
+        }
+    }
+
+    /// Begins a fault. The number of what it strikes; none if there is nothing.
+    fn begin(&mut self, it: &Planned) -> Option<usize> {
+        let of = |list: &[usize]| list.get(it.who % list.len().max(1)).copied();
+        let entry = of(&self.alive);
+        let replica = of(&self.ready);
+        let rank = it.who % RANKS;
+        match it.fault {
+            Fault::EntryKilled => {
+                let who = entry?;
+                self.strike(Struck::Entry(who), it);
+                self.site.entries[who].kill();
+                self.leave(who);
+                Some(who)
+            }
+            Fault::EntryPaused => {
+                self.strike(Struck::Entry(entry?), it);
+                self.site.entries[entry?].pause();
+                entry
+            }
+            Fault::EntryStopped => {
+                // Callers go on to use it until it is gone.
+                self.site.entries[entry?].stop();
+                self.alive.retain(|it| Some(*it) != entry);
+                entry
+            }
+            Fault::EntryReloaded => {
+                self.site.entries[entry?].reload();
+                entry
+            }
+            Fault::AgentKilled => {
+                self.agents[rank].kill();
+                Some(rank)
+            }
+            Fault::AgentPaused => {
+                self.agents[rank].pause();
+                Some(rank)
+            }
+            Fault::DemandShifted => {
+                self.group.shift(it.who as u64 % EXPERTS);
+                None
+            }
+            Fault::ReplicaIs(mode) => {
+                self.strike(Struck::Replica(replica?), it);
+                self.site.replicas[replica?].set(mode);
+                replica
+            }
+            Fault::ReplicaLeaves => {
+                let who = replica.filter(|_| self.ready.len() > LEAST)?;
+                self.site.list(&self.site.replicas[who], "draining");
+                self.leaving.push((who, clock::now()));
+                self.ready.retain(|it| *it != who);
+                Some(who)
+            }
+            Fault::ReplicaAdded => {
+                self.add_replica();
+                None
+            }
+            Fault::Link(link) => {
+                self.strike(Struck::Replica(replica?), it);
+                self.link(replica?, link.command());
+                replica
+            }
+            Fault::StoreIs(mode) => {
+                self.strike(Struck::Store, it);
+                self.site.store.set(mode);
+                Some(0)
+            }
+            Fault::StoreForgets => {
+                self.strike(Struck::Store, it);
+                self.site.store.forget();
+                None
+            }
+            Fault::RouteAdded => {
+                self.routes.push(clock::now());
+                self.site.configure(&self.configuration());
+                self.board.routes.store(self.routes.len() as u64, Ordering::Relaxed);
+                None
+            }
+        }
+    }
+
+    fn end(&mut self, it: &Planned, who: usize) {
+        match it.fault {
+            Fault::EntryKilled => self.add_entry(),
+            Fault::EntryPaused => self.site.entries[who].wake(),
+            Fault::EntryStopped => {
+                self.wait_for_end(who);
+                self.add_entry();
+            }
+            Fault::AgentKilled => self.agents[who] = self.start_agent(who),
+            Fault::AgentPaused => self.agents[who].wake(),
+            Fault::ReplicaIs(_) => self.site.replicas[who].set(replica::Mode::Good),
+            Fault::ReplicaLeaves => {
+                let id = self.site.replicas[who].id.clone();
+                self.site.store.remove(&format!("servers/{id}"));
+            }
+            Fault::Link(_) => self.link(who, "pass"),
+            Fault::StoreIs(_) => self.site.store.set(keys::Mode::Up),
+            Fault::EntryReloaded
+            | Fault::DemandShifted
+            | Fault::ReplicaAdded
+            | Fault::StoreForgets
+            | Fault::RouteAdded => {}
+        }
+    }
+
+    fn wait_for_end(&mut self, who: usize) {
+        let until = Instant::now() + STOPS;
+        while !self.site.entries[who].ended() {
+            if Instant::now() >= until {
+                self.stuck.push(who);
+                self.site.entries[who].kill();
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn leave(&mut self, who: usize) {
+        self.alive.retain(|it| *it != who);
+        self.publish();
+    }
+
+    fn link(&self, who: usize, command: &str) {
+        client::control(&self.proxies[who].addr("control"), "POST", "/control", command);
+    }
+
+    fn strike(&mut self, what: Struck, it: &Planned) {
+        let from = clock::now();
+        self.strikes.push(Strike { what, from, until: from + it.lasts + soak::judge::AFTER });
+    }
+}
--- /dev/null
+++ b/crates/sablepass-stand/src/soak/schedule.rs
@@ -0,0 +1,140 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! What happens in a run, and when: drawn from a seed.
+
+use std::fmt;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::{keys, replica};
+
+/// Something that goes wrong, or that an operator does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// An entry is killed, and another one takes its place after this.
+    EntryKilled,
+    /// An entry is paused for this long.
+    EntryPaused,
+    /// An entry is asked to stop, and another one takes its place once it has.
+    EntryStopped,
+    /// An entry is told that its settings have changed.
+    EntryReloaded,
+    /// An agent is killed and started again after this.
+    AgentKilled,
+    /// An agent is paused for this long.
+    AgentPaused,
+    /// The expert in demand changes.
+    DemandShifted,
+    /// A replica misbehaves so.
+    ReplicaIs(replica::Mode),
+    /// A replica says that it is leaving, and goes for good after this.
+    ReplicaLeaves,
+    /// Another replica is listed.
+    ReplicaAdded,
+    /// The link to a replica is as the proxy's command says.
+    Link(Link),
+    /// The store misbehaves so.
+    StoreIs(keys::Mode),
+    /// The store forgets its history.
+    StoreForgets,
+    /// Another route is declared.
+    RouteAdded,
+}
+
+/// What a proxy does to a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    /// Connections are closed and refused.
+    Cut,
+    /// Nothing passes.
+    Held,
+    /// Everything takes 150 ms longer.
+    Slow,
+    /// A connection is closed within what goes to the replica.
+    CutUp,
+    /// A connection is closed within what comes from it.
+    CutDown,
+}
+
+impl Link {
+    /// The proxy's command.
+    pub fn command(self) -> &'static str {
+        match self {
+            Self::Cut => "cut",
+            Self::Held => "hold",
+            Self::Slow => "delay 150",
+            Self::CutUp => "cut-up 120",
+            Self::CutDown => "cut-down 260",
+        }
+    }
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Planned {
+    /// Milliseconds from the start.
+    pub at: u64,
+    /// Milliseconds that it lasts.
+    pub lasts: u64,
+    /// Which of those that it may strike, by their number now.
+    pub who: usize,
+    /// What happens.
+    pub fault: Fault,
+}
+
+impl fmt::Display for Planned {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:5} ms, for {:4}: {:?} of {}", self.at, self.lasts, self.fault, self.who)
+    }
+}
+
+const MODES: [replica::Mode; 9] = [
+    replica::Mode::Full,
+    replica::Mode::Failing,
+    replica::Mode::ResetIn(3),
+    replica::Mode::CloseAfterRun,
+    replica::Mode::Twice,
+    replica::Mode::Hang,
+    replica::Mode::Unsigned,
+    replica::Mode::Garbage,
+    replica::Mode::Asleep,
+];
+const LINKS: [Link; 5] = [Link::Cut, Link::Held, Link::Slow, Link::CutUp, Link::CutDown];
+const STORES: [keys::Mode; 4] =
+    [keys::Mode::Down, keys::Mode::Silent, keys::Mode::Slow, keys::Mode::Refusing];
+
+fn fault(rng: &mut StdRng) -> Fault {
+    match rng.random_range(0..18) {
+        0 | 1 => Fault::EntryKilled,
+        2 => Fault::EntryPaused,
+        3 | 4 => Fault::EntryStopped,
+        5 => Fault::EntryReloaded,
+        6 => Fault::AgentKilled,
+        7 => Fault::AgentPaused,
+        8 => Fault::DemandShifted,
+        9 | 10 => Fault::ReplicaIs(MODES[rng.random_range(0..MODES.len())]),
+        11 => Fault::ReplicaLeaves,
+        12 => Fault::ReplicaAdded,
+        13 | 14 => Fault::Link(LINKS[rng.random_range(0..LINKS.len())]),
+        15 => Fault::StoreIs(STORES[rng.random_range(0..STORES.len())]),
+        16 => Fault::StoreForgets,
+        _ => Fault::RouteAdded,
+    }
+}
+
+/// A schedule: four to twelve faults that overlap, in the order of their times.
+pub fn draw(seed: u64, length: u64) -> Vec<Planned> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let count = rng.random_range(4..=12);
+    let one = |_| Planned {
+        at: rng.random_range(0..length),
+        lasts: rng.random_range(100..1_500),
+        who: rng.random_range(0..64),
+        fault: fault(&mut rng),
+    };
+    let mut plan: Vec<Planned> = (0..count).map(one).collect();
+    plan.sort_by_key(|it| it.at);
+    plan
+}
