--- a/crates/sablepass-stand/src/soak.rs
+++ b/crates/sablepass-stand/src/soak.rs
@@ -58,9 +58,15 @@
 
 /// Runs a schedule.
 pub fn run(options: &Options, plan: &[Planned]) -> Outcome {
+    run_beside(options, plan, |_| {})
+}
+
+/// The same with something after it that the judge is not told of.
+pub fn run_beside(options: &Options, plan: &[Planned], unseen: impl FnOnce(&Fleet)) -> Outcome {
     let mut fleet = Fleet::open(options);
     let callers = Callers::spawn(options.callers, fleet.board());
     fleet.play(plan);
+    unseen(&fleet);
     std::thread::sleep(QUIET);
     let samples = callers.end();
     let evidence = Evidence::gather(&mut fleet, samples);
--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -166,6 +166,13 @@
         self.site.add_agent(at, self.group.addrs[rank])
     }
 
+    /// Pauses an entry for so long, without a note of it.
+    pub fn pause_unseen(&self, entry: usize, span: Duration) {
+        self.site.entries[entry].pause();
+        std::thread::sleep(span);
+        self.site.entries[entry].wake();
+    }
+
     /// Plays a schedule to its end.
     pub fn play(&mut self, plan: &[Planned]) {
         let started = Instant::now();
