--- a/crates/sablepass-stand/tests/closed.rs
+++ b/crates/sablepass-stand/tests/closed.rs
@@ -4,7 +4,8 @@
 //! Requests for a group that is closed: a real entry and a real agent beside a
 //! replica that says how its group stands.
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,7 +13,7 @@
 use sablepass_stand::process::Process;
 use sablepass_stand::ranks;
 use sablepass_stand::replica::{Group, Replica};
-use sablepass_stand::site::{Site, ask};
+use sablepass_stand::site::{HOST, KEY, Site, ask};
 
 struct Fleet {
     site: Site,
@@ -106,3 +107,25 @@
     let comeback: f64 = answer.retry_after.parse().expect("a time to come back");
     assert!((10.0..=20.2).contains(&comeback), "it opens within 20 s: {comeback}");
 }
+
+#[test]
+fn verify_what_waits_for_a_group_is_not_begun_once_its_caller_left() {
+    let fleet = fleet(1, 4_000, 8_000, 60_000);
+    let admin = fleet.site.entries[0].addr("admin");
+    let head = format!(
+        "POST /stream/x HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\n\
+         x-request-id: left\r\nx-deadline-ms: 5000\r\ncontent-length: 0\r\n\r\n"
+    );
+    let mut caller = TcpStream::connect(fleet.site.http(0)).expect("the entry accepts");
+    caller.write_all(head.as_bytes()).expect("the request leaves");
+    wait_for("the request waits", || metric(&admin, "sablepass_in_flight", "") >= 1.0);
+    drop(caller);
+    wait_for("the entry knows that its caller left", || {
+        metric(&admin, "sablepass_refusals_total", "caller-gone") >= 1.0
+    });
+    fleet.site.replicas[0].tell(Group { open: true, size: 1, steps: true });
+    wait_for("the group is open", || {
+        ask("POST", "/once/x", "open", "claim").send(&fleet.site.http(0)).status == 200
+    });
+    assert_eq!(fleet.site.runs("left"), 0);
+}
