--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -28,14 +28,13 @@
 /// How long a connection made for one key's owner is kept.
 const OWNER_KEEP: Millis = 60_000;
 
-/// Time between two looks at what all agents told: half of their heartbeat.
-const LOOK: Millis = 100;
-
 /// What targets are found by: kind and qualified model or service.
 pub type Served = (Kind, String);
 
 mod groups;
 mod listing;
+mod shares;
+mod watch;
 
 /// Limits that the settings give.
 #[derive(Clone, Debug)]
@@ -88,17 +87,6 @@
     pub candidates: usize,
 }
 
-/// Capacity and load of a model that fall to this entry.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Share {
-    /// Requests.
-    pub capacity: f64,
-    /// Requests.
-    pub load: f64,
-    /// Targets that may get new work.
-    pub targets: f64,
-}
-
 /// The table of targets.
 pub struct Targets {
     options: Options,
@@ -182,22 +170,6 @@
         self.index();
     }
 
-    /// Says how many other entries this one knows of by itself.
-    pub fn meet(&mut self, others: usize) {
-        self.met = others + 1;
-    }
-
-    /// Counts the entries anew, by connections to them and by the agents' word.
-    pub fn count_entries(&mut self, now: Millis) {
-        let met = self.met.max(self.listed_entries);
-        self.sharers.watch(now, met, self.members.entries(now));
-    }
-
-    /// Those that share targets and budgets.
-    pub fn sharers(&self) -> &Sharers {
-        &self.sharers
-    }
-
     /// The processes to be connected to: agents of declared targets, and those
     /// beside listed ones that are ranks of a group.
     pub fn wanted(&mut self, now: Millis) -> Vec<Wanted> {
@@ -374,36 +346,6 @@
         self.names.iter().filter(|(_, name)| silent(name)).map(|(peer, _)| *peer).collect()
     }
 
-    /// Whether it is time to look again at what all agents told.
-    pub fn looks(&mut self, now: Millis) -> bool {
-        let due = now >= self.looked + LOOK;
-        if due {
-            self.looked = now;
-        }
-        due
-    }
-
-    /// Looks again whose machine counts as asleep. Returns those that do since now.
-    pub fn watch_quiet(&mut self, now: Millis) -> Vec<String> {
-        let quiet = self.members.quiet(now);
-        let fresh = quiet.difference(&self.quiet).cloned().collect();
-        self.idle = self.members.standing(now).chain(&quiet).cloned().collect();
-        self.quiet = quiet;
-        fresh
-    }
-
-    /// Those of some targets that are not idle, unless all are.
-    fn awake<'a>(&self, names: Vec<&'a String>) -> Vec<&'a String> {
-        let awake: Vec<&String> =
-            names.iter().copied().filter(|it| !self.idle.contains(*it)).collect();
-        if awake.is_empty() { names } else { awake }
-    }
-
-    /// Whether a target's machine counts as asleep.
-    pub fn is_quiet(&self, name: &str) -> bool {
-        self.quiet.contains(name)
-    }
-
     /// Whether a target may get new work.
     fn open_for(&self, now: Millis, name: &str) -> bool {
         let stop = self.catalogue.stops.get(name);
@@ -416,44 +358,6 @@
         reached && !replaced && !stopping && !listed && !unknown && member.is_some()
     }
 
-    /// Capacity and load of a model that fall to this entry: targets are
-    /// shared with the other entries that keep connections to them.
-    pub fn room(&self, now: Millis, served: &Served) -> Share {
-        let mut sum = Share::default();
-        for it in self.shares(now, served).into_values() {
-            sum.capacity += it.capacity;
-            sum.load += it.load;
-            sum.targets += it.targets;
-        }
-        sum
-    }
-
-    /// The same by group.
-    fn shares(&self, now: Millis, served: &Served) -> BTreeMap<u32, Share> {
-        let mut shares: BTreeMap<u32, Share> = BTreeMap::new();
-        let Some(subset) = self.subsets.get(served) else { return shares };
-        let sharing = self.sharing(served);
-        let open = subset.iter().filter(|it| self.open_for(now, it)).collect();
-        for name in self.awake(open) {
-            let (Some(it), Some(member)) = (self.candidate(now, name), self.members.get(name))
-            else {
-                continue;
-            };
-            let share = shares.entry(member.report.group).or_default();
-            share.capacity += f64::from(it.capacity) / sharing;
-            share.load += member.share(sharing);
-            share.targets += 1.0;
-        }
-        shares
-    }
-
-    /// Entries that share a target of what serves.
-    fn sharing(&self, served: &Served) -> f64 {
-        let subset = self.subsets.get(served).map_or(0, Vec::len) as f64;
-        let declared = self.serving.get(served).map_or(1, Vec::len).max(1) as f64;
-        (self.sharers.count() as f64 * subset / declared).max(1.0)
-    }
-
     fn candidate<'a>(&self, now: Millis, name: &'a str) -> Option<Candidate<'a>> {
         let member = self.members.usable(now, name)?;
         let (hall, capacity) = match self.listed.get(name) {
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -15,7 +15,8 @@
 use sablepass_core::membership::Pace;
 use sablepass_core::starts::Room;
 
-use crate::targets::{Served, Share, Targets};
+use crate::targets::shares::Share;
+use crate::targets::{Served, Targets};
 
 /// Targets of a kind are relieved while fewer than one in so many crawls: a
 /// move costs the others the prompt once more. Chosen, not measured.
--- /dev/null
+++ b/crates/sablepass-entry/src/targets/watch.rs
@@ -0,0 +1,61 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! What entries learn from all agents together: how many entries there are, and
+//! which targets are better left alone.
+
+use sablepass_core::id::Millis;
+use sablepass_core::sharers::Sharers;
+
+use crate::targets::Targets;
+
+/// Time between two looks at what all agents told: half of their heartbeat.
+const LOOK: Millis = 100;
+
+impl Targets {
+    /// Says how many other entries this one knows of by itself.
+    pub fn meet(&mut self, others: usize) {
+        self.met = others + 1;
+    }
+
+    /// Counts the entries anew, by connections to them and by the agents' word.
+    pub fn count_entries(&mut self, now: Millis) {
+        let met = self.met.max(self.listed_entries);
+        self.sharers.watch(now, met, self.members.entries(now));
+    }
+
+    /// Those that share targets and budgets.
+    pub fn sharers(&self) -> &Sharers {
+        &self.sharers
+    }
+
+    /// Whether it is time to look again at what all agents told.
+    pub fn looks(&mut self, now: Millis) -> bool {
+        let due = now >= self.looked + LOOK;
+        if due {
+            self.looked = now;
+        }
+        due
+    }
+
+    /// Looks again whose machine counts as asleep. Returns those that do since now.
+    pub fn watch_quiet(&mut self, now: Millis) -> Vec<String> {
+        let quiet = self.members.quiet(now);
+        let fresh = quiet.difference(&self.quiet).cloned().collect();
+        self.idle = self.members.standing(now).chain(&quiet).cloned().collect();
+        self.quiet = quiet;
+        fresh
+    }
+
+    /// Those of some targets that are not idle, unless all are.
+    pub(super) fn awake<'a>(&self, names: Vec<&'a String>) -> Vec<&'a String> {
+        let awake: Vec<&String> =
+            names.iter().copied().filter(|it| !self.idle.contains(*it)).collect();
+        if awake.is_empty() { names } else { awake }
+    }
+
+    /// Whether a target's machine counts as asleep.
+    pub fn is_quiet(&self, name: &str) -> bool {
+        self.quiet.contains(name)
+    }
+}
