--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -25,6 +25,8 @@
 /// Ranks of the group whose maps change meanwhile, and experts of a layer there.
 const RANKS: usize = 4;
 const EXPERTS: u64 = 8;
+/// Time between two shifts of demand there: about as long as a new map takes.
+const SHIFTS: Duration = Duration::from_millis(600);
 /// Longest time that an entry may take to stop.
 const STOPS: Duration = Duration::from_secs(10);
 /// Replicas that stay listed at least.
@@ -106,9 +108,21 @@
             let agent = fleet.start_agent(rank);
             fleet.agents.push(agent);
         }
+        fleet.shift_demand();
         fleet
     }
 
+    /// Changes the expert in demand all the time, so that maps change under every fault.
+    fn shift_demand(&self) {
+        let group = self.group.clone();
+        std::thread::spawn(move || {
+            for hot in 0.. {
+                group.shift(hot % EXPERTS);
+                std::thread::sleep(SHIFTS);
+            }
+        });
+    }
+
     /// What callers go by.
     pub fn board(&self) -> Arc<Board> {
         self.board.clone()
@@ -232,9 +246,9 @@
                 self.agents[rank].pause();
                 Some(rank)
             }
-            Fault::DemandShifted => {
-                self.group.shift(it.who as u64 % EXPERTS);
-                None
+            Fault::RankDeaf => {
+                self.group.deafen(Some(rank));
+                Some(rank)
             }
             Fault::ReplicaIs(mode) => {
                 self.strike(Struck::Replica(replica?), it);
@@ -284,8 +298,13 @@
                 self.wait_for_end(who);
                 self.add_entry();
             }
-            Fault::AgentKilled => self.agents[who] = self.start_agent(who),
+            Fault::AgentKilled => {
+                // A fault that overlaps may have started it again already.
+                self.agents[who].kill();
+                self.agents[who] = self.start_agent(who);
+            }
             Fault::AgentPaused => self.agents[who].wake(),
+            Fault::RankDeaf => self.group.deafen(None),
             Fault::ReplicaIs(_) => self.site.replicas[who].set(replica::Mode::Good),
             Fault::ReplicaLeaves => {
                 let id = self.site.replicas[who].id.clone();
@@ -294,7 +313,6 @@
             Fault::Link(_) => self.link(who, "pass"),
             Fault::StoreIs(_) => self.site.store.set(keys::Mode::Up),
             Fault::EntryReloaded
-            | Fault::DemandShifted
             | Fault::ReplicaAdded
             | Fault::StoreForgets
             | Fault::RouteAdded => {}
--- a/crates/sablepass-stand/src/soak/schedule.rs
+++ b/crates/sablepass-stand/src/soak/schedule.rs
@@ -25,8 +25,8 @@
     AgentKilled,
     /// An agent is paused for this long.
     AgentPaused,
-    /// The expert in demand changes.
-    DemandShifted,
+    /// A rank leaves orders unanswered.
+    RankDeaf,
     /// A replica misbehaves so.
     ReplicaIs(replica::Mode),
     /// A replica says that it is leaving, and goes for good after this.
@@ -106,14 +106,14 @@
     [keys::Mode::Down, keys::Mode::Silent, keys::Mode::Slow, keys::Mode::Refusing];
 
 fn fault(rng: &mut StdRng) -> Fault {
-    match rng.random_range(0..18) {
+    match rng.random_range(0..20) {
         0 | 1 => Fault::EntryKilled,
         2 => Fault::EntryPaused,
         3 | 4 => Fault::EntryStopped,
         5 => Fault::EntryReloaded,
         6 => Fault::AgentKilled,
-        7 => Fault::AgentPaused,
-        8 => Fault::DemandShifted,
+        7 | 18 => Fault::AgentPaused,
+        8 => Fault::RankDeaf,
         9 | 10 => Fault::ReplicaIs(MODES[rng.random_range(0..MODES.len())]),
         11 => Fault::ReplicaLeaves,
         12 => Fault::ReplicaAdded,
