--- a/crates/sablepass-core/src/starts.rs
+++ b/crates/sablepass-core/src/starts.rs
@@ -139,53 +139,76 @@
     }
 
     fn turn(&self, now: Millis, ask: &Ask, room: Room) -> Turn {
-        let late = self.is_late(now, ask);
-        let longest = if late { ask.patience } else { ask.objective };
-        let waited = now.saturating_sub(ask.arrived) as f64;
         match room {
             Room::Free => Turn::Now,
             Room::Closed => Turn::Refuse(None),
             Room::Opens { within, places, sure } => {
-                // Those that wait are late when it opens, and leave room as such.
-                let all = self.waiting.len() as f64 + 1.0 + self.reserved();
-                let beyond = (all - places).max(0.0);
-                let turn = within as f64 + beyond * self.lasts / places.max(1.0);
-                match beyond <= 0.0 && self.in_time(waited, turn, ask.patience) {
-                    true => Turn::Wait(turn as Millis),
-                    false => Turn::Refuse(sure.then_some(turn as Millis)),
-                }
+                self.turn_at_opening(now, ask, within, places, sure)
+            }
+            Room::Open { .. } if self.ahead(now, ask) == 0 && self.fits(now, ask, room) => {
+                Turn::Now
             }
             Room::Open { places, load, reads } => {
                 let excess = self.excess(now, ask, places, load);
-                let ahead = self.ahead(now, ask);
-                if ahead == 0 && self.fits(now, ask, room) {
-                    return Turn::Now;
-                }
-                if late && excess + (ahead as f64) < 0.0 {
-                    let turn = (ahead as f64 + 1.0) * self.opens / reads.max(1.0);
-                    return Turn::Wait(turn as Millis);
-                }
-                let before = ahead as f64 + 1.0 + excess.max(0.0);
-                let turn = before * self.lasts / load.max(1.0);
-                // Those in time take what ends, and those late what they leave of it.
-                let left = load / self.lasts - self.arrivals / COUNTED;
-                let real = if !late {
-                    turn
-                } else if left > 0.0 {
-                    before / left
+                if self.is_late(now, ask) {
+                    self.turn_of_late(now, ask, excess, load, reads)
                 } else {
-                    f64::MAX
-                };
-                match self.in_time(waited, real, longest) {
-                    true => Turn::Wait(real as Millis),
-                    false => Turn::Refuse(Some(turn as Millis)),
+                    let turn = self.before(now, ask, excess) * self.lasts / load.max(1.0);
+                    self.verdict(now, ask, turn, ask.objective, turn)
                 }
             }
         }
     }
 
-    /// Whether a stream has its first event in time if it begins in `turn`.
-    fn in_time(&self, waited: f64, turn: f64, longest: Millis) -> bool {
+    /// As many wait for an opening as begin then. They are late by that time, and
+    /// leave room as such.
+    fn turn_at_opening(
+        &self,
+        now: Millis,
+        ask: &Ask,
+        within: Millis,
+        places: f64,
+        sure: bool,
+    ) -> Turn {
+        let all = self.waiting.len() as f64 + 1.0 + self.reserved();
+        let beyond = (all - places).max(0.0);
+        let turn = within as f64 + beyond * self.lasts / places.max(1.0);
+        if beyond <= 0.0 && self.in_time(now, ask, turn, ask.patience) {
+            return Turn::Wait(turn as Millis);
+        }
+        Turn::Refuse(sure.then_some(turn as Millis))
+    }
+
+    /// One that is late waits for prompts to be read while there are places. Where
+    /// there are none, it waits only if streams end faster than others arrive.
+    fn turn_of_late(&self, now: Millis, ask: &Ask, excess: f64, load: f64, reads: f64) -> Turn {
+        let ahead = self.ahead(now, ask) as f64;
+        if excess + ahead < 0.0 {
+            return Turn::Wait(((ahead + 1.0) * self.opens / reads.max(1.0)) as Millis);
+        }
+        let before = self.before(now, ask, excess);
+        let left = load / self.lasts - self.arrivals / COUNTED;
+        let real = if left > 0.0 { before / left } else { f64::MAX };
+        self.verdict(now, ask, real, ask.patience, before * self.lasts / load.max(1.0))
+    }
+
+    /// Streams that end before this one begins, itself counted.
+    fn before(&self, now: Millis, ask: &Ask, excess: f64) -> f64 {
+        self.ahead(now, ask) as f64 + 1.0 + excess.max(0.0)
+    }
+
+    /// Waits for `turn` if its first event then comes within `longest`; else it is
+    /// told to come back in `told`.
+    fn verdict(&self, now: Millis, ask: &Ask, turn: f64, longest: Millis, told: f64) -> Turn {
+        match self.in_time(now, ask, turn, longest) {
+            true => Turn::Wait(turn as Millis),
+            false => Turn::Refuse(Some(told as Millis)),
+        }
+    }
+
+    /// Whether a stream's first event comes within `longest` if it begins in `turn`.
+    fn in_time(&self, now: Millis, ask: &Ask, turn: f64, longest: Millis) -> bool {
+        let waited = now.saturating_sub(ask.arrived) as f64;
         waited + turn + self.opens * OPENS_TIMES <= longest as f64
     }
 
