Name what a request asks for where its target breaks off

Change: a fingerprint of caller, path with query and body on each 'target broke off' line. It is worked out on that line only, so that requests that end well pay nothing.

--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod declaration;
 pub mod events;
 pub mod expert;
+pub mod fingerprint;
 pub mod flight;
 pub mod forming;
 pub mod gate;
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -157,7 +157,7 @@
         if let Some(open) = self.open.get(&carried.request) {
             slog::info!(self.log, "target broke off"; "id" => &open.run.label, "target" => &target,
                 "attempt" => carried.attempt, "sent" => sent, "bytes" => carried.offset,
-                "cause" => %cause);
+                "fingerprint" => %open.fingerprint(), "cause" => %cause);
         }
         let event = if sent {
             self.target_failed(clock::now(), &target);
--- a/crates/sablepass-entry/src/open.rs
+++ b/crates/sablepass-entry/src/open.rs
@@ -7,6 +7,7 @@
 
 use sablepass_core::admit::Ticket;
 use sablepass_core::declaration::Priority;
+use sablepass_core::fingerprint::Fingerprint;
 use sablepass_core::flight::Flight;
 use sablepass_core::id::Millis;
 use sablepass_core::route::Route;
@@ -60,6 +61,12 @@
 }
 
 impl Open {
+    /// What the request has in common with any other one that asks for the same.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let path = self.run.head.uri().path_and_query().map_or("", |it| it.as_str());
+        Fingerprint::of(&self.customer, path, &self.run.body)
+    }
+
     /// Whether it may still wait for its group to open.
     pub(crate) fn is_patient(&self, now: Millis) -> bool {
         now < self.flight.request().deadline.min(self.run.arrived + FORM_WAIT)
