--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -8,7 +8,7 @@
 //! that repeats the request's.
 
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -87,6 +87,12 @@
     group: Option<Group>,
     /// The last step that it told.
     step: u64,
+    /// It ends as it begins to run a request with this body.
+    fatal: Option<Vec<u8>>,
+    /// It has ended: nothing listens at its address.
+    ended: bool,
+    /// Its open connections.
+    streams: Vec<TcpStream>,
 }
 
 /// What a rank tells of its group.
@@ -124,8 +130,16 @@
     pub fn spawn_at(service: &str, ip: IpAddr) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("the replica listens");
         let addr = listener.local_addr().expect("it has an address");
-        let state =
-            State { mode: Mode::Good, runs: Vec::new(), connections: 0, group: None, step: 1 };
+        let state = State {
+            mode: Mode::Good,
+            runs: Vec::new(),
+            connections: 0,
+            group: None,
+            step: 1,
+            fatal: None,
+            ended: false,
+            streams: Vec::new(),
+        };
         let replica = Self {
             id: format!("i-{:08x}", STARTED.fetch_add(1, Ordering::Relaxed)),
             service: service.to_owned(),
@@ -136,7 +150,14 @@
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let replica = serving.clone();
-                replica.lock().connections += 1;
+                let Ok(copy) = stream.try_clone() else { continue };
+                let mut state = replica.lock();
+                if state.ended {
+                    break;
+                }
+                state.connections += 1;
+                state.streams.push(copy);
+                drop(state);
                 // A connection that fails is over.
                 std::thread::spawn(move || replica.serve(stream).ok());
             }
@@ -164,6 +185,30 @@
         self.state.1.notify_all();
     }
 
+    /// Has it end as it begins to run a request with this body.
+    pub fn end_on(&self, body: &str) {
+        self.lock().fatal = Some(body.as_bytes().to_vec());
+    }
+
+    /// Whether it has ended.
+    pub fn ended(&self) -> bool {
+        self.lock().ended
+    }
+
+    /// Ends as a process that crashes: its connections close, and nothing
+    /// listens any more.
+    fn end(&self) {
+        let mut state = self.lock();
+        state.ended = true;
+        for stream in state.streams.drain(..) {
+            // One that is closed already is as good.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        drop(state);
+        // Has the listening thread look.
+        let _ = TcpStream::connect(self.addr);
+    }
+
     /// Makes it a rank of a group.
     pub fn tell(&self, group: Group) {
         self.lock().group = Some(group);
@@ -233,6 +278,10 @@
                 state.runs.push(run.clone());
                 state.runs.len() - 1
             };
+            if self.lock().fatal.as_ref() == Some(&run.body) {
+                self.end();
+                return Ok(());
+            }
             if self.run(&mut stream, mode, &mut run).is_err() {
                 self.lock().runs[index].dropped = true;
                 return Ok(());
