--- a/crates/sablepass-core/src/config.rs
+++ b/crates/sablepass-core/src/config.rs
@@ -262,6 +262,19 @@
         delta.documents.extend(removals);
     }
 
+    /// Leaves out of a read what says the same as what is held.
+    pub fn trim(&self, delta: &mut Delta) {
+        if self.what == What::Instances {
+            delta.documents.retain(|it| !self.holds(it));
+        }
+    }
+
+    /// Whether what is held says the same.
+    fn holds(&self, it: &Document) -> bool {
+        let held = self.documents.get(&it.key);
+        held.is_some_and(|held| held.removed == it.removed && held.newest.body == it.newest.body)
+    }
+
     fn put(&mut self, mut document: Document) -> bool {
         let held = self.documents.get(&document.key).map(|it| it.newest.revision);
         if held > Some(document.newest.revision) {
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -366,15 +366,7 @@
             source.whole = false;
             source.store.complete(&mut delta);
         }
-        if what == What::Instances {
-            let same = |it: &Document| {
-                let held = source.store.get(&it.key);
-                held.is_some_and(|held| {
-                    held.removed == it.removed && held.newest.body == it.newest.body
-                })
-            };
-            delta.documents.retain(|it| !same(it));
-        }
+        source.store.trim(&mut delta);
         delta
     }
 
