Hold the list that its changes add up to, whatever the replies

Cause: three of one kind, found by core/tests/listing.rs. (1) trim compared each change of a reply with what was held before it, so that a removal and the return with the same text in one reply left the removal standing. (2) A process that read everything knows no removals from before; a peer behind it kept what was gone, and gave it back to the reader. (3) A removal from before such a read counted as older than what another process held, though the target had been back and gone.

Ruled out: comparing only the last change of a key with what is held (the issue's trial): a peer that learnt of the removal never learns of the return, since it keeps its old revision.

Change: a line is left out of a watch's answer only where all changes of it say the same as what is held; else the last one counts. Reads of everything are not trimmed, and are told to a peer from before as such: what they do not name is gone again, at their revision. Two fields on the wire.

--- a/crates/sablepass-core/src/config.rs
+++ b/crates/sablepass-core/src/config.rs
@@ -87,7 +87,7 @@
     pub hash: u64,
 }
 
-/// Documents changed after a revision, up to another.
+/// Documents changed after a revision, up to another; or all that there are.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Delta {
     /// The receiver must hold at least this revision.
@@ -96,6 +96,9 @@
     pub revision: u64,
     /// The changed documents.
     pub documents: Vec<Document>,
+    /// Set where the documents are all that the sender holds: what it does not
+    /// name is gone. Since then the sender knows of each removal.
+    pub whole: Option<u64>,
 }
 
 /// What a peer's digest asks for.
@@ -135,6 +138,9 @@
     what: What,
     check: Check,
     revision: u64,
+    /// Removals after this revision are held, each with its key. What was gone
+    /// before the platform was read as a whole left no trace here.
+    since: u64,
     documents: BTreeMap<String, Document>,
     verdicts: BTreeMap<String, Verdict>,
 }
@@ -147,7 +153,14 @@
 
     /// Opens an empty store of documents in another form.
     pub fn open_with(what: What, check: Check) -> Self {
-        Self { what, check, revision: 0, documents: BTreeMap::new(), verdicts: BTreeMap::new() }
+        Self {
+            what,
+            check,
+            revision: 0,
+            since: 0,
+            documents: BTreeMap::new(),
+            verdicts: BTreeMap::new(),
+        }
     }
 
     /// Highest revision held.
@@ -200,12 +213,19 @@
 
     /// What a peer that holds `after` lacks, in order of revision and in
     /// parts of about `limit` bytes. Each part makes the receiver complete up
-    /// to its revision, so the parts need not arrive together.
+    /// to its revision, so the parts need not arrive together. A peer that may
+    /// hold what was gone before this process knew of removals gets everything
+    /// at once: only so it learns what is not there.
     pub fn deltas(&self, after: u64, limit: usize) -> Vec<Delta> {
+        if after < self.since {
+            let documents = self.documents.values().cloned().collect();
+            let (revision, whole) = (self.revision, Some(self.since));
+            return vec![Delta { after, revision, documents, whole }];
+        }
         let mut newer: Vec<&Document> =
             self.documents.values().filter(|it| it.newest.revision > after).collect();
         newer.sort_by_key(|it| it.newest.revision);
-        let mut deltas = vec![Delta { after, revision: after, documents: Vec::new() }];
+        let mut deltas = vec![Delta { after, revision: after, documents: Vec::new(), whole: None }];
         let mut size = 0;
         for document in newer {
             size += document.size();
@@ -214,7 +234,7 @@
             let same = deltas[last].revision == document.newest.revision;
             if full && !same {
                 let after = deltas[last].revision;
-                deltas.push(Delta { after, revision: after, documents: Vec::new() });
+                deltas.push(Delta { after, revision: after, documents: Vec::new(), whole: None });
                 size = document.size();
             }
             let last = deltas.len() - 1;
@@ -229,15 +249,22 @@
     /// Takes a delta in. True if anything changed. The parts of a full copy
     /// may be older than what is held and still bring an accepted version;
     /// one that brings nothing is old.
-    pub fn merge(&mut self, delta: Delta) -> Result<bool, Ignored> {
+    pub fn merge(&mut self, mut delta: Delta) -> Result<bool, Ignored> {
         if delta.after > self.revision {
             return Err(Ignored::DeltaGap);
         }
+        if delta.whole.is_some() {
+            self.complete(&mut delta);
+        }
         let old = delta.revision < self.revision;
         let mut changed = delta.revision > self.revision;
         for document in delta.documents {
             changed |= self.put(document);
         }
+        // What came and went between the two revisions is not known here.
+        if let Some(since) = delta.whole.filter(|it| *it > self.revision) {
+            self.since = since;
+        }
         if old && !changed {
             return Err(Ignored::OldRevision);
         }
@@ -246,12 +273,11 @@
     }
 
     /// Makes a delta out of everything that there is: what is held, is not
-    /// named and is not newer is removed.
-    pub fn complete(&self, delta: &mut Delta) {
+    /// named and is not newer is removed. What was gone already may have been
+    /// back meanwhile, for those who hold more of its history: it is gone again.
+    fn complete(&self, delta: &mut Delta) {
         let named: BTreeSet<&String> = delta.documents.iter().map(|it| &it.key).collect();
-        let gone = |it: &&Document| {
-            !it.removed && !named.contains(&it.key) && it.newest.revision < delta.revision
-        };
+        let gone = |it: &&Document| !named.contains(&it.key) && it.newest.revision < delta.revision;
         let removal = |it: &Document| Document {
             key: it.key.clone(),
             newest: Version { revision: delta.revision, body: String::new() },
@@ -262,11 +288,29 @@
         delta.documents.extend(removals);
     }
 
-    /// Leaves out of a read what says the same as what is held.
+    /// Leaves out of a watch's answer the instances that say the same as what is
+    /// held: each target writes its line anew with every heartbeat, and a line
+    /// that is left out keeps its revision and is told to no peer. That is sound
+    /// only where *all* changes of a line since then say the same. Where one says
+    /// something else, as that a target left, the last one counts: it may be back
+    /// as it was, and a peer that learnt of its leaving learns of its return only
+    /// by a later revision. A read of everything, which does not show what was
+    /// in between, is not trimmed.
     pub fn trim(&self, delta: &mut Delta) {
-        if self.what == What::Instances {
-            delta.documents.retain(|it| !self.holds(it));
+        if self.what != What::Instances || delta.whole.is_some() {
+            return;
         }
+        let other = |it: &&Document| !self.holds(it);
+        let mut last: BTreeMap<String, u64> = BTreeMap::new();
+        for it in delta.documents.iter().filter(other) {
+            last.insert(it.key.clone(), 0);
+        }
+        for it in &delta.documents {
+            if let Some(last) = last.get_mut(&it.key) {
+                *last = it.newest.revision.max(*last);
+            }
+        }
+        delta.documents.retain(|it| last.get(&it.key) == Some(&it.newest.revision));
     }
 
     /// Whether what is held says the same.
@@ -277,6 +321,10 @@
 
     fn put(&mut self, mut document: Document) -> bool {
         let held = self.documents.get(&document.key).map(|it| it.newest.revision);
+        if held.is_none() && document.newest.revision <= self.since {
+            // Everything was read later than that, and it was not there.
+            return false;
+        }
         if held > Some(document.newest.revision) {
             return false;
         }
--- a/crates/sablepass-core/tests/catalogue.rs
+++ b/crates/sablepass-core/tests/catalogue.rs
@@ -22,7 +22,7 @@
         let revision = index as u64 + 1;
         let newest = Version { revision, body: body.clone() };
         let document = Document { key: (*key).to_owned(), newest, removed: false, accepted: None };
-        let delta = Delta { after: revision - 1, revision, documents: vec![document] };
+        let delta = Delta { after: revision - 1, revision, documents: vec![document], whole: None };
         store.merge(delta).expect("newer");
     }
     Catalogue::build(&store)
--- a/crates/sablepass-core/tests/config.rs
+++ b/crates/sablepass-core/tests/config.rs
@@ -21,7 +21,7 @@
 }
 
 fn delta(after: u64, revision: u64, documents: Vec<Document>) -> Delta {
-    Delta { after, revision, documents }
+    Delta { after, revision, documents, whole: None }
 }
 
 fn store() -> Store {
--- a/crates/sablepass-core/tests/listing.rs
+++ b/crates/sablepass-core/tests/listing.rs
@@ -45,7 +45,7 @@
     fn watch(&self, after: u64, revision: u64) -> Delta {
         let within = |it: &&Document| (after + 1..=revision).contains(&it.newest.revision);
         let documents = self.changes.iter().filter(within).cloned().collect();
-        Delta { after, revision, documents }
+        Delta { after, revision, documents, whole: None }
     }
 
     /// What a read of everything answers at a revision.
@@ -55,7 +55,8 @@
             all.insert(&it.key, it);
         }
         let documents = all.into_values().filter(|it| !it.removed).cloned().collect();
-        Delta { after: after.min(revision), revision, documents }
+        let whole = Some(revision);
+        Delta { after: after.min(revision), revision, documents, whole }
     }
 }
 
@@ -63,9 +64,6 @@
     let after = store.revision();
     let mut delta =
         if whole { platform.range(after, revision) } else { platform.watch(after, revision) };
-    if whole {
-        store.complete(&mut delta);
-    }
     store.trim(&mut delta);
     // One that is old by now is ignored.
     let _ = store.merge(delta);
--- a/crates/sablepass-ctl/src/check.rs
+++ b/crates/sablepass-ctl/src/check.rs
@@ -44,7 +44,7 @@
     }
     let keys: Vec<String> = documents.iter().map(|it| it.key.clone()).collect();
     let mut store = Store::open(What::Declarations);
-    let delta = Delta { after: 0, revision: files.len() as u64, documents };
+    let delta = Delta { after: 0, revision: files.len() as u64, documents, whole: None };
     store.merge(delta).map_err(|_| Error::Store)?;
     let catalogue = Catalogue::build(&store);
     let verdict = |key: String| {
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -86,8 +86,6 @@
 /// What a read gave.
 #[derive(Debug)]
 pub struct Batch {
-    /// It is everything that there is.
-    pub whole: bool,
     /// The documents.
     pub delta: Delta,
     /// Items that did not decode. What is held of them stays.
@@ -222,7 +220,8 @@
                 Err(e) => problems.push(e),
             }
         }
-        Batch { whole, delta: Delta { after, revision, documents }, problems }
+        let whole = whole.then_some(revision);
+        Batch { delta: Delta { after, revision, documents, whole }, problems }
     }
 
     fn report(&mut self, result: Result<Batch, Error>) {
@@ -301,6 +300,6 @@
         accepted: None,
     };
     let documents = it.documents.into_iter().map(document).collect();
-    let delta = Delta { after: order.after, revision: it.revision, documents };
-    Ok(Batch { whole: false, delta, problems: Vec::new() })
+    let delta = Delta { after: order.after, revision: it.revision, documents, whole: None };
+    Ok(Batch { delta, problems: Vec::new() })
 }
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -28,7 +28,7 @@
 use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
 
 use crate::instance::{Instance, Role};
-use crate::reader::{self, Batch, Form, Order, Read, Reader};
+use crate::reader::{self, Form, Order, Read, Reader};
 use crate::settings::Node;
 use crate::telemetry::Metrics;
 
@@ -332,7 +332,10 @@
             self.metrics.ignored(Ignored::OldRevision);
             return None;
         }
-        let delta = self.trim(what, batch);
+        let mut delta = batch.delta;
+        let source = self.source(what);
+        source.whole &= delta.whole.is_none();
+        source.store.trim(&mut delta);
         let changed = self.merge(what, delta);
         if what == self.shared() {
             self.fresh = now;
@@ -358,18 +361,6 @@
         self.judge(what, false, &e.to_string());
     }
 
-    /// Leaves out what says the same as before, and adds removals to a whole read.
-    fn trim(&mut self, what: What, batch: Batch) -> Delta {
-        let Batch { whole, mut delta, .. } = batch;
-        let source = self.source(what);
-        if whole {
-            source.whole = false;
-            source.store.complete(&mut delta);
-        }
-        source.store.trim(&mut delta);
-        delta
-    }
-
     /// Least time between two calls.
     fn pace(&self, what: What) -> Millis {
         match (self.node.form, what) {
--- a/crates/sablepass-load/src/capacity.rs
+++ b/crates/sablepass-load/src/capacity.rs
@@ -317,7 +317,7 @@
     let start = Instant::now();
     let mut store = Store::open(What::Declarations);
     let revision = documents.len() as u64;
-    if store.merge(Delta { after: 0, revision, documents }).is_err() {
+    if store.merge(Delta { after: 0, revision, documents, whole: None }).is_err() {
         return;
     }
     let first = start.elapsed().as_secs_f64() * 1_000.0;
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -212,6 +212,8 @@
         revision: it.revision,
         documents,
         what: what as u32,
+        whole: it.whole.is_some(),
+        since: it.whole.unwrap_or(0),
     })
 }
 
@@ -231,7 +233,8 @@
 pub fn parse_delta(it: wire::Delta) -> Result<(What, config::Delta), Error> {
     let what = what("delta", it.what)?;
     let documents = it.documents.into_iter().map(parse_document).collect();
-    Ok((what, config::Delta { after: it.after, revision: it.revision, documents }))
+    let whole = it.whole.then_some(it.since);
+    Ok((what, config::Delta { after: it.after, revision: it.revision, documents, whole }))
 }
 
 /// Reads which store a message is about.
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -303,6 +303,12 @@
     /// 0 declarations, 1 instance list.
     #[prost(uint32, tag = "4")]
     pub what: u32,
+    /// The documents are all that the sender holds: what it does not name is gone.
+    #[prost(bool, tag = "5")]
+    pub whole: bool,
+    /// With `whole`: the sender knows of each removal after this revision.
+    #[prost(fixed64, tag = "6")]
+    pub since: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Document {
--- a/crates/sablepass-wire/tests/wire.rs
+++ b/crates/sablepass-wire/tests/wire.rs
@@ -112,7 +112,7 @@
         removed: false,
         accepted: Some(Version { revision: 2, body: "y".to_owned() }),
     };
-    let delta = Delta { after: 1, revision: 4, documents: vec![document] };
+    let delta = Delta { after: 1, revision: 4, documents: vec![document], whole: Some(3) };
     let Body::Delta(sent) = convert::delta(What::Declarations, &delta) else {
         panic!("a delta makes a delta");
     };
