Sight: how many targets an entry lists, hears and uses; inputs of a refusal without a turn

Cause: targets that an entry lost for good showed in no counter, and a refusal as crowded told none of its inputs.

--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -54,6 +54,9 @@
     pub skew: Gauge,
     /// Decisions on expert maps, by outcome.
     pub plans: IntCounterVec,
+    /// Targets by how this entry knows them: listed, with a connection to the agent beside
+    /// them, usable now.
+    pub targets: IntGaugeVec,
     /// Targets that ended under a request, seen here or told by others.
     pub deaths: IntCounterVec,
     /// Such requests forgotten for want of room.
@@ -105,6 +108,7 @@
             map_version: gauge(r, "map_version", "Version of the expert map in force")?,
             skew: float_gauge(r, "skew", "Mean skew of the group over its layers")?,
             plans: counters(r, "plans_total", "Decisions on expert maps", &["outcome"])?,
+            targets: gauges(r, "targets", "Targets by how they are known", &["state"])?,
             deaths: counters(r, "deaths_total", "Targets that ended under a request", &["source"])?,
             suspects_evicted: counter(
                 r,
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -404,6 +404,7 @@
             for target in self.targets.watch_quiet(now) {
                 slog::warn!(self.log, "target quiet"; "target" => target);
             }
+            self.count_targets();
         }
         self.begin_waiting(cx);
         self.tell_suspects();
@@ -418,6 +419,19 @@
         after!(TICK, [cx], tick());
     }
 
+    fn count_targets(&self) {
+        let it = self.targets.counts();
+        let counts = [
+            ("listed", it.listed),
+            ("agents", it.beside),
+            ("linked", it.linked),
+            ("usable", it.usable),
+        ];
+        for (state, count) in counts {
+            self.metrics.targets.with_label_values(&[state]).set(count as i64);
+        }
+    }
+
     fn tick_one(&mut self, cx: CX![], id: RequestId) {
         let Some(open) = self.open.get(&id) else {
             return;
--- a/crates/sablepass-entry/src/starts.rs
+++ b/crates/sablepass-entry/src/starts.rs
@@ -52,6 +52,9 @@
         open.comeback = wait;
         let open_now = matches!(room, Room::Open { .. } | Room::Free);
         let reason = if open_now { Refusal::Crowded } else { Refusal::GroupClosed };
+        let counts = self.targets.counts();
+        slog::info!(self.log, "no turn"; "id" => &open.run.label, "reason" => reason.label(),
+            "room" => ?room, "turn" => wait, "targets" => counts.listed, "usable" => counts.usable);
         let actions = open.flight.refuse(reason);
         self.act(cx, id, actions);
     }
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -120,6 +120,7 @@
     quiet: BTreeSet<String>,
     /// Those and targets whose group stands: they get no work while there are others.
     idle: BTreeSet<String>,
+    counts: watch::Counts,
     /// Entries met over connections to them, this one included.
     met: usize,
     /// Entries that the instance list names.
@@ -149,6 +150,7 @@
             looked: 0,
             quiet: BTreeSet::new(),
             idle: BTreeSet::new(),
+            counts: watch::Counts::default(),
             met: 1,
             listed_entries: 0,
             sharers: Sharers::open(options.agent_port.is_some()),
--- a/crates/sablepass-entry/src/targets/watch.rs
+++ b/crates/sablepass-entry/src/targets/watch.rs
@@ -4,6 +4,9 @@
 //! What entries learn from all agents together: how many entries there are, and
 //! which targets are better left alone.
 
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+
 use sablepass_core::id::Millis;
 use sablepass_core::sharers::Sharers;
 
@@ -12,6 +15,19 @@
 /// Time between two looks at what all agents told: half of their heartbeat.
 const LOOK: Millis = 100;
 
+/// How many listed targets there are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// All of them.
+    pub listed: usize,
+    /// Agents that this entry is connected to.
+    pub beside: usize,
+    /// Those whose agent reports.
+    pub linked: usize,
+    /// Those that may get work.
+    pub usable: usize,
+}
+
 impl Targets {
     /// Says how many other entries this one knows of by itself.
     pub fn meet(&mut self, others: usize) {
@@ -29,6 +45,23 @@
         &self.sharers
     }
 
+    /// How many listed targets there were when last looked.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Counts the listed targets.
+    fn count(&self, now: Millis) -> Counts {
+        let member = |name: &&String| self.members.get(name);
+        let beside: BTreeSet<IpAddr> = self.agents.values().copied().collect();
+        Counts {
+            listed: self.listed.len(),
+            beside: beside.len(),
+            linked: self.listed.keys().filter(|it| member(it).is_some_and(|it| it.linked)).count(),
+            usable: self.listed.keys().filter(|it| self.open_for(now, it)).count(),
+        }
+    }
+
     /// Whether it is time to look again at what all agents told.
     pub fn looks(&mut self, now: Millis) -> bool {
         let due = now >= self.looked + LOOK;
@@ -42,6 +75,7 @@
     pub fn watch_quiet(&mut self, now: Millis) -> Vec<String> {
         let quiet = self.members.quiet(now);
         let fresh = quiet.difference(&self.quiet).cloned().collect();
+        self.counts = self.count(now);
         self.idle = self.members.standing(now).chain(&quiet).cloned().collect();
         self.quiet = quiet;
         fresh
