Take each item of the store by itself; one that is bad names no target

Cause: one value that is not base64 or not text failed the whole read or watch, for as long as it stood, so that a reader learnt nothing more. After a watch a target whose entry turned bad kept its last good state; after a read it was gone.

Change: an item's error goes with the item. A bad entry of the list counts as gone, after both; a bad declaration is refused and the last accepted one stays.

Ruled out: to require birth, as the users' pages say.

--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -88,8 +88,8 @@
 pub struct Batch {
     /// The documents.
     pub delta: Delta,
-    /// Items that did not decode. What is held of them stays.
-    pub problems: Vec<sablepass_platform::Error>,
+    /// Items that cannot be taken.
+    pub problems: Vec<Problem>,
 }
 
 /// A read that ended.
@@ -215,10 +215,9 @@
         let mut documents = Vec::new();
         let mut problems = Vec::new();
         for it in changes {
-            match document(self.what, it) {
-                Ok(it) => documents.push(it),
-                Err(e) => problems.push(e),
-            }
+            let (it, problem) = document(self.what, it);
+            documents.push(it);
+            problems.extend(problem);
         }
         let whole = whole.then_some(revision);
         Batch { delta: Delta { after, revision, documents, whole }, problems }
@@ -245,20 +244,41 @@
     }
 }
 
-/// A store item as a document. Replicas become lines of the instance list.
-fn document(what: What, it: store::Change) -> Result<Document, sablepass_platform::Error> {
-    let (key, body) = match (what, &it.value) {
-        (What::Instances, Some(value)) => {
-            let replica = replica::decode(&it.key, value)?;
-            (replica.id.clone(), line(replica).text())
-        }
-        (What::Instances, None) => {
-            (it.key.trim_start_matches(replica::PREFIX).to_owned(), String::new())
+/// An item that cannot be taken, and why.
+#[derive(Debug)]
+pub struct Problem {
+    /// Its key.
+    pub key: String,
+    /// Revision of its last change.
+    pub revision: u64,
+    /// Why.
+    pub error: sablepass_platform::Error,
+}
+
+/// A store item as a document. Replicas become lines of the instance list; an
+/// entry that cannot be taken names none, as if it were gone, after a watch as
+/// after a read of everything. A declaration that cannot be read is one that is
+/// refused: the last accepted one stays in force.
+fn document(what: What, it: store::Change) -> (Document, Option<Problem>) {
+    let (key, revision) = (it.key, it.revision);
+    let body = it.value.and_then(|value| match (what, value) {
+        (What::Instances, Some(text)) => Ok(Some(line(replica::decode(&key, &text)?).text())),
+        (_, value) => Ok(value),
+    });
+    let name = match what {
+        What::Instances => key.trim_start_matches(replica::PREFIX).to_owned(),
+        What::Declarations => key.clone(),
+    };
+    let (body, problem) = match body {
+        Ok(it) => (it, None),
+        Err(error) => {
+            let refused = (what == What::Declarations).then(String::new);
+            (refused, Some(Problem { key, revision, error }))
         }
-        (What::Declarations, _) => (it.key.clone(), it.value.clone().unwrap_or_default()),
     };
-    let newest = Version { revision: it.revision, body };
-    Ok(Document { key, newest, removed: it.value.is_none(), accepted: None })
+    let removed = body.is_none();
+    let newest = Version { revision, body: body.unwrap_or_default() };
+    (Document { key: name, newest, removed, accepted: None }, problem)
 }
 
 fn line(it: replica::Replica) -> Instance {
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -28,7 +28,7 @@
 use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
 
 use crate::instance::{Instance, Role};
-use crate::reader::{self, Form, Order, Read, Reader};
+use crate::reader::{self, Form, Order, Problem, Read, Reader};
 use crate::settings::Node;
 use crate::telemetry::Metrics;
 
@@ -47,6 +47,10 @@
 /// does not become a burst of calls.
 const WATCH_PACE: Millis = 50;
 
+/// Items that cannot be taken whose last line is remembered, so that the next
+/// read of everything does not repeat it.
+const MOST_BAD: usize = 1_024;
+
 /// One service and its reader.
 struct Source {
     store: Store,
@@ -59,6 +63,8 @@
     failures: u32,
     /// Everything has to be read, not only what changed.
     whole: bool,
+    /// Items that could not be taken, with the revision at which that was said.
+    bad: BTreeMap<String, u64>,
     /// When the next call is due.
     next: Millis,
     /// The last pull: when, and from which revision. The same is not asked of
@@ -75,6 +81,7 @@
             good: false,
             failures: 0,
             whole,
+            bad: BTreeMap::new(),
             next: 0,
             pulled: None,
         }
@@ -318,9 +325,8 @@
                 return None;
             }
         };
-        for e in &batch.problems {
-            slog::warn!(self.log, "item not decoded"; "what" => ?what, "error" => %e);
-            self.metrics.ignored(Ignored::BadDocument);
+        for it in &batch.problems {
+            self.report_problem(what, it);
         }
         let stale = batch.delta.revision < self.source(what).store.revision();
         self.judge(what, !stale, "stale");
@@ -347,6 +353,21 @@
         changed
     }
 
+    /// A line and a count for each change that cannot be taken, not for each read.
+    fn report_problem(&mut self, what: What, it: &Problem) {
+        let bad = &mut self.source(what).bad;
+        if bad.len() >= MOST_BAD && !bad.contains_key(&it.key) {
+            bad.clear();
+        }
+        if bad.insert(it.key.clone(), it.revision) == Some(it.revision) {
+            return;
+        }
+        slog::warn!(self.log, "item not taken"; "what" => ?what, "key" => &it.key,
+            "revision" => it.revision, "reason" => it.error.label(), "error" => %it.error);
+        self.metrics.ignored(Ignored::BadDocument);
+        self.metrics.bad_items.with_label_values(&[it.error.label()]).inc();
+    }
+
     fn failed(&mut self, now: Millis, what: What, e: &reader::Error) {
         let source = self.source(what);
         if let reader::Error::History { .. } = e {
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -54,6 +54,8 @@
     pub skew: Gauge,
     /// Decisions on expert maps, by outcome.
     pub plans: IntCounterVec,
+    /// Items of the platform that could not be taken, by reason.
+    pub bad_items: IntCounterVec,
     /// Targets by how this entry knows them: listed, with a connection to the agent beside
     /// them, usable now.
     pub targets: IntGaugeVec,
@@ -108,6 +110,7 @@
             map_version: gauge(r, "map_version", "Version of the expert map in force")?,
             skew: float_gauge(r, "skew", "Mean skew of the group over its layers")?,
             plans: counters(r, "plans_total", "Decisions on expert maps", &["outcome"])?,
+            bad_items: counters(r, "bad_items_total", "Items not taken", &["reason"])?,
             targets: gauges(r, "targets", "Targets by how they are known", &["state"])?,
             deaths: counters(r, "deaths_total", "Targets that ended under a request", &["source"])?,
             suspects_evicted: counter(
