--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -72,6 +72,7 @@
     /// The service that the target answers for, once it is listed.
     service: String,
     pulses: u64,
+    sleep: clock::Sleep,
     /// When the entries were last told the load.
     told: Millis,
     /// What they were told of the rank.
@@ -127,6 +128,7 @@
             instances: Rc::default(),
             service: String::new(),
             pulses: 0,
+            sleep: clock::Sleep::default(),
             told: 0,
             told_state: State::default(),
         };
@@ -233,13 +235,16 @@
     fn pulse(&mut self, cx: CX![]) {
         let now = clock::now();
         self.pulses += 1;
+        if let Some(slept) = self.sleep.look(now) {
+            self.wake(slept);
+        }
         let count = self.pulses.is_multiple_of(COUNT_PULSES);
         let active = self.ranks.is_active();
         let due = now >= self.told + self.settings.heartbeat;
         if due || self.ranks.is_busy() || (active && count) {
             call!([self.engine], ask(Ask::Report));
         }
-        if active && count {
+        if active && count && self.reading.is_some() {
             if self.ranks.wants_counts() {
                 call!([self.engine], ask(Ask::Counts));
             }
@@ -250,6 +255,15 @@
         after!(PULSE, [cx], pulse());
     }
 
+    /// What was read before this process slept says nothing any more: nothing is
+    /// told or ordered by it.
+    fn wake(&mut self, slept: Millis) {
+        slog::warn!(self.log, "slept"; "for" => slept);
+        self.metrics.sleeps.inc();
+        self.reading = None;
+        call!([self.engine], ask(Ask::Report));
+    }
+
     /// Takes the end of a call to the target.
     pub fn heard(&mut self, _cx: CX![], (ask, heard): (Ask, Heard)) {
         let now = clock::now();
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -56,6 +56,8 @@
     pub plans: IntCounterVec,
     /// Items of the platform that could not be taken, by reason.
     pub bad_items: IntCounterVec,
+    /// Times that this process woke: its machine was suspended, or it was stopped.
+    pub sleeps: IntCounter,
     /// Targets by how this entry knows them: listed, with a connection to the agent beside
     /// them, usable now.
     pub targets: IntGaugeVec,
@@ -111,6 +113,7 @@
             skew: float_gauge(r, "skew", "Mean skew of the group over its layers")?,
             plans: counters(r, "plans_total", "Decisions on expert maps", &["outcome"])?,
             bad_items: counters(r, "bad_items_total", "Items not taken", &["reason"])?,
+            sleeps: counter(r, "sleeps_total", "Times that the process woke")?,
             targets: gauges(r, "targets", "Targets by how they are known", &["state"])?,
             deaths: counters(r, "deaths_total", "Targets that ended under a request", &["source"])?,
             suspects_evicted: counter(
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -75,6 +75,7 @@
     pub(crate) rng: StdRng,
     pub(crate) server: ActorOwn<Server>,
     pub(crate) stopping: Option<Millis>,
+    sleep: clock::Sleep,
     /// The last answer is written and the process about to end.
     ending: bool,
 }
@@ -112,6 +113,7 @@
             watch: Watch::default(),
             rng: StdRng::seed_from_u64(rand::random()),
             stopping: None,
+            sleep: clock::Sleep::default(),
             ending: false,
             settings,
             file,
@@ -142,6 +144,11 @@
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
+        if now >= open.flight.request().deadline {
+            // It waited while this process slept.
+            self.event(cx, id, 0, Event::Tick { heard: now });
+            return;
+        }
         if let Some(name) = open.counted.take() {
             self.targets.ended(&name);
         }
@@ -395,6 +402,10 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = clock::now();
+        if let Some(slept) = self.sleep.look(now) {
+            slog::warn!(self.log, "slept"; "for" => slept, "requests" => self.open.len());
+            self.metrics.sleeps.inc();
+        }
         for peer in self.targets.silent(now) {
             call!([self.mesh], drop_peer(peer));
         }
--- a/crates/sablepass-stand/tests/asleep.rs
+++ b/crates/sablepass-stand/tests/asleep.rs
@@ -103,3 +103,38 @@
     let before = site.replicas[0].runs().len();
     wait_for("work comes back once it goes on", || next() > before);
 }
+
+/// An entry that sleeps past the time of what it holds: nothing of that is sent on
+/// once it wakes, and it serves what comes next.
+#[test]
+fn verify_an_entry_that_wakes_begins_nothing_whose_time_is_over() {
+    let Beside { mut site, agents: _agents, .. } = Beside::spawn(MACHINES);
+    let closed = Group { open: false, size: MACHINES as u32, steps: false };
+    site.replicas.iter().for_each(|it| it.tell(closed));
+    let admin = site.entries[0].addr("admin");
+    wait_for("the group is closed", || {
+        metric(&admin, "sablepass_targets", "state=\"usable\"") < 1.0
+    });
+    let ask = |id: String| {
+        let addr = site.http(0);
+        thread::spawn(move || {
+            ask("POST", "/stream/x", &id, "").with("x-deadline-ms", "1500").send(&addr)
+        })
+    };
+    let callers: Vec<_> = (0..CALLERS).map(|it| ask(format!("late-{it}"))).collect();
+    thread::sleep(Duration::from_millis(100));
+    site.entries[0].pause();
+    let open = Group { open: true, ..closed };
+    site.replicas.iter().for_each(|it| it.tell(Group { steps: true, ..open }));
+    thread::sleep(Duration::from_millis(2_500));
+    site.entries[0].wake();
+    callers.into_iter().for_each(|it| drop(it.join()));
+    let begun = (0..CALLERS).filter(|it| site.runs(&format!("late-{it}")) > 0).count();
+    assert_eq!(begun, 0, "their callers are gone");
+    assert!(metric(&admin, "sablepass_sleeps_total", "") >= 1.0, "it knows that it slept");
+    let site = &mut site;
+    wait_for("it serves again", || {
+        let id = format!("next-{}", Instant::now().elapsed().as_nanos());
+        sablepass_stand::site::ask("POST", "/stream/x", &id, "").send(&site.http(0)).status == 200
+    });
+}
