A target is its id and its birth: a new life has nothing of the last

Cause: a target may start anew under the id that it had. Leaving, failures, load and connections of its last life stayed with the name: one that had left was not used for good, one that had failed was left alone.

Change: where the list tells another birth, the entry forgets the target and begins anew with it: membership, misdirection, resting connections; cases of what it broke off are deaths. The agent beside it drops what it measured of steps; votes and orders are bound to the group's epoch, which ends with a rank.

Not done: a switch of maps with a rank that comes back under its id among real processes, and members that come back under their own name in the search of core/tests/barrier.rs.

--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -287,6 +287,12 @@
             self.good = true;
             slog::info!(self.log, "target regained"; "target" => %self.target);
         }
+        let before = self.reading.as_ref().map(|it| it.report.born);
+        if before.is_some_and(|it| it != report.born) {
+            // Orders and votes are bound to the group's epoch, which ends with a rank.
+            slog::info!(self.log, "target started anew"; "born" => report.born);
+            self.steps = Steps::default();
+        }
         let busy = report.running + report.waiting > 0;
         self.steps.watch(now, report.group.as_ref().map_or(0, |it| it.reading.step), busy);
         let list = self.ranks.report(now, report.group.clone(), report.running);
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -37,7 +37,9 @@
             mesh::Event::Instances(instances) => {
                 let lost = self.targets.list(clock::now(), &instances);
                 for target in &lost.reborn {
-                    slog::info!(self.log, "target started anew"; "target" => target);
+                    slog::info!(self.log, "target started anew"; "target" => target,
+                        "born" => self.targets.born(target));
+                    self.pool.leave(target);
                     self.target_gone(cx, target);
                 }
                 self.forget(cx, &lost.gone);
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -59,10 +59,13 @@
         self.leaving = leaving.map(|(name, _)| name.clone()).collect();
         let mut reborn = Vec::new();
         for (name, it) in instances.iter().filter(|(_, it)| it.role == Role::Target) {
-            self.members.listed(now, name, it.leaving);
             if self.listed.get(name).is_some_and(|known| known.instance.born != it.born) {
+                // All that was known of it was of another life.
                 reborn.push(name.clone());
+                self.listed.remove(name);
+                self.members.unlisted(name);
             }
+            self.members.listed(now, name, it.leaving);
             let misdirected = self.listed.get(name).is_some_and(|it| it.misdirected);
             let listed = Listed { instance: it.clone(), missing: None, misdirected };
             self.listed.insert(name.clone(), listed);
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -113,6 +113,8 @@
 pub struct Replica {
     /// Its id.
     pub id: String,
+    /// When it started.
+    pub born: u64,
     /// The service it answers for.
     pub service: String,
     /// Where it serves.
@@ -130,6 +132,16 @@
 
     /// Starts one on a machine of its own.
     pub fn spawn_at(service: &str, ip: IpAddr) -> Self {
+        let id = format!("i-{:08x}", STARTED.fetch_add(1, Ordering::Relaxed));
+        Self::spawn_as(service, ip, id)
+    }
+
+    /// Starts anew under the id that this one has.
+    pub fn reborn(&self) -> Self {
+        Self::spawn_as(&self.service, self.addr.ip(), self.id.clone())
+    }
+
+    fn spawn_as(service: &str, ip: IpAddr, id: String) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("the replica listens");
         let addr = listener.local_addr().expect("it has an address");
         let state = State {
@@ -144,7 +156,8 @@
             streams: Vec::new(),
         };
         let replica = Self {
-            id: format!("i-{:08x}", STARTED.fetch_add(1, Ordering::Relaxed)),
+            id,
+            born: clock::now(),
             service: service.to_owned(),
             addr,
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -205,7 +218,7 @@
 
     /// Ends as a process that crashes: its connections close, and nothing
     /// listens any more.
-    fn end(&self) {
+    pub fn end(&self) {
         self.lock().ended = true;
         // Has the listening thread look.
         let _ = TcpStream::connect(self.addr);
@@ -253,6 +266,7 @@
         serde_json::json!({
             "service": self.service, "address": self.addr.to_string(), "zone": "ba-1",
             "version": "v1", "slots": 12, "state": state, "coldRemainingMs": 0, "seq": 4,
+            "born": self.born,
         })
         .to_string()
     }
