Close a group to callers as soon as one of its ranks has ended

Cause: a group that lost a rank stands for 1.5 s before it gives it up, and turns away what it was sent meanwhile. Entries sent on to its ranks, and to the dead one, for as long as the list named it.

Callers are told at once.

Ruled out: a connection refused to the entry as the sign: it takes a request, and comes later than the agent's word.

--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -23,6 +23,10 @@
 /// by the settings of the users' platform.
 const QUIET: Millis = 600;
 
+/// Time from a group's giving up a rank until its other ranks' agents have told
+/// so: a report each 200 ms.
+const NOTICED: Millis = 300;
+
 /// How long a target takes, where others wait for it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Pace {
@@ -121,6 +125,8 @@
     pub heard: Millis,
     /// When the target itself, not only its agent, last gave a sign of life.
     pub alive: Millis,
+    /// Since when its agent says that it refuses connections.
+    pub refuses: Option<Millis>,
     /// It is leaving, for good.
     pub leaving: bool,
     /// Requests of others there by that report: all less this entry's own
@@ -171,6 +177,7 @@
             linked: false,
             heard: now,
             alive: now,
+            refuses: None,
             leaving,
             others: 0,
             own,
@@ -238,6 +245,7 @@
         member.reported = true;
         member.linked = true;
         member.alive = now.saturating_sub(report.engine_age.unwrap_or(0));
+        member.refuses = report.refuses.then(|| member.refuses.unwrap_or(now));
         member.report = report;
         member.others = report.in_flight.saturating_sub(member.own);
         member.told = member.own;
@@ -306,7 +314,9 @@
         let stalled = now.saturating_sub(member.alive) >= self.silence * STALLED;
         let lost = match member.source {
             Source::Heartbeats => silent || stalled || member.report.away,
-            Source::Listing => now < member.rests || self.is_closed(now, member),
+            Source::Listing => {
+                now < member.rests || self.is_closed(now, member) || self.is_dead(now, member)
+            }
         };
         (!lost && !member.leaving).then_some(member)
     }
@@ -317,6 +327,20 @@
         member.report.away && now.saturating_sub(member.heard) < self.silence
     }
 
+    /// Whether a listed target's agent said lately that it refuses connections:
+    /// the list names it until its lease is over, for seconds.
+    fn is_dead(&self, now: Millis, member: &Member) -> bool {
+        member.refuses.is_some() && now.saturating_sub(member.heard) < self.silence
+    }
+
+    /// The group that lost this target and has not noticed yet: it stands for
+    /// `stands` before it gives up a rank.
+    pub fn lost_rank(&self, now: Millis, name: &str, stands: Millis) -> Option<u32> {
+        let member = self.get(name).filter(|it| self.is_dead(now, it))?;
+        let noticed = member.refuses.is_some_and(|since| now >= since + stands + NOTICED);
+        (member.report.size > 0 && !noticed).then_some(member.report.group)
+    }
+
     /// Whether a target is known and takes no work for now.
     pub fn closed(&self, now: Millis, name: &str) -> bool {
         self.get(name).is_some_and(|it| !it.leaving && self.is_closed(now, it))
--- a/crates/sablepass-core/tests/membership.rs
+++ b/crates/sablepass-core/tests/membership.rs
@@ -158,3 +158,26 @@
     }
     assert!(begun as f64 <= ENTRIES as f64 * PLACES, "{begun}");
 }
+
+/// A rank's process ends. Its group notices after it has stood for a while.
+#[test]
+fn verify_a_group_counts_as_lost_until_it_has_noticed() {
+    const STANDS: u64 = 1_500;
+    let mut members = Members::open(1_000);
+    members.listed(0, "t", false);
+    let told = |refuses| Report { refuses, size: 16, group: 7, ..report(0, false) };
+    members.heard(0, "t", told(false));
+    assert_eq!(members.lost_rank(0, "t", STANDS), None);
+    for now in (100..=1_800).step_by(100) {
+        members.heard(now, "t", told(true));
+        assert!(members.usable(now, "t").is_none(), "nothing listens there");
+        assert_eq!(members.lost_rank(now, "t", STANDS), Some(7));
+    }
+    members.heard(1_900, "t", told(true));
+    assert_eq!(members.lost_rank(1_900, "t", STANDS), None, "its ranks know by now");
+    members.heard(2_000, "t", told(false));
+    assert!(members.usable(2_000, "t").is_some(), "its next life listens");
+    // Word of an agent that is silent does not count.
+    members.heard(3_000, "t", told(true));
+    assert!(members.usable(4_000, "t").is_some());
+}
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -121,6 +121,9 @@
     /// Those and targets whose group stands: they get no work while there are others.
     idle: BTreeSet<String>,
     counts: watch::Counts,
+    /// Groups, by service, that lost a rank and have not noticed yet. What is sent to
+    /// their other ranks runs no more, and is turned away when they notice.
+    broken: BTreeSet<(String, u32)>,
     /// Entries met over connections to them, this one included.
     met: usize,
     /// Entries that the instance list names.
@@ -151,6 +154,7 @@
             quiet: BTreeSet::new(),
             idle: BTreeSet::new(),
             counts: watch::Counts::default(),
+            broken: BTreeSet::new(),
             met: 1,
             listed_entries: 0,
             sharers: Sharers::open(options.agent_port.is_some()),
@@ -232,12 +236,17 @@
         let ip = self.agents.get(&peer)?;
         let there = self.listed.iter().filter(|it| it.1.instance.addr.ip() == *ip);
         let mut began = Vec::new();
+        let mut changed = false;
         for (name, _) in there {
-            let before = self.members.get(name).map(|it| it.report.pace);
+            let before = self.members.get(name).map(|it| it.report);
             self.members.heard(now, name, report);
-            if report.pace == Pace::Crawling && before != Some(Pace::Crawling) {
+            if report.pace == Pace::Crawling && before.map(|it| it.pace) != Some(Pace::Crawling) {
                 began.push(name.clone());
             }
+            changed |= before.is_some_and(|it| it.refuses != report.refuses);
+        }
+        if changed {
+            self.find_broken(now);
         }
         Some(began)
     }
@@ -375,7 +384,7 @@
         let listed = self.leaving.iter().any(|it| it == name);
         let reached = self.links.contains_key(name) || self.listed.contains_key(name);
         let replaced = self.replaced.contains(name);
-        let unknown = self.is_unknown(now, name);
+        let unknown = self.is_unknown(now, name) || self.is_broken(name);
         let member = self.members.usable(now, name);
         reached && !replaced && !stopping && !listed && !unknown && member.is_some()
     }
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -43,7 +43,28 @@
     /// Whether what serves is there and closed: its group is not complete.
     pub fn closed(&self, now: Millis, served: &Served) -> bool {
         let names = self.serving.get(served);
-        names.is_some_and(|it| it.iter().any(|name| self.members.closed(now, name)))
+        let closed = |name: &String| self.members.closed(now, name) || self.is_broken(name);
+        names.is_some_and(|it| it.iter().any(closed))
+    }
+
+    /// Looks which groups have lost a rank and do not know it yet.
+    pub(super) fn find_broken(&mut self, now: Millis) {
+        let broken = self.listed.iter().filter_map(|(name, it)| {
+            let group = self.members.lost_rank(now, name, self.options.stands)?;
+            Some((it.instance.serves.clone(), group))
+        });
+        self.broken = broken.collect();
+    }
+
+    /// Whether a target's group is one of those.
+    pub(super) fn is_broken(&self, name: &str) -> bool {
+        if self.broken.is_empty() {
+            return false;
+        }
+        let (Some(it), Some(member)) = (self.listed.get(name), self.members.get(name)) else {
+            return false;
+        };
+        self.broken.contains(&(it.instance.serves.clone(), member.report.group))
     }
 
     /// Looks at the groups again.
--- a/crates/sablepass-entry/src/targets/watch.rs
+++ b/crates/sablepass-entry/src/targets/watch.rs
@@ -75,6 +75,7 @@
     pub fn watch_quiet(&mut self, now: Millis) -> Vec<String> {
         let quiet = self.members.quiet(now);
         let fresh = quiet.difference(&self.quiet).cloned().collect();
+        self.find_broken(now);
         self.counts = self.count(now);
         self.idle = self.members.standing(now).chain(&quiet).cloned().collect();
         self.quiet = quiet;
