What ran a moment before is not held back; the soak ends and restarts targets

Two targets ended under copies of it within 2 ms, so it was held back, and the copies under way, which would have absolved it, were given up.

Change: an entry remembers the last 4,096 requests that ran to their end by their fingerprint; deaths under such a one do not count, and the others are told. A target without an agent is looked at a second time 30 ms after it broke off: its process may close connections before it stops to listen.

Ruled out: not to give up copies under way: then each copy ends one target more.

--- a/crates/sablepass-core/src/deaths.rs
+++ b/crates/sablepass-core/src/deaths.rs
@@ -74,6 +74,11 @@
         Vec::from(ended)
     }
 
+    /// Whether a request that this target broke off waits for such proof.
+    pub fn waits(&self, target: &str) -> bool {
+        self.cases.iter().any(|it| it.death.target == target)
+    }
+
     fn lapse(&mut self, now: Millis) {
         self.cases.retain(|it| now < it.death.ended + PROOF);
         self.refused.retain(|_, at| now < *at + PROOF);
--- a/crates/sablepass-core/src/suspects.rs
+++ b/crates/sablepass-core/src/suspects.rs
@@ -9,7 +9,7 @@
 //! [`Fingerprint`], beyond its attempts, and told to all entries: they have the
 //! same deaths and decide alike, in whatever order they learn of them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use crate::fingerprint::Fingerprint;
 use crate::id::Millis;
@@ -30,6 +30,10 @@
 /// Requests remembered: about 400 KB. A hall with 300 targets of twelve places
 /// loses 3,600 requests at once; of those the last are kept.
 const MOST: usize = 1_024;
+/// Requests that ran to their end, remembered as such: what one entry answers in some
+/// tens of seconds. Many callers ask for the same thing at the same time, and
+/// targets that end take it with them; what ran a moment before does not end them.
+const RECENT: usize = 4_096;
 /// Ends of one target that is not known to have started anew in between, as two
 /// processes with clocks apart by so much see them, are one.
 const APART: Millis = 2_000;
@@ -75,6 +79,8 @@
     Counted,
     /// It is the one from which the request is held back.
     Held,
+    /// The request ran to its end lately: it does not end targets.
+    Absolved,
 }
 
 /// What was seen of one request.
@@ -121,12 +127,15 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     seen: HashMap<Fingerprint, Seen>,
+    /// Those that ran to their end here, the last ones at the back.
+    recent: VecDeque<Fingerprint>,
+    ran: HashSet<Fingerprint>,
     /// Requests forgotten for want of room.
     evicted: u64,
 }
 
 impl Suspects {
-    /// Whether nothing is remembered, so that no fingerprint need be worked out.
+    /// Whether nothing is suspected, so that no fingerprint need be looked up.
     pub fn is_empty(&self) -> bool {
         self.seen.is_empty()
     }
@@ -148,6 +157,12 @@
             return Change::Nothing;
         }
         self.make_room(now, it);
+        if self.ran.contains(&it) {
+            let seen = self.seen.entry(it).or_default();
+            seen.deaths.clear();
+            let news = seen.sound.replace(now).is_none();
+            return if news { Change::Absolved } else { Change::Nothing };
+        }
         let seen = self.seen.entry(it).or_default();
         let known = seen.deaths.iter().any(|known| known.is_same(&death));
         if known || seen.sound.is_some() {
@@ -164,7 +179,21 @@
         }
     }
 
-    /// Records that a target ran a request to its end. Whether that was news.
+    /// Records that a target ran a request to its end here. Whether it had been
+    /// suspected.
+    pub fn ran(&mut self, now: Millis, it: Fingerprint) -> bool {
+        if self.ran.insert(it) {
+            self.recent.push_back(it);
+        }
+        if self.recent.len() > RECENT
+            && let Some(oldest) = self.recent.pop_front()
+        {
+            self.ran.remove(&oldest);
+        }
+        self.clear(now, it)
+    }
+
+    /// Records that a target ran a request to its end somewhere. Whether that was news.
     pub fn clear(&mut self, at: Millis, it: Fingerprint) -> bool {
         let Some(seen) = self.seen.get_mut(&it) else { return false };
         seen.deaths.clear();
--- a/crates/sablepass-core/tests/suspects.rs
+++ b/crates/sablepass-core/tests/suspects.rs
@@ -94,6 +94,20 @@
     assert_eq!(suspects.standing(4_000, ASKED), Standing::Clear);
 }
 
+/// Many callers ask for the same at once, and targets end one after the other.
+#[test]
+fn verify_what_ran_a_moment_before_is_not_suspected() {
+    let mut suspects = Suspects::default();
+    assert!(!suspects.ran(500, ASKED));
+    assert_eq!(record(&mut suspects, death("a", 1_000, 2_000)), Change::Absolved);
+    assert_eq!(record(&mut suspects, death("b", 2_001, 2_002)), Change::Nothing);
+    assert_eq!(suspects.standing(2_002, ASKED), Standing::Clear);
+    for other in 0..5_000 {
+        suspects.ran(3_000, Fingerprint(100 + other));
+    }
+    assert!(!suspects.ran(3_000, Fingerprint(100)), "few are remembered");
+}
+
 /// Thousands of requests lose their target at once, again and again.
 #[test]
 fn verify_a_flood_of_single_deaths_frees_nothing_held() {
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -5,6 +5,7 @@
 //! of them, what it tells others, and what it holds back.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use sablepass_core::deaths::{Case, Deaths};
 use sablepass_core::fingerprint::Fingerprint;
@@ -16,7 +17,7 @@
 use sablepass_edge::mesh::PeerKey;
 use sablepass_wire::generated as wire;
 use sablepass_wire::suspects::Told;
-use stakker::{CX, call};
+use stakker::{CX, after, call};
 
 use crate::router::Router;
 use crate::trace::Step;
@@ -27,6 +28,10 @@
 /// What waits to be told. More is dropped: it is heard of from the others that saw it.
 const BACKLOG: usize = 4_096;
 
+/// Time after which a target without an agent is looked at once more. Ten times what
+/// the kernel, or a proxy in between, took to refuse connections after it had closed
+/// those that stood; a caller that repeats a request at once comes later.
+const LOOK_AGAIN: Duration = Duration::from_millis(30);
 /// Looks at targets with agents that may be made at once. Agents see their
 /// target's end within a heartbeat, and all ranks of a group break off what they
 /// run when one of them has ended: some looks are enough, not one a rank.
@@ -158,6 +163,18 @@
         if let Some(addr) = self.targets.addr(target) {
             self.pool.probe(cx, now, target, addr);
         }
+        if !told {
+            let target = target.to_owned();
+            after!(LOOK_AGAIN, [cx], look_again(target));
+        }
+    }
+
+    /// A process that ends may close its connections before it stops to listen.
+    fn look_again(&mut self, cx: CX![], target: String) {
+        let waits = self.watch.deaths.waits(&target);
+        if let Some(addr) = self.targets.addr(&target).filter(|_| waits) {
+            self.pool.probe(cx, clock::now(), &target, addr);
+        }
     }
 
     /// Records that a target refuses connections: its process has ended.
@@ -200,8 +217,10 @@
         let evicted = self.watch.suspects.evicted();
         let change = self.watch.suspects.record(now, it, death.clone());
         self.metrics.suspects_evicted.inc_by(self.watch.suspects.evicted() - evicted);
-        if change == Change::Nothing {
-            return;
+        match change {
+            Change::Nothing => return,
+            Change::Absolved => return self.tell_sound(it),
+            Change::Counted | Change::Held => {}
         }
         let source = if peer.is_some() { "told" } else { "seen" };
         self.metrics.deaths.with_label_values(&[source]).inc();
@@ -264,19 +283,19 @@
 
     /// Records that a target ran a request to its end.
     pub(crate) fn ran_whole(&mut self, id: RequestId) {
-        if self.watch.suspects.is_empty() {
-            return;
-        }
-        if let Some(it) = self.open.get(&id).map(crate::open::Open::fingerprint) {
-            self.absolve(it);
+        let Some(it) = self.open.get(&id).map(crate::open::Open::fingerprint) else { return };
+        if self.watch.suspects.ran(clock::now(), it) {
+            self.tell_sound(it);
         }
     }
 
     fn absolve(&mut self, it: Fingerprint) {
-        let news = self.watch.suspects.clear(clock::now(), it);
-        if !news {
-            return;
+        if self.watch.suspects.clear(clock::now(), it) {
+            self.tell_sound(it);
         }
+    }
+
+    fn tell_sound(&mut self, it: Fingerprint) {
         slog::info!(self.log, "request no longer suspected"; "fingerprint" => %it);
         if self.watch.untold.sound.len() < BACKLOG {
             self.watch.untold.sound.push(it);
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -89,8 +89,8 @@
     step: u64,
     /// It ends as it begins to run a request with this body.
     fatal: Option<Vec<u8>>,
-    /// It has ended, and soon nothing listens at its address.
-    ended: bool,
+    /// Since when it has ended; soon after nothing listens at its address.
+    ended: Option<u64>,
     /// It takes connections.
     listens: bool,
     /// Its open connections.
@@ -151,7 +151,7 @@
             group: None,
             step: 1,
             fatal: None,
-            ended: false,
+            ended: None,
             listens: true,
             streams: Vec::new(),
         };
@@ -168,7 +168,7 @@
                 let replica = serving.clone();
                 let stream = Arc::new(stream);
                 let mut state = replica.lock();
-                if state.ended {
+                if state.ended.is_some() {
                     drop(state);
                     break;
                 }
@@ -213,13 +213,18 @@
 
     /// Whether it has ended.
     pub fn ended(&self) -> bool {
+        self.ended_at().is_some()
+    }
+
+    /// When it ended, if it has. Milliseconds since the Unix epoch.
+    pub fn ended_at(&self) -> Option<u64> {
         self.lock().ended
     }
 
     /// Ends as a process that crashes: its connections close, and nothing
     /// listens any more.
     pub fn end(&self) {
-        self.lock().ended = true;
+        self.lock().ended.get_or_insert(clock::now());
         // Has the listening thread look.
         let _ = TcpStream::connect(self.addr);
         let mut state = self.lock();
--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -9,6 +9,8 @@
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
 use sablepass_edge::clock;
 use serde_json::{Value, json};
 
@@ -27,6 +29,12 @@
 const EXPERTS: u64 = 8;
 /// Time between two shifts of demand there: about as long as a new map takes.
 const SHIFTS: Duration = Duration::from_millis(600);
+/// Body of a request that ends each replica that begins to run it, and the time after
+/// which its caller repeats it.
+pub const FATAL: &str = "ends whatever runs it";
+const REPEATS: Duration = Duration::from_millis(60);
+/// Time between two looks whether a replica has ended.
+const WATCHED: Duration = Duration::from_millis(2);
 /// Longest time that an entry may take to stop.
 const STOPS: Duration = Duration::from_secs(10);
 /// Replicas that stay listed at least.
@@ -159,13 +167,19 @@
     }
 
     fn add_replica(&mut self) {
-        let replica = Replica::spawn("orders");
+        self.list_replica(&Replica::spawn("orders"));
+    }
+
+    /// Lists a replica that has just started, behind a proxy.
+    fn list_replica(&mut self, replica: &Replica) {
+        replica.end_on(FATAL);
         let to = replica.addr.to_string();
         let any = "127.0.0.1:0";
         let proxy = Process::spawn(
             "sablepass-stand",
             &["proxy", "--listen", any, "--control", any, "--to", &to],
         );
+        end_with(replica.clone(), proxy.id());
         let addr: SocketAddr = proxy.addr("listen").parse().expect("an address");
         // Entries know it by its proxy's address.
         let listed = replica.at(addr);
@@ -175,6 +189,34 @@
         self.ready.push(self.site.replicas.len() - 1);
     }
 
+    /// Starts replicas that have ended anew under their ids.
+    fn restart_replicas(&mut self) {
+        let ended = |it: &usize| self.site.replicas[*it].ended();
+        let (ended, ready) = std::mem::take(&mut self.ready).into_iter().partition(ended);
+        self.ready = ready;
+        let ended: Vec<usize> = ended;
+        for it in ended {
+            let next = self.site.replicas[it].reborn();
+            self.list_replica(&next);
+        }
+    }
+
+    /// Sends a request that ends what runs it to all entries, time after time.
+    fn send_fatal(&self, span: Duration) {
+        let addrs: Vec<String> = self.alive.iter().map(|it| self.site.http(*it)).collect();
+        let until = Instant::now() + span;
+        std::thread::spawn(move || {
+            for (number, addr) in addrs.iter().cycle().enumerate() {
+                if Instant::now() >= until {
+                    break;
+                }
+                let id = format!("fatal-{}-{number}", clock::now());
+                site::ask("POST", "/stream/x", &id, FATAL).send(addr);
+                std::thread::sleep(REPEATS);
+            }
+        });
+    }
+
     fn start_agent(&self, rank: usize) -> Process {
         let at = SocketAddr::new(ranks::loopback(rank), self.port);
         self.site.add_agent(at, self.group.addrs[rank])
@@ -266,6 +308,20 @@
                 self.add_replica();
                 None
             }
+            Fault::ReplicaReborn => {
+                self.site.replicas[replica.filter(|_| self.ready.len() > LEAST)?].end();
+                replica
+            }
+            Fault::EntryGarbled => {
+                let who = replica.filter(|_| self.ready.len() > LEAST)?;
+                let key = format!("servers/{}", self.site.replicas[who].id);
+                self.site.store.put_raw(&key, "no base64 !");
+                Some(who)
+            }
+            Fault::FatalRequest => {
+                self.send_fatal(Duration::from_millis(it.lasts));
+                Some(0)
+            }
             Fault::Link(link) => {
                 self.strike(Struck::Replica(replica?), it);
                 self.link(replica?, link.command());
@@ -310,6 +366,13 @@
                 let id = self.site.replicas[who].id.clone();
                 self.site.store.remove(&format!("servers/{id}"));
             }
+            Fault::ReplicaReborn | Fault::FatalRequest => self.restart_replicas(),
+            Fault::EntryGarbled => {
+                // It may have ended or left meanwhile.
+                if self.ready.contains(&who) {
+                    self.site.list(&self.site.replicas[who], "ready");
+                }
+            }
             Fault::Link(_) => self.link(who, "pass"),
             Fault::StoreIs(_) => self.site.store.set(keys::Mode::Up),
             Fault::EntryReloaded
@@ -337,6 +400,9 @@
     }
 
     fn link(&self, who: usize, command: &str) {
+        if self.site.replicas[who].ended() {
+            return;
+        }
         client::control(&self.proxies[who].addr("control"), "POST", "/control", command);
     }
 
@@ -345,3 +411,15 @@
         self.strikes.push(Strike { what, from, until: from + it.lasts + soak::judge::AFTER });
     }
 }
+
+/// Ends a replica's proxy with it, so that its address refuses connections as the
+/// replica's own does.
+fn end_with(replica: Replica, proxy: u32) {
+    std::thread::spawn(move || {
+        while !replica.ended() {
+            std::thread::sleep(WATCHED);
+        }
+        // The process may have ended already.
+        let _ = signal::kill(Pid::from_raw(proxy as i32), Signal::SIGKILL);
+    });
+}
--- a/crates/sablepass-stand/src/soak/judge.rs
+++ b/crates/sablepass-stand/src/soak/judge.rs
@@ -10,7 +10,7 @@
 
 use crate::replica;
 use crate::soak::callers::{Kind, Sample};
-use crate::soak::fleet::{Fleet, Strike, Struck};
+use crate::soak::fleet::{FATAL, Fleet, Strike, Struck};
 
 /// Milliseconds after a strike in which its effects are still seen.
 pub const AFTER: u64 = 500;
@@ -23,6 +23,9 @@
 /// Retries of all entries together: part of the requests, and more.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SLACK: f64 = 90.0;
+/// Targets that one request may end: three, and three more on which it is on its way
+/// when the third one's end becomes known.
+const FATAL_RUNS: usize = 6;
 /// Time in which the group makes steps once all is well.
 const STEPS: Duration = Duration::from_millis(500);
 
@@ -49,6 +52,8 @@
     OneMap,
     /// An entry that is asked to stop ends.
     Stops,
+    /// A request that ends its targets is not sent on and on.
+    Fatal,
 }
 
 /// A promise that was broken, and by what.
@@ -87,6 +92,8 @@
     broken: Vec<u64>,
     stands: bool,
     stuck: Vec<usize>,
+    /// Runs of the request that ends targets.
+    fatal: usize,
 }
 
 impl Evidence {
@@ -95,7 +102,14 @@
         let before = fleet.group.progress().0;
         std::thread::sleep(STEPS);
         let mut runs: HashMap<String, Vec<Begun>> = HashMap::new();
+        let mut strikes = fleet.strikes.clone();
+        let mut fatal = 0;
         for (replica, it) in fleet.site.replicas.iter().enumerate() {
+            if let Some(at) = it.ended_at() {
+                let what = Struck::Replica(replica);
+                strikes.push(Strike { what, from: at, until: at + AFTER });
+            }
+            fatal += it.runs().iter().filter(|it| it.body == FATAL.as_bytes()).count();
             for run in it.runs() {
                 runs.entry(run.id).or_default().push(Begun { replica, at: run.began });
             }
@@ -103,7 +117,8 @@
         Self {
             samples,
             runs,
-            strikes: fleet.strikes.clone(),
+            strikes,
+            fatal,
             began: fleet.began.clone(),
             leaving: fleet.leaving.clone(),
             routes: fleet.routes.clone(),
@@ -139,6 +154,10 @@
         let seen = "the group makes no steps at the end".to_owned();
         breaches.push(Breach { promise: Promise::OneMap, seen });
     }
+    if it.fatal > FATAL_RUNS {
+        let seen = format!("a request ended {} targets", it.fatal);
+        breaches.push(Breach { promise: Promise::Fatal, seen });
+    }
     if !it.stuck.is_empty() {
         let seen = format!("entries {:?} did not end", it.stuck);
         breaches.push(Breach { promise: Promise::Stops, seen });
--- a/crates/sablepass-stand/src/soak/schedule.rs
+++ b/crates/sablepass-stand/src/soak/schedule.rs
@@ -33,6 +33,12 @@
     ReplicaLeaves,
     /// Another replica is listed.
     ReplicaAdded,
+    /// A replica's process ends, and starts again under its id after this.
+    ReplicaReborn,
+    /// A replica's entry of the list cannot be read.
+    EntryGarbled,
+    /// A caller repeats a request that ends each replica that begins to run it.
+    FatalRequest,
     /// The link to a replica is as the proxy's command says.
     Link(Link),
     /// The store misbehaves so.
@@ -124,17 +130,32 @@
     }
 }
 
-/// A schedule: four to twelve faults that overlap, in the order of their times.
-pub fn draw(seed: u64, length: u64) -> Vec<Planned> {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let count = rng.random_range(4..=12);
-    let one = |_| Planned {
+/// Faults of targets' processes and of their entries in the list.
+fn life(rng: &mut StdRng) -> Fault {
+    match rng.random_range(0..4) {
+        0 | 1 => Fault::ReplicaReborn,
+        2 => Fault::EntryGarbled,
+        _ => Fault::FatalRequest,
+    }
+}
+
+fn plan(rng: &mut StdRng, length: u64, fault: fn(&mut StdRng) -> Fault) -> Planned {
+    Planned {
         at: rng.random_range(0..length),
         lasts: rng.random_range(100..1_500),
         who: rng.random_range(0..64),
-        fault: fault(&mut rng),
-    };
-    let mut plan: Vec<Planned> = (0..count).map(one).collect();
-    plan.sort_by_key(|it| it.at);
-    plan
+        fault: fault(rng),
+    }
+}
+
+/// A schedule: four to twelve faults that overlap and up to four of targets' lives
+/// beside them, in the order of their times.
+pub fn draw(seed: u64, length: u64) -> Vec<Planned> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let count = rng.random_range(4..=12);
+    let mut list: Vec<Planned> = (0..count).map(|_| plan(&mut rng, length, fault)).collect();
+    let count = rng.random_range(0..=4);
+    list.extend((0..count).map(|_| plan(&mut rng, length, life)));
+    list.sort_by_key(|it| it.at);
+    list
 }
