--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -21,8 +21,10 @@
 mod routes;
 mod settings;
 mod starts;
+mod stops;
 mod suspects;
 mod targets;
+mod ticks;
 mod trace;
 
 use std::path::PathBuf;
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -7,7 +7,6 @@
 use std::collections::HashMap;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -20,15 +19,15 @@
 use sablepass_core::reason::{Ignored, Refusal};
 use sablepass_core::starts::Starts;
 use sablepass_edge::client;
+use sablepass_edge::clock;
 use sablepass_edge::mesh::Mesh;
 use sablepass_edge::server::{ExchangeKey, Part, Server};
 use sablepass_edge::telemetry::Metrics;
-use sablepass_edge::{clock, runtime, settings};
 use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
 use slog::Logger;
-use stakker::{ActorOwn, CX, after, call, fwd_to};
+use stakker::{ActorOwn, CX, call, fwd_to};
 
 use crate::open::Open;
 use crate::openai;
@@ -38,8 +37,6 @@
 use crate::targets::{self, Choice, Served, Targets, Via};
 use crate::trace::{Step, Traces};
 
-/// Time between two looks at deadlines and silence.
-pub(crate) const TICK: Duration = Duration::from_millis(25);
 /// How long a request waits for a connection to the owner of its key.
 const OWNER_WAIT: Millis = 2_000;
 /// How long a stream that has begun waits for a target that can go on with it.
@@ -49,13 +46,11 @@
 /// opens on its first map, which is far from even, and what waited begins at once:
 /// with 2 for each place those late made the next ones late as well.
 const FORM_PART: f64 = 0.5;
-/// How long a stopping entry stays after its last answer, so that it is read.
-const LINGER: Duration = Duration::from_millis(200);
 
 /// The actor.
 pub struct Router {
     pub(crate) settings: Settings,
-    file: PathBuf,
+    pub(crate) file: PathBuf,
     pub(crate) log: Logger,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) mesh: ActorOwn<Mesh>,
@@ -75,9 +70,10 @@
     pub(crate) rng: StdRng,
     pub(crate) server: ActorOwn<Server>,
     pub(crate) stopping: Option<Millis>,
-    sleep: clock::Sleep,
+    /// Notices that this process did not run for a while.
+    pub(crate) sleep: clock::Sleep,
     /// The last answer is written and the process about to end.
-    ending: bool,
+    pub(crate) ending: bool,
 }
 
 impl Router {
@@ -397,134 +393,6 @@
         }
         self.metrics.in_flight.set(self.open.len() as i64);
     }
-
-    // Time.
-
-    fn tick(&mut self, cx: CX![]) {
-        let now = clock::now();
-        if let Some(slept) = self.sleep.look(now) {
-            slog::warn!(self.log, "slept"; "for" => slept, "requests" => self.open.len());
-            self.metrics.sleeps.inc();
-        }
-        for peer in self.targets.silent(now) {
-            call!([self.mesh], drop_peer(peer));
-        }
-        self.targets.watch_groups(now);
-        if self.targets.looks(now) {
-            self.count_entries();
-            for target in self.targets.watch_quiet(now) {
-                slog::warn!(self.log, "target quiet"; "target" => target);
-            }
-            self.count_targets();
-        }
-        self.begin_waiting(cx);
-        self.tell_suspects();
-        let ids: Vec<RequestId> = self.open.keys().copied().collect();
-        for id in ids {
-            self.tick_one(cx, id);
-        }
-        self.pool.tick(now);
-        let gone = self.targets.lapse_due(now);
-        self.forget(cx, &gone);
-        self.check_stop(cx, now);
-        after!(TICK, [cx], tick());
-    }
-
-    fn count_targets(&self) {
-        let it = self.targets.counts();
-        let counts = [
-            ("listed", it.listed),
-            ("agents", it.beside),
-            ("linked", it.linked),
-            ("usable", it.usable),
-        ];
-        for (state, count) in counts {
-            self.metrics.targets.with_label_values(&[state]).set(count as i64);
-        }
-    }
-
-    fn tick_one(&mut self, cx: CX![], id: RequestId) {
-        let Some(open) = self.open.get(&id) else {
-            return;
-        };
-        if open.waiting.is_some() {
-            // One that waits for its group has nowhere to go until that opens.
-            let now = clock::now();
-            let waits = !open.begun && open.is_patient(now);
-            if !waits || !self.targets.opens_soon(now, &open.served) {
-                self.dispatch(cx, id);
-            }
-            return;
-        }
-        let now = clock::now();
-        let quiet = open.flight.target().is_some_and(|it| self.targets.is_quiet(it));
-        if quiet && open.flight.is_silent(now) {
-            self.event(cx, id, 0, Event::TargetQuiet);
-        }
-        let Some(open) = self.open.get(&id) else {
-            return;
-        };
-        let heard = open.flight.target().map_or(0, |it| self.targets.last_alive(it));
-        if open.flight.due(now, heard) {
-            self.event(cx, id, 0, Event::Tick { heard });
-        }
-    }
-
-    /// Takes a signal.
-    pub fn signal(&mut self, cx: CX![], signal: runtime::Signal) {
-        match signal {
-            runtime::Signal::Stop => self.stop(cx),
-            runtime::Signal::Reload => self.reload(),
-        }
-    }
-
-    /// Takes the settings of routing and retries as the file has them now.
-    /// Addresses and names stay as they were when the process started.
-    fn reload(&mut self) {
-        let fresh: Settings = match settings::open(&self.file) {
-            Ok(it) => it,
-            Err(e) => {
-                slog::warn!(self.log, "settings not reloaded"; "error" => %e);
-                return;
-            }
-        };
-        slog::info!(self.log, "settings reloaded"; "file" => %self.file.display());
-        self.options = openai::Options::from(&fresh);
-        self.settings = Settings {
-            node: self.settings.node.clone(),
-            http: self.settings.http,
-            ready: self.settings.ready,
-            dialect: self.settings.dialect,
-            ..fresh
-        };
-        let burst = self.settings.budget(self.targets.sharers()).burst;
-        self.budgets.values_mut().for_each(|it| it.limit(burst));
-    }
-
-    /// Stops taking work; the process ends when its last answer is written.
-    fn stop(&mut self, cx: CX![]) {
-        let now = clock::now();
-        if self.stopping.is_none() {
-            slog::info!(self.log, "stopping"; "requests" => self.open.len());
-            self.stopping = Some(now);
-            call!([self.server], drain());
-        }
-        self.check_stop(cx, now);
-    }
-
-    fn check_stop(&mut self, cx: CX![], now: Millis) {
-        let Some(since) = self.stopping else { return };
-        let waits = now < since + self.settings.stop_wait;
-        if self.ending || waits || !self.open.is_empty() {
-            return;
-        }
-        self.ending = true;
-        call!([self.server], close());
-        after!(LINGER, [cx], |this, cx| {
-            slog::info!(this.log, "stopped");
-            stakker::stop!(cx);
-        });
-    }
 }
 
 fn dispatch_body(open: &Open, attempt: AttemptId, incarnation: Incarnation) -> Body {
--- /dev/null
+++ b/crates/sablepass-entry/src/stops.rs
@@ -0,0 +1,75 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! The router at a signal: settings read again, and a stop that cuts no request.
+
+use std::time::Duration;
+
+use sablepass_core::id::Millis;
+use sablepass_edge::{clock, runtime, settings};
+use stakker::{CX, after, call};
+
+use crate::openai;
+use crate::router::Router;
+use crate::settings::Settings;
+
+/// How long a stopping entry stays after its last answer, so that it is read.
+const LINGER: Duration = Duration::from_millis(200);
+
+impl Router {
+    /// Takes a signal.
+    pub fn signal(&mut self, cx: CX![], signal: runtime::Signal) {
+        match signal {
+            runtime::Signal::Stop => self.stop(cx),
+            runtime::Signal::Reload => self.reload(),
+        }
+    }
+
+    /// Takes the settings of routing and retries as the file has them now.
+    /// Addresses and names stay as they were when the process started.
+    fn reload(&mut self) {
+        let fresh: Settings = match settings::open(&self.file) {
+            Ok(it) => it,
+            Err(e) => {
+                slog::warn!(self.log, "settings not reloaded"; "error" => %e);
+                return;
+            }
+        };
+        slog::info!(self.log, "settings reloaded"; "file" => %self.file.display());
+        self.options = openai::Options::from(&fresh);
+        self.settings = Settings {
+            node: self.settings.node.clone(),
+            http: self.settings.http,
+            ready: self.settings.ready,
+            dialect: self.settings.dialect,
+            ..fresh
+        };
+        let burst = self.settings.budget(self.targets.sharers()).burst;
+        self.budgets.values_mut().for_each(|it| it.limit(burst));
+    }
+
+    /// Stops taking work; the process ends when its last answer is written.
+    fn stop(&mut self, cx: CX![]) {
+        let now = clock::now();
+        if self.stopping.is_none() {
+            slog::info!(self.log, "stopping"; "requests" => self.open.len());
+            self.stopping = Some(now);
+            call!([self.server], drain());
+        }
+        self.check_stop(cx, now);
+    }
+
+    pub(crate) fn check_stop(&mut self, cx: CX![], now: Millis) {
+        let Some(since) = self.stopping else { return };
+        let waits = now < since + self.settings.stop_wait;
+        if self.ending || waits || !self.open.is_empty() {
+            return;
+        }
+        self.ending = true;
+        call!([self.server], close());
+        after!(LINGER, [cx], |this, cx| {
+            slog::info!(this.log, "stopped");
+            stakker::stop!(cx);
+        });
+    }
+}
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -22,7 +22,7 @@
 use crate::router::Router;
 use crate::trace::Step;
 
-/// Deaths and answers told in one message, at most one in [`crate::router::TICK`]:
+/// Deaths and answers told in one message, at most one in [`crate::ticks::TICK`]:
 /// 64 of some 80 bytes are 5 KB, or 200 KB/s while hundreds of targets end.
 const BATCH: usize = 64;
 /// What waits to be told. More is dropped: it is heard of from the others that saw it.
