Soak: a stand-in that ends is woken at its own address

The listed replica has its proxy's address, and that proxy was held by another fault. Change: the stand-in keeps its own address. Conclusion: a fault of the stand-in; no program changes.

--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -91,6 +91,8 @@
     fatal: Option<Vec<u8>>,
     /// Since when it has ended; soon after nothing listens at its address.
     ended: Option<u64>,
+    /// Where it listens, which a proxy's address is not.
+    home: SocketAddr,
     /// It takes connections.
     listens: bool,
     /// Its open connections.
@@ -152,6 +154,7 @@
             step: 1,
             fatal: None,
             ended: None,
+            home: addr,
             listens: true,
             streams: Vec::new(),
         };
@@ -224,9 +227,13 @@
     /// Ends as a process that crashes: its connections close, and nothing
     /// listens any more.
     pub fn end(&self) {
-        self.lock().ended.get_or_insert(clock::now());
+        let home = {
+            let mut state = self.lock();
+            state.ended.get_or_insert(clock::now());
+            state.home
+        };
         // Has the listening thread look.
-        let _ = TcpStream::connect(self.addr);
+        let _ = TcpStream::connect(home);
         let mut state = self.lock();
         while state.listens {
             state = self.state.1.wait(state).unwrap_or_else(PoisonError::into_inner);
