--- a/crates/sablepass-stand/tests/crashing.rs
+++ b/crates/sablepass-stand/tests/crashing.rs
@@ -31,6 +31,17 @@
     replicas.iter().for_each(|it| it.end_on(FATAL));
 }
 
+/// Entries before six targets that end as they begin to run the request.
+fn site(entries: usize) -> Site {
+    let mut site = Site::open(6);
+    for _ in 0..entries {
+        site.add_entry("");
+    }
+    site.settle(6);
+    is_fatal_to(&site.replicas);
+    site
+}
+
 fn ended(site: &Site) -> usize {
     site.replicas.iter().filter(|it| it.ended()).count()
 }
@@ -61,12 +72,7 @@
 #[test]
 fn verify_a_request_that_ends_its_targets_is_sent_to_no_more_of_them() {
     for kind in ["stream", "safe", "once"] {
-        let mut site = Site::open(6);
-        for _ in 0..3 {
-            site.add_entry("");
-        }
-        site.settle(6);
-        is_fatal_to(&site.replicas);
+        let mut site = site(3);
         let mut known = 0;
         for round in 0..ROUNDS {
             send(&site, round % 3, kind, &format!("{kind}-{round}"), FATAL);
@@ -82,12 +88,7 @@
 /// Several copies at once, at all entries.
 #[test]
 fn verify_copies_at_once_end_no_more_targets_once_it_is_known() {
-    let mut site = Site::open(6);
-    for _ in 0..3 {
-        site.add_entry("");
-    }
-    site.settle(6);
-    is_fatal_to(&site.replicas);
+    let mut site = site(3);
     let mut known = 0;
     for round in 0..ROUNDS {
         let before = known;
@@ -106,10 +107,7 @@
 /// It is refused at once, with a time to come back, as what has not run.
 #[test]
 fn verify_what_ends_its_targets_is_refused_at_once() {
-    let mut site = Site::open(6);
-    site.add_entry("");
-    site.settle(6);
-    is_fatal_to(&site.replicas);
+    let site = site(1);
     for round in 0..4 {
         send(&site, 0, "once", &format!("first-{round}"), FATAL);
     }
