Sight: what an answer that turns a request away asks for

Cause: no line told whether a target that turned a request away asked for a rest, so that an entry that does not heed it could not be told from one that forgets it or passes it by. No decision changes.

--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -63,7 +63,9 @@
     pub targets: IntGaugeVec,
     /// Targets that ended under a request, seen here or told by others.
     pub deaths: IntCounterVec,
-    /// Such requests forgotten for want of room.
+    /// Requests that targets did not take, by what they asked for.
+    pub turned_away: IntCounterVec,
+    /// Requests under which targets ended, forgotten for want of room.
     pub suspects_evicted: IntCounter,
 }
 
@@ -116,6 +118,12 @@
             sleeps: counter(r, "sleeps_total", "Times that the process woke")?,
             targets: gauges(r, "targets", "Targets by how they are known", &["state"])?,
             deaths: counters(r, "deaths_total", "Targets that ended under a request", &["source"])?,
+            turned_away: counters(
+                r,
+                "turned_away_total",
+                "Requests that targets did not take",
+                &["asked"],
+            )?,
             suspects_evicted: counter(
                 r,
                 "suspects_evicted_total",
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -12,13 +12,14 @@
 use sablepass_core::reason::Refusal;
 use sablepass_edge::client::{self, Outgoing};
 use sablepass_edge::clock;
-use sablepass_platform::answer::{self, Proof};
+use sablepass_platform::answer::{self, Meta, Proof};
 use sablepass_platform::request;
 use stakker::CX;
 
 use crate::open::Open;
 use crate::pool::{Carried, ConnectionKey};
 use crate::router::Router;
+use crate::trace::Step;
 
 /// How long a target is left alone that refused a connection.
 const REST_AWAY: Millis = 400;
@@ -102,6 +103,9 @@
         }
         let status = head.status().as_u16();
         let now = clock::now();
+        if meta.rest.is_some() || meta.proof != Proof::None {
+            self.turned_away(now, carried, &target, status, &meta);
+        }
         // Statuses that promise that nothing ran need the target's own word for it.
         let unproven = matches!(status, 408 | 429 | 503);
         let event = match meta.proof {
@@ -141,6 +145,25 @@
         self.event(cx, carried.request, carried.attempt, event);
     }
 
+    /// Says that a target turned a request away, and for how long it wants to rest.
+    fn turned_away(
+        &mut self,
+        now: Millis,
+        carried: Carried,
+        target: &str,
+        status: u16,
+        meta: &Meta,
+    ) {
+        let asked = if meta.rest.is_some() { "rest" } else { "nothing" };
+        self.metrics.turned_away.with_label_values(&[asked]).inc();
+        let step = Step::TurnedAway { target: target.to_owned(), rest: meta.rest };
+        self.traces.add(now, carried.request, step);
+        let label = self.open.get(&carried.request).map(|it| it.run.label.as_str());
+        slog::info!(self.log, "turned away"; "id" => label, "target" => target,
+            "attempt" => carried.attempt, "status" => status, "not_run" => meta.proof == Proof::NotRun,
+            "rest" => meta.rest, "leaving" => meta.leaving, "load" => ?meta.load);
+    }
+
     fn target_failed(&mut self, now: Millis, target: &str) {
         if let Some(rest) = self.targets.failed(now, target) {
             slog::warn!(self.log, "target left alone"; "target" => target, "for" => rest,
--- a/crates/sablepass-entry/src/trace.rs
+++ b/crates/sablepass-entry/src/trace.rs
@@ -33,6 +33,13 @@
         /// Qualified target.
         target: String,
     },
+    /// This target did not take it.
+    TurnedAway {
+        /// Qualified target.
+        target: String,
+        /// How long it wants nothing more from this entry.
+        rest: Option<Millis>,
+    },
     /// It is sent again.
     Retried(Retry),
     /// It got its answer.
@@ -90,6 +97,9 @@
         Step::TargetEnded { target } => {
             serde_json::json!({ "at": at, "step": "target-ended", "target": target })
         }
+        Step::TurnedAway { target, rest } => serde_json::json!({
+            "at": at, "step": "turned-away", "target": target, "rest": rest,
+        }),
         Step::Retried(it) => {
             serde_json::json!({ "at": at, "step": "retried", "reason": it.label() })
         }
