--- a/crates/sablepass-stand/src/client.rs
+++ b/crates/sablepass-stand/src/client.rs
@@ -24,6 +24,8 @@
     pub retry_after: String,
     /// Whether it is a recorded answer.
     pub replayed: bool,
+    /// Names of all header fields, in lower case.
+    pub fields: Vec<String>,
     /// Body.
     pub body: String,
 }
@@ -187,6 +189,7 @@
         ran: header("x-sablepass-ran"),
         retry_after: header("retry-after"),
         replayed: header("x-sablepass-replayed") == "true",
+        fields: response.headers().keys().map(ToString::to_string).collect(),
         body: String::new(),
     }
 }
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -309,6 +309,11 @@
         self.lock().runs.clone()
     }
 
+    /// Connections to it that are open.
+    pub fn open_connections(&self) -> usize {
+        self.lock().streams.iter().filter(|it| it.strong_count() > 0).count()
+    }
+
     /// Connections that were made to it.
     pub fn connections(&self) -> u32 {
         self.lock().connections
