Heed what targets say of themselves: a rest they ask for, and that they leave

Cause: an answer that turns a request away was read as a proof that nothing ran and no more; the target was left alone for 40 ms of the entry's own. One that turns all away has no load and was chosen first. Class: what the other side says of how it wants to be used is not state of the entry, but a guess of its own in the place of it.

Change: core/notices.rs keeps the rest and the leaving of each life of a target, apart from what an entry guesses; the latest end holds, no list, report, lapse or later answer takes it back, a new life does. Targets that rest are no places in any share. Where all rest, callers are refused at once with the true time to return, spread over 0.2 s. The last look is when a new connection stands, before the first byte: a request that is not sent then costs neither an attempt nor a retry. Server-Leaving closes kept connections to the target and is not passed on to callers.

--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -108,6 +108,8 @@
     },
     /// The agent refused.
     Refused(Refusal),
+    /// The target said that it takes nothing more, before anything of the attempt was sent.
+    Unsent,
     /// The target failed.
     Failed(Failure),
     /// A probe was answered.
@@ -202,6 +204,8 @@
     request: Request,
     state: State,
     attempt: u32,
+    /// Attempts of which nothing was sent.
+    unsent: u32,
     sent: Option<Sent>,
     head: Option<Head>,
     received: u64,
@@ -224,6 +228,7 @@
             request,
             state: State::Choosing,
             attempt: 0,
+            unsent: 0,
             sent: None,
             head: None,
             received: 0,
@@ -318,6 +323,7 @@
             Event::Chunk { offset, data } => self.on_chunk(now, offset, data, budget),
             Event::Done { length } => self.on_done(now, length, budget),
             Event::Refused(reason) => self.on_refused(now, reason, budget),
+            Event::Unsent => self.on_unsent(),
             Event::Failed(failure) => self.on_failed(now, failure, budget),
             Event::Verdict(verdict) => self.on_verdict(now, verdict),
             Event::LinkDown => self.on_down(now, budget),
@@ -482,6 +488,12 @@
         self.fail(failure.reason, failure.ran)
     }
 
+    /// What was not sent costs its target nothing, and so no attempt and no retry.
+    fn on_unsent(&mut self) -> Vec<Action> {
+        self.unsent += 1;
+        self.move_on(Retry::TargetRests, Ran::NotRun)
+    }
+
     fn on_failed(
         &mut self,
         now: Millis,
@@ -645,7 +657,7 @@
     /// Whether time, attempts and what was delivered leave room for one more attempt.
     fn has_room(&self, now: Millis) -> bool {
         let late = now >= self.request.deadline;
-        !self.is_bound() && !late && self.attempt < self.request.attempts
+        !self.is_bound() && !late && self.attempt - self.unsent < self.request.attempts
     }
 
     /// Whether what was delivered binds the answer to its target.
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod gate;
 pub mod id;
 pub mod membership;
+pub mod notices;
 pub mod once;
 pub mod outcome;
 pub mod pass;
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -111,8 +111,9 @@
 pub struct Member {
     /// What tells that it is live.
     pub source: Source,
-    /// It refused a connection or work and is left alone until then.
-    pub rests: Millis,
+    /// It refused a connection or work, or failed, and is left alone until then: a guess,
+    /// unlike the rest that a target asks for.
+    pub alone: Millis,
     /// Its incarnation.
     pub incarnation: Incarnation,
     /// Its last report.
@@ -170,7 +171,7 @@
         let own = known.map_or(0, |it| it.own);
         let member = Member {
             source: Source::Heartbeats,
-            rests: 0,
+            alone: 0,
             incarnation,
             report: Report::default(),
             reported: false,
@@ -213,9 +214,9 @@
     }
 
     /// Records that a target is better left alone until `until`.
-    pub fn rest(&mut self, name: &str, until: Millis) {
+    pub fn leave_alone(&mut self, name: &str, until: Millis) {
         if let Some(member) = self.members.get_mut(name) {
-            member.rests = member.rests.max(until);
+            member.alone = member.alone.max(until);
         }
     }
 
@@ -309,14 +310,17 @@
 
     /// The agent, if it may get new work.
     pub fn usable(&self, now: Millis, name: &str) -> Option<&Member> {
+        self.usable_later(now, name).filter(|it| now >= it.alone)
+    }
+
+    /// The agent, if it may get new work once it is no longer left alone.
+    pub fn usable_later(&self, now: Millis, name: &str) -> Option<&Member> {
         let member = self.members.get(name)?;
         let silent = now.saturating_sub(member.heard) >= self.silence;
         let stalled = now.saturating_sub(member.alive) >= self.silence * STALLED;
         let lost = match member.source {
             Source::Heartbeats => silent || stalled || member.report.away,
-            Source::Listing => {
-                now < member.rests || self.is_closed(now, member) || self.is_dead(now, member)
-            }
+            Source::Listing => self.is_closed(now, member) || self.is_dead(now, member),
         };
         (!lost && !member.leaving).then_some(member)
     }
--- /dev/null
+++ b/crates/sablepass-core/src/notices.rs
@@ -0,0 +1,134 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! What targets said of themselves: that they want to rest, and that they leave.
+//!
+//! Both bind whoever was told, unlike what an entry guesses from failures: no later
+//! answer, report, list or reload takes them back, and the latest end of a rest holds. They
+//! hang on a life of the target, not on its address or its entry in a list, which may
+//! lapse and come back.
+
+use std::collections::HashMap;
+
+use crate::id::Millis;
+
+/// How long a notice is kept of a target that the list names no more. On the users' platform
+/// an entry that lapsed is back within some seconds; one that stays away has ended.
+const LAPSED: Millis = 60_000;
+
+/// One life of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Life<'a> {
+    /// The target's name.
+    pub name: &'a str,
+    /// When the life began; 0 if the target does not say, and its name tells its lives apart.
+    pub born: Millis,
+}
+
+/// What one life of a target said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Notice {
+    born: Millis,
+    /// Since when it wants nothing, and until when.
+    since: Millis,
+    until: Millis,
+    /// It wants nothing any more.
+    leaves: bool,
+    /// Since when the list does not name it.
+    unlisted: Option<Millis>,
+}
+
+/// What all targets said.
+#[derive(Debug, Default)]
+pub struct Notices {
+    notices: HashMap<String, Notice>,
+}
+
+impl Notices {
+    /// Records that a target wants nothing for so long. Whether it rests only since now.
+    pub fn rest(&mut self, now: Millis, it: Life<'_>, asked: Millis) -> bool {
+        let notice = self.open(it);
+        let begins = now >= notice.until;
+        if begins {
+            notice.since = now;
+        }
+        notice.until = notice.until.max(now.saturating_add(asked));
+        begins
+    }
+
+    /// Records that a target leaves. Whether that is new.
+    pub fn leave(&mut self, it: Life<'_>) -> bool {
+        let notice = self.open(it);
+        !std::mem::replace(&mut notice.leaves, true)
+    }
+
+    fn open(&mut self, it: Life<'_>) -> &mut Notice {
+        let fresh = Notice { born: it.born, ..Notice::default() };
+        let notice = self.notices.entry(it.name.to_owned()).or_insert(fresh);
+        if notice.born != it.born {
+            *notice = fresh;
+        }
+        notice
+    }
+
+    fn get(&self, it: Life<'_>) -> Option<&Notice> {
+        self.notices.get(it.name).filter(|known| known.born == it.born)
+    }
+
+    /// Until when a target rests, if it does.
+    pub fn rests(&self, now: Millis, it: Life<'_>) -> Option<Millis> {
+        self.get(it).map(|it| it.until).filter(|until| now < *until)
+    }
+
+    /// Since when a target rests, if it does.
+    pub fn rests_since(&self, now: Millis, it: Life<'_>) -> Option<Millis> {
+        self.get(it).filter(|it| now < it.until).map(|it| it.since)
+    }
+
+    /// Whether a target leaves.
+    pub fn leaves(&self, it: Life<'_>) -> bool {
+        self.get(it).is_some_and(|it| it.leaves)
+    }
+
+    /// Records that the list names a target. True if that ends a rest: it is another life.
+    pub fn listed(&mut self, now: Millis, it: Life<'_>) -> bool {
+        let Some(notice) = self.notices.get_mut(it.name) else { return false };
+        notice.unlisted = None;
+        let other = notice.born != it.born;
+        let ends = other && now < notice.until;
+        if other {
+            self.notices.remove(it.name);
+        }
+        ends
+    }
+
+    /// Records that the list names a target no more.
+    pub fn unlisted(&mut self, now: Millis, name: &str) {
+        if let Some(notice) = self.notices.get_mut(name) {
+            notice.unlisted.get_or_insert(now);
+        }
+    }
+
+    /// Forgets rests that are over, and targets that ended.
+    pub fn sweep(&mut self, now: Millis) {
+        self.notices.retain(|_, it| {
+            let lapsed = it.unlisted.is_some_and(|since| now >= since.saturating_add(LAPSED));
+            !lapsed && (it.leaves || now < it.until)
+        });
+    }
+
+    /// Targets that rest.
+    pub fn resting(&self, now: Millis) -> usize {
+        self.notices.values().filter(|it| now < it.until).count()
+    }
+
+    /// Targets of which anything is kept.
+    pub fn len(&self) -> usize {
+        self.notices.len()
+    }
+
+    /// Whether nothing is kept.
+    pub fn is_empty(&self) -> bool {
+        self.notices.is_empty()
+    }
+}
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -133,6 +133,8 @@
         Crowded = 49, "crowded";
         /// Targets end as they run the request.
         EndsTargets = 50, "ends-targets";
+        /// All targets that could serve it asked not to be sent anything for a while.
+        TargetsRest = 51, "targets-rest";
         /// The headers are longer than the limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -157,6 +159,8 @@
         SlowTarget = 7, "slow-target";
         /// Nothing is heard of the target's machine, nor of the request there.
         QuietTarget = 8, "quiet-target";
+        /// The target asked to be left alone before anything of the attempt was sent.
+        TargetRests = 9, "target-rests";
     }
 }
 
@@ -205,6 +209,7 @@
             | Self::NoConfiguration
             | Self::GroupClosed
             | Self::EndsTargets
+            | Self::TargetsRest
             | Self::TargetFull
             | Self::Misdirected
             | Self::ProcessLimit
--- a/crates/sablepass-core/tests/scenarios.rs
+++ b/crates/sablepass-core/tests/scenarios.rs
@@ -186,6 +186,7 @@
                 return Ok(format!("last event {:?}\n", flight.last_event()));
             }
             "refused" => self.event(Event::Refused(Refusal::TargetFull)),
+            "unsent" => self.event(Event::Unsent),
             "chunk" => {
                 let offset: u64 = args.take_key("at").unwrap_or("0").parse()?;
                 let length: usize = args.next_pos().ok_or("chunk N")?.parse()?;
--- a/crates/sablepass-edge/src/caller.rs
+++ b/crates/sablepass-edge/src/caller.rs
@@ -161,6 +161,7 @@
             return;
         }
         match event {
+            client::Event::Connected => {}
             client::Event::Head(head) => {
                 if let Some(it) = &mut self.current {
                     it.answer.status = head.status().as_u16();
--- a/crates/sablepass-edge/src/client.rs
+++ b/crates/sablepass-edge/src/client.rs
@@ -87,6 +87,8 @@
 /// What a connection tells its owner.
 #[derive(Debug)]
 pub enum Event {
+    /// The connection stands; nothing has left yet.
+    Connected,
     /// The answer begins.
     Head(Box<http::Response<()>>),
     /// Bytes of its body.
@@ -236,7 +238,9 @@
     fn ready(&mut self, cx: CX![], ready: Ready) {
         self.input_closed |= ready.is_read_closed() || ready.is_error();
         if ready.is_writable() && !self.input_closed {
-            self.connected = true;
+            if !std::mem::replace(&mut self.connected, true) {
+                self.owner.fwd(Event::Connected);
+            }
             self.flush(cx);
         }
         if ready.is_readable() || self.input_closed {
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -63,6 +63,10 @@
     pub targets: IntGaugeVec,
     /// Targets that ended under a request, seen here or told by others.
     pub deaths: IntCounterVec,
+    /// Requests sent to targets that rested: none, unless this program has a fault.
+    pub sent_to_resting: IntCounter,
+    /// Targets that said with an answer that they leave.
+    pub left: IntCounter,
     /// Requests that targets did not take, by what they asked for.
     pub turned_away: IntCounterVec,
     /// Requests under which targets ended, forgotten for want of room.
@@ -118,6 +122,12 @@
             sleeps: counter(r, "sleeps_total", "Times that the process woke")?,
             targets: gauges(r, "targets", "Targets by how they are known", &["state"])?,
             deaths: counters(r, "deaths_total", "Targets that ended under a request", &["source"])?,
+            sent_to_resting: counter(
+                r,
+                "sent_to_resting_total",
+                "Requests sent to targets that rested: a fault",
+            )?,
+            left: counter(r, "targets_left_total", "Targets that said that they leave")?,
             turned_away: counters(
                 r,
                 "turned_away_total",
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -4,20 +4,19 @@
 //! The router towards targets that take requests straight: what it sends, and
 //! what their answers prove.
 
-use std::net::SocketAddr;
-
 use sablepass_core::flight::{Event, Head};
 use sablepass_core::id::{AttemptId, Millis, RequestId};
+use sablepass_core::notices::Life;
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
 use sablepass_edge::client::{self, Outgoing};
 use sablepass_edge::clock;
-use sablepass_platform::answer::{self, Meta, Proof};
+use sablepass_platform::answer::{self, Meta, Proof, Rest};
 use sablepass_platform::request;
 use stakker::CX;
 
 use crate::open::Open;
-use crate::pool::{Carried, ConnectionKey};
+use crate::pool::{Carried, ConnectionKey, Destination};
 use crate::router::Router;
 use crate::trace::Step;
 
@@ -36,11 +35,10 @@
         cx: CX![],
         now: Millis,
         attempt: AttemptId,
-        target: &str,
-        addr: SocketAddr,
+        to: Destination<'_>,
     ) {
         let Some(open) = self.open.get_mut(&attempt.request) else { return };
-        let head = match direct_head(now, open, target) {
+        let head = match direct_head(now, open, to.target) {
             Ok(it) => it,
             Err(e) => {
                 slog::warn!(self.log, "request cannot be passed on"; "id" => &open.run.label,
@@ -50,7 +48,7 @@
             }
         };
         let fresh = open.flight.request().unsafe_repeat;
-        let key = self.pool.take(cx, target, addr, fresh);
+        let key = self.pool.take(cx, to, fresh);
         let carried = Carried { request: attempt.request, attempt: attempt.number, offset: 0 };
         let body = open.run.body.clone();
         let outgoing = Outgoing { head, body, echo: Some(request::REQUEST_ID) };
@@ -61,6 +59,7 @@
     /// Takes an event of a connection to a target.
     pub fn direct_event(&mut self, cx: CX![], (key, event): (ConnectionKey, client::Event)) {
         match event {
+            client::Event::Connected => self.direct_connected(cx, key),
             client::Event::Head(head) => self.direct_answer(cx, key, &head),
             client::Event::Bytes(data) => {
                 let Some(carried) = self.pool.carried(key) else { return };
@@ -71,7 +70,8 @@
             }
             client::Event::End { reusable, rest } => {
                 let carried = self.pool.carried(key).copied();
-                if reusable {
+                let leaves = self.pool.target(key).is_some_and(|it| self.targets.has_left(it));
+                if reusable && !leaves {
                     self.pool.rest(clock::now(), key, rest);
                 } else {
                     self.pool.close(key);
@@ -96,15 +96,20 @@
 
     fn direct_answer(&mut self, cx: CX![], key: ConnectionKey, head: &http::Response<()>) {
         let Some(carried) = self.pool.carried(key).copied() else { return };
-        let meta = answer::decode(head);
-        let target = self.pool.target(key).unwrap_or_default().to_owned();
+        let now = clock::now();
+        let meta = answer::decode(now, head);
+        let Some(life) = self.pool.target(key) else { return };
+        let (target, born) = (life.name.to_owned(), life.born);
+        if meta.leaving {
+            self.target_leaves(now, &target, born);
+        }
+        self.check_rest(now, carried, Life { name: &target, born });
         if let Some(load) = meta.load {
             self.targets.told(&target, load.running + load.waiting);
         }
         let status = head.status().as_u16();
-        let now = clock::now();
-        if meta.rest.is_some() || meta.proof != Proof::None {
-            self.turned_away(now, carried, &target, status, &meta);
+        if meta.rest != Rest::None || meta.proof != Proof::None {
+            self.turned_away(now, carried, Life { name: &target, born }, status, &meta);
         }
         // Statuses that promise that nothing ran need the target's own word for it.
         let unproven = matches!(status, 408 | 429 | 503);
@@ -145,23 +150,72 @@
         self.event(cx, carried.request, carried.attempt, event);
     }
 
-    /// Says that a target turned a request away, and for how long it wants to rest.
+    /// A connection stands for which a request may wait: the last moment at which the
+    /// target's wish to be left alone can be heeded.
+    fn direct_connected(&mut self, cx: CX![], key: ConnectionKey) {
+        if !self.pool.connected(key) {
+            return;
+        }
+        let now = clock::now();
+        let takes = self.pool.target(key).is_some_and(|it| self.targets.takes(now, it));
+        if takes {
+            self.pool.send_waiting(key);
+            return;
+        }
+        let carried = self.pool.carried(key).copied();
+        self.pool.take_back(key);
+        self.pool.rest(now, key, None);
+        if let Some(it) = carried {
+            self.left(it.request, key);
+            self.event(cx, it.request, it.attempt, Event::Unsent);
+        }
+    }
+
+    /// Records that a target turned a request away, and how long it wants to rest.
     fn turned_away(
         &mut self,
         now: Millis,
         carried: Carried,
-        target: &str,
+        it: Life<'_>,
         status: u16,
         meta: &Meta,
     ) {
-        let asked = if meta.rest.is_some() { "rest" } else { "nothing" };
+        let (asked, rest) = match meta.rest {
+            Rest::None => ("nothing", None),
+            Rest::For(it) => ("rest", Some(it)),
+            Rest::Unread => ("unread", None),
+        };
         self.metrics.turned_away.with_label_values(&[asked]).inc();
-        let step = Step::TurnedAway { target: target.to_owned(), rest: meta.rest };
-        self.traces.add(now, carried.request, step);
+        let begins = rest.is_some_and(|asked| self.targets.asked_for_rest(now, it, asked));
+        self.traces.add(
+            now,
+            carried.request,
+            Step::TurnedAway { target: it.name.to_owned(), rest },
+        );
         let label = self.open.get(&carried.request).map(|it| it.run.label.as_str());
-        slog::info!(self.log, "turned away"; "id" => label, "target" => target,
+        slog::info!(self.log, "turned away"; "id" => label, "target" => it.name, "born" => it.born,
             "attempt" => carried.attempt, "status" => status, "not_run" => meta.proof == Proof::NotRun,
-            "rest" => meta.rest, "leaving" => meta.leaving, "load" => ?meta.load);
+            "asked" => asked, "rest" => rest, "begins" => begins, "load" => ?meta.load);
+    }
+
+    /// Counts an answer to a request that was sent while its target rested. There is none:
+    /// whoever sees this count grow has found a fault of the entry.
+    fn check_rest(&self, now: Millis, carried: Carried, it: Life<'_>) {
+        let Some(open) = self.open.get(&carried.request) else { return };
+        if self.targets.rested_before(now, it, open.sent) {
+            self.metrics.sent_to_resting.inc();
+            slog::error!(self.log, "sent to a target that rests"; "id" => &open.run.label,
+                "target" => it.name, "born" => it.born, "sent" => open.sent);
+        }
+    }
+
+    /// Records that a target leaves: it gets nothing more in this life.
+    fn target_leaves(&mut self, now: Millis, name: &str, born: Millis) {
+        if self.targets.said_it_leaves(now, Life { name, born }) {
+            self.metrics.left.inc();
+            slog::info!(self.log, "target leaves"; "target" => name, "born" => born);
+            self.pool.leave(name);
+        }
     }
 
     fn target_failed(&mut self, now: Millis, target: &str) {
@@ -173,7 +227,7 @@
 
     fn direct_closed(&mut self, cx: CX![], key: ConnectionKey, cause: &client::Cause, sent: bool) {
         let carried = self.pool.carried(key).copied();
-        let target = self.pool.target(key).unwrap_or_default().to_owned();
+        let target = self.pool.target(key).map_or_else(String::new, |it| it.name.to_owned());
         self.pool.close(key);
         if cause.is_refused() {
             self.target_refuses(cx, &target);
@@ -192,7 +246,7 @@
             self.target_failed(clock::now(), &target);
             failed(Refusal::EngineBroke)
         } else {
-            self.targets.rest(&target, clock::now() + REST_AWAY);
+            self.targets.leave_alone(&target, clock::now() + REST_AWAY);
             Event::Refused(Refusal::EngineAway)
         };
         self.event(cx, carried.request, carried.attempt, event);
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -42,6 +42,9 @@
                     self.pool.leave(target);
                     self.target_gone(cx, target);
                 }
+                for target in &lost.rested {
+                    slog::info!(self.log, "rest ends"; "target" => target, "why" => "new life");
+                }
                 self.forget(cx, &lost.gone);
                 self.want(cx);
             }
--- a/crates/sablepass-entry/src/pool.rs
+++ b/crates/sablepass-entry/src/pool.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use sablepass_core::id::{Millis, RequestId};
+use sablepass_core::notices::Life;
 use sablepass_edge::client::{self, Connection, Outgoing};
 use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
 
@@ -35,12 +36,27 @@
     pub offset: u64,
 }
 
+/// Where a connection goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Destination<'a> {
+    /// The target.
+    pub target: &'a str,
+    /// When its present life began.
+    pub born: Millis,
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+}
+
 struct Open {
     connection: ActorOwn<Connection>,
     target: String,
+    /// When the life of the target began that it was made to.
+    born: Millis,
+    /// It stands.
+    connected: bool,
+    /// What is sent once it does, unless the target takes nothing more by then.
+    waiting: Option<Outgoing>,
     carried: Option<Carried>,
-    /// Requests carried so far.
-    used: u32,
     /// When a connection that rests is closed.
     until: Millis,
 }
@@ -62,46 +78,70 @@
     /// A resting connection to a target, or a new one. `fresh` asks for a new
     /// one: a resting one may die just as it is used, and then nobody knows
     /// whether the request ran.
-    pub fn take(
-        &mut self,
-        core: &mut Core,
-        target: &str,
-        addr: SocketAddr,
-        fresh: bool,
-    ) -> ConnectionKey {
-        let resting = if fresh { None } else { self.resting.get_mut(target).and_then(Vec::pop) };
-        resting.unwrap_or_else(|| self.connect(core, target, addr))
-    }
-
-    fn connect(&mut self, core: &mut Core, target: &str, addr: SocketAddr) -> ConnectionKey {
+    pub fn take(&mut self, core: &mut Core, to: Destination<'_>, fresh: bool) -> ConnectionKey {
+        let resting = if fresh { None } else { self.resting.get_mut(to.target).and_then(Vec::pop) };
+        resting.unwrap_or_else(|| self.connect(core, to))
+    }
+
+    fn connect(&mut self, core: &mut Core, to: Destination<'_>) -> ConnectionKey {
         self.next += 1;
         let key = ConnectionKey(self.next);
         let events = self.events.clone();
-        let to = Fwd::new(move |it| events.fwd((key, it)));
+        let forward = Fwd::new(move |it| events.fwd((key, it)));
         let connection = actor_new!(core, Connection, ret_nop!());
         let options = client::Options::default();
-        call!([connection], Connection::init(addr, options, to));
-        let target = target.to_owned();
-        let it = Open { connection, target, carried: None, used: 0, until: Millis::MAX };
+        call!([connection], Connection::init(to.addr, options, forward));
+        let it = Open {
+            connection,
+            target: to.target.to_owned(),
+            born: to.born,
+            connected: false,
+            waiting: None,
+            carried: None,
+            until: Millis::MAX,
+        };
         self.open.insert(key, it);
         key
     }
 
     /// Makes a connection that rests, to see whether the target takes any.
-    pub fn probe(&mut self, core: &mut Core, now: Millis, target: &str, addr: SocketAddr) {
-        let key = self.connect(core, target, addr);
+    pub fn probe(&mut self, core: &mut Core, now: Millis, to: Destination<'_>) {
+        let key = self.connect(core, to);
         self.rest(now, key, None);
     }
 
-    /// Sends a request. True if the connection had carried one before.
-    pub fn send(&mut self, key: ConnectionKey, carried: Carried, it: Outgoing) -> bool {
-        let Some(open) = self.open.get_mut(&key) else { return false };
-        let used = open.used > 0;
+    /// Sends a request, once the connection stands.
+    pub fn send(&mut self, key: ConnectionKey, carried: Carried, it: Outgoing) {
+        let Some(open) = self.open.get_mut(&key) else { return };
         open.carried = Some(carried);
-        open.used += 1;
         open.until = Millis::MAX;
-        call!([open.connection], send(it));
-        used
+        if open.connected {
+            call!([open.connection], send(it));
+        } else {
+            open.waiting = Some(it);
+        }
+    }
+
+    /// Records that a connection stands. Whether a request waits for that.
+    pub fn connected(&mut self, key: ConnectionKey) -> bool {
+        let Some(open) = self.open.get_mut(&key) else { return false };
+        open.connected = true;
+        open.waiting.is_some()
+    }
+
+    /// Sends the request that waits.
+    pub fn send_waiting(&mut self, key: ConnectionKey) {
+        let Some(open) = self.open.get_mut(&key) else { return };
+        if let Some(it) = open.waiting.take() {
+            call!([open.connection], send(it));
+        }
+    }
+
+    /// Takes back the request that waits; nothing of it has left.
+    pub fn take_back(&mut self, key: ConnectionKey) {
+        if let Some(open) = self.open.get_mut(&key) {
+            open.waiting = None;
+        }
     }
 
     /// Stops or goes on to read an answer.
@@ -116,9 +156,9 @@
         self.open.get_mut(&key).and_then(|it| it.carried.as_mut())
     }
 
-    /// The target at the other end.
-    pub fn target(&self, key: ConnectionKey) -> Option<&str> {
-        self.open.get(&key).map(|it| it.target.as_str())
+    /// The target at the other end, in the life that the connection was made to.
+    pub fn target(&self, key: ConnectionKey) -> Option<Life<'_>> {
+        self.open.get(&key).map(|it| Life { name: &it.target, born: it.born })
     }
 
     /// Leaves the request that a connection carries; the rest of the answer is
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -8,8 +8,8 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use sablepass_core::admit::Admission;
 use sablepass_core::balance::Policy;
 use sablepass_core::budget::Budget;
@@ -31,7 +31,7 @@
 
 use crate::open::Open;
 use crate::openai;
-use crate::pool::{ConnectionKey, Pool};
+use crate::pool::{ConnectionKey, Destination, Pool};
 use crate::settings::Settings;
 use crate::suspects::Watch;
 use crate::targets::{self, Choice, Served, Targets, Via};
@@ -42,6 +42,9 @@
 /// How long a stream that has begun waits for a target that can go on with it.
 /// Callers give up a stream that is silent for two seconds or more.
 const RESUME_WAIT: Millis = 1_700;
+/// Over how long callers come back who were refused while all targets rest, so that
+/// they do not come as one: some tenths of a second, in which streams begin and are spread.
+const COME_BACK_SPREAD: Millis = 200;
 /// Requests that wait so, for each place of this entry's part of the service. A group
 /// opens on its first map, which is far from even, and what waited begins at once:
 /// with 2 for each place those late made the next ones late as well.
@@ -180,10 +183,16 @@
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        if open.begun && now < open.spoke + RESUME_WAIT {
+        let rested = self.targets.rested(now, &open.served);
+        if open.begun && rested.unwrap_or(now) < open.spoke + RESUME_WAIT {
             open.waiting = Some(now);
             return;
         }
+        if rested.is_some() {
+            let actions = open.flight.refuse(Refusal::TargetsRest);
+            self.act(cx, id, actions);
+            return;
+        }
         if opens_soon {
             open.waiting = Some(now);
             slog::info!(self.log, "waits for its group"; "id" => &open.run.label,
@@ -219,7 +228,7 @@
         };
         let incarnation = match choice.via {
             Via::Agent(_, it) => it,
-            Via::Direct(_) => Incarnation(0),
+            Via::Direct(..) => Incarnation(0),
         };
         let attempt = open.flight.send(now, &choice.name, incarnation);
         open.sent = now;
@@ -232,7 +241,7 @@
         }
         let addr = match choice.via {
             Via::Agent(..) => None,
-            Via::Direct(it) => Some(it.to_string()),
+            Via::Direct(it, _) => Some(it.to_string()),
         };
         slog::info!(self.log, "sent"; "id" => &open.run.label, "target" => &choice.name, "addr" => addr,
             "attempt" => attempt.number, "load" => choice.load, "of" => choice.candidates,
@@ -249,7 +258,10 @@
                 let body = dispatch_body(open, attempt, incarnation);
                 call!([self.mesh], send(peer, body));
             }
-            Via::Direct(addr) => self.send_direct(cx, now, attempt, &choice.name, addr),
+            Via::Direct(addr, born) => {
+                let to = Destination { target: &choice.name, born, addr };
+                self.send_direct(cx, now, attempt, to);
+            }
         }
     }
 
@@ -343,7 +355,17 @@
         }
     }
 
+    /// When a caller may come back that is refused while all that could serve it rest.
+    fn set_return(&mut self, now: Millis, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if let Some(until) = self.targets.rested(now, &open.served) {
+            let spread = self.rng.random_range(0..COME_BACK_SPREAD);
+            open.comeback.get_or_insert((until - now).saturating_add(spread));
+        }
+    }
+
     fn fail(&mut self, now: Millis, id: RequestId, failure: Failure) {
+        self.set_return(now, id);
         let Some(open) = self.open.get(&id) else { return };
         self.metrics.refused(failure.reason);
         slog::warn!(self.log, "failed"; "id" => &open.run.label,
@@ -351,7 +373,7 @@
             "target" => open.flight.target(), "attempts" => open.flight.attempt().number,
             "begun" => open.begun, "took" => now.saturating_sub(open.run.arrived),
             "customer" => &open.customer, "service" => &open.served.1,
-            "revision" => open.revision);
+            "revision" => open.revision, "comeback" => open.comeback);
         self.traces.add(now, id, Step::Failed(failure));
         if failure.reason == Refusal::CallerGone {
             return;
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -160,8 +160,8 @@
         if told && !self.watch.probes.take(now) {
             return;
         }
-        if let Some(addr) = self.targets.addr(target) {
-            self.pool.probe(cx, now, target, addr);
+        if let Some(to) = self.targets.destination(target) {
+            self.pool.probe(cx, now, to);
         }
         if !told {
             let target = target.to_owned();
@@ -172,8 +172,8 @@
     /// A process that ends may close its connections before it stops to listen.
     fn look_again(&mut self, cx: CX![], target: String) {
         let waits = self.watch.deaths.waits(&target);
-        if let Some(addr) = self.targets.addr(&target).filter(|_| waits) {
-            self.pool.probe(cx, clock::now(), &target, addr);
+        if let Some(to) = self.targets.destination(&target).filter(|_| waits) {
+            self.pool.probe(cx, clock::now(), to);
         }
     }
 
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -19,6 +19,7 @@
 use sablepass_core::gate;
 use sablepass_core::id::{Incarnation, Millis};
 use sablepass_core::membership::{Members, Pace, Report};
+use sablepass_core::notices::Notices;
 use sablepass_core::once::Key;
 use sablepass_core::rendezvous;
 use sablepass_core::sharers::Sharers;
@@ -36,6 +37,7 @@
 
 mod groups;
 mod listing;
+mod notices;
 mod shares;
 mod watch;
 
@@ -63,8 +65,8 @@
 pub enum Via {
     /// Over a connection to its agent of this incarnation.
     Agent(PeerKey, Incarnation),
-    /// Straight, at its address.
-    Direct(SocketAddr),
+    /// Straight, at its address, in the life that began then.
+    Direct(SocketAddr, Millis),
 }
 
 /// A target of the instance list.
@@ -101,6 +103,8 @@
     names: HashMap<PeerKey, String>,
     owners: BTreeMap<String, Millis>,
     leaving: Vec<String>,
+    /// What targets said of themselves to this entry.
+    notices: Notices,
     /// Targets that are reached straight, by id.
     listed: BTreeMap<String, Listed>,
     /// Those whose address a later one has: the list names a target that died
@@ -144,6 +148,7 @@
             names: HashMap::new(),
             owners: BTreeMap::new(),
             leaving: Vec::new(),
+            notices: Notices::default(),
             listed: BTreeMap::new(),
             replaced: BTreeSet::new(),
             learning: None,
@@ -318,14 +323,14 @@
     }
 
     /// Records that a target is better left alone until `until`.
-    pub fn rest(&mut self, name: &str, until: Millis) {
-        self.members.rest(name, until);
+    pub fn leave_alone(&mut self, name: &str, until: Millis) {
+        self.members.leave_alone(name, until);
     }
 
     /// Records that another target answered at the address of this one, which
     /// is left alone until `until`.
     pub fn misdirected(&mut self, name: &str, until: Millis) {
-        self.rest(name, until);
+        self.leave_alone(name, until);
         if let Some(it) = self.listed.get_mut(name) {
             it.misdirected = true;
             self.find_replaced();
@@ -344,14 +349,14 @@
         let rest = self.members.failed(name)?;
         let serves = self.listed.get(name)?.instance.serves.clone();
         let names = self.serving.get(&(Kind::Service, serves))?;
-        let rests = |it: &&String| {
+        let alone = |it: &&String| {
             let member = self.members.get(it);
-            member.is_some_and(|it| now < it.rests)
+            member.is_some_and(|it| now < it.alone)
         };
-        if names.iter().filter(rests).count() * 2 >= names.len() {
+        if names.iter().filter(alone).count() * 2 >= names.len() {
             return None;
         }
-        self.rest(name, now + rest);
+        self.leave_alone(name, now + rest);
         Some(rest)
     }
 
@@ -379,14 +384,20 @@
 
     /// Whether a target may get new work.
     fn open_for(&self, now: Millis, name: &str) -> bool {
+        self.takes(now, self.life(name)) && self.returns(now, name).is_some_and(|it| now >= it)
+    }
+
+    /// Until when a target is left alone that may get new work but for that, and for what
+    /// it said of itself.
+    fn returns(&self, now: Millis, name: &str) -> Option<Millis> {
         let stop = self.catalogue.stops.get(name);
         let stopping = stop.is_some_and(|at| now + self.options.lead >= *at);
         let listed = self.leaving.iter().any(|it| it == name);
         let reached = self.links.contains_key(name) || self.listed.contains_key(name);
         let replaced = self.replaced.contains(name);
         let unknown = self.is_unknown(now, name) || self.is_broken(name);
-        let member = self.members.usable(now, name);
-        reached && !replaced && !stopping && !listed && !unknown && member.is_some()
+        let may = reached && !replaced && !stopping && !listed && !unknown;
+        self.members.usable_later(now, name).filter(|_| may).map(|it| it.alone)
     }
 
     fn candidate<'a>(&self, now: Millis, name: &'a str) -> Option<Candidate<'a>> {
@@ -454,7 +465,7 @@
 
     fn choice(&self, name: &str, load: f64, candidates: usize) -> Option<Choice> {
         let via = match self.listed.get(name) {
-            Some(it) => Via::Direct(it.instance.addr),
+            Some(it) => Via::Direct(it.instance.addr, it.instance.born),
             None => Via::Agent(self.link(name)?, self.members.get(name)?.incarnation),
         };
         Some(Choice { name: name.to_owned(), via, load, candidates })
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -207,7 +207,7 @@
     /// until `until`. Before its agent was heard that may mean that its group
     /// is closed.
     pub fn refused(&mut self, now: Millis, name: &str, until: Millis) {
-        self.rest(name, until);
+        self.leave_alone(name, until);
         let unheard = self.members.get(name).is_some_and(|it| !it.reported);
         if let Some(it) = self.listed.get(name).filter(|_| unheard && self.is_young(now)) {
             self.suspects.insert(it.instance.serves.clone());
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -10,8 +10,10 @@
 use sablepass_core::balance;
 use sablepass_core::declaration::Kind;
 use sablepass_core::id::Millis;
+use sablepass_core::notices::Life;
 use sablepass_edge::instance::{Instance, Role};
 
+use crate::pool::Destination;
 use crate::targets::{Listed, Targets};
 
 /// How long a target is still used that the list names no more. Entries of
@@ -29,6 +31,8 @@
     pub gone: Vec<String>,
     /// Those that started anew under their name.
     pub reborn: Vec<String>,
+    /// Those of them whose last life still wanted to rest.
+    pub rested: Vec<String>,
 }
 
 impl Targets {
@@ -37,15 +41,17 @@
         self.listed.get(name).map_or(0, |it| it.instance.born)
     }
 
-    /// Where a listed target takes requests.
-    pub fn addr(&self, name: &str) -> Option<SocketAddr> {
-        self.listed.get(name).map(|it| it.instance.addr)
+    /// Where a listed target takes requests in its present life.
+    pub fn destination<'a>(&self, target: &'a str) -> Option<Destination<'a>> {
+        let it = &self.listed.get(target)?.instance;
+        Some(Destination { target, born: it.born, addr: it.addr })
     }
 
     /// Whether a target is leaving.
     pub fn is_leaving(&self, name: &str) -> bool {
         let member = self.members.get(name);
-        member.is_some_and(|it| it.leaving) || self.leaving.iter().any(|it| it == name)
+        let said = self.notices.leaves(self.life(name));
+        said || member.is_some_and(|it| it.leaving) || self.leaving.iter().any(|it| it == name)
     }
 
     /// Takes a new instance list.
@@ -57,14 +63,22 @@
         self.listed_entries = entries;
         let leaving = instances.iter().filter(|(_, it)| it.leaving);
         self.leaving = leaving.map(|(name, _)| name.clone()).collect();
-        let mut reborn = Vec::new();
+        let mut lost = Lost::default();
         for (name, it) in instances.iter().filter(|(_, it)| it.role == Role::Target) {
             if self.listed.get(name).is_some_and(|known| known.instance.born != it.born) {
                 // All that was known of it was of another life.
-                reborn.push(name.clone());
+                lost.reborn.push(name.clone());
                 self.listed.remove(name);
                 self.members.unlisted(name);
             }
+            let life = Life { name, born: it.born };
+            if self.notices.listed(now, life) {
+                lost.rested.push(name.clone());
+            }
+            if it.leaving {
+                // Also if its entry lapses and an older one is read.
+                self.notices.leave(life);
+            }
             self.members.listed(now, name, it.leaving);
             let misdirected = self.listed.get(name).is_some_and(|it| it.misdirected);
             let listed = Listed { instance: it.clone(), missing: None, misdirected };
@@ -75,7 +89,8 @@
                 it.missing.get_or_insert(now);
             }
         }
-        Lost { gone: self.lapse(now), reborn }
+        lost.gone = self.lapse(now);
+        lost
     }
 
     /// Drops targets that the list has not named for long enough.
@@ -89,6 +104,7 @@
         for name in &gone {
             self.listed.remove(name);
             self.members.unlisted(name);
+            self.notices.unlisted(now, name);
         }
         self.index();
         gone
--- /dev/null
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -0,0 +1,74 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! What targets said of themselves to this entry, and what that leaves of a service.
+
+use sablepass_core::id::Millis;
+use sablepass_core::notices::Life;
+
+use crate::targets::{Served, Targets};
+
+impl Targets {
+    /// The present life of a target.
+    pub(super) fn life<'a>(&self, name: &'a str) -> Life<'a> {
+        Life { name, born: self.born(name) }
+    }
+
+    /// Records that a target wants nothing for so long. Whether it rests only since now.
+    pub fn asked_for_rest(&mut self, now: Millis, it: Life<'_>, asked: Millis) -> bool {
+        let begins = !self.is_past(it) && self.notices.rest(now, it, asked);
+        self.note_listing(now, it.name);
+        begins
+    }
+
+    /// Records that a target leaves. Whether that is new.
+    pub fn said_it_leaves(&mut self, now: Millis, it: Life<'_>) -> bool {
+        let begins = !self.is_past(it) && self.notices.leave(it);
+        self.note_listing(now, it.name);
+        begins
+    }
+
+    /// Whether a life of a target is over, and another one listed.
+    fn is_past(&self, it: Life<'_>) -> bool {
+        self.listed.get(it.name).is_some_and(|known| known.instance.born != it.born)
+    }
+
+    fn note_listing(&mut self, now: Millis, name: &str) {
+        if !self.listed.contains_key(name) {
+            self.notices.unlisted(now, name);
+        }
+    }
+
+    /// Whether a request may go to a target, by what that said of itself.
+    pub fn takes(&self, now: Millis, it: Life<'_>) -> bool {
+        !self.notices.leaves(it) && self.notices.rests(now, it).is_none()
+    }
+
+    /// Whether a life of a target said that it leaves.
+    pub fn has_left(&self, it: Life<'_>) -> bool {
+        self.notices.leaves(it)
+    }
+
+    /// Whether a target had asked for a rest, that goes on, before a request was sent there.
+    pub fn rested_before(&self, now: Millis, it: Life<'_>, sent: Millis) -> bool {
+        self.notices.rests_since(now, it).is_some_and(|since| sent > since)
+    }
+
+    /// Targets that rest.
+    pub fn resting(&self, now: Millis) -> usize {
+        self.notices.resting(now)
+    }
+
+    /// When the first target takes requests again, where all that could serve are left alone
+    /// and some of them asked for it.
+    pub fn rested(&self, now: Millis, served: &Served) -> Option<Millis> {
+        let names = self.subsets.get(served)?;
+        let rests = |it: &String| self.notices.rests(now, self.life(it));
+        let asked = !self.notices.is_empty() && names.iter().any(|it| rests(it).is_some());
+        if !asked || names.iter().any(|it| self.open_for(now, it)) {
+            return None;
+        }
+        let there = names.iter().filter(|it| !self.notices.leaves(self.life(it)));
+        there.filter_map(|it| Some(self.returns(now, it)?.max(rests(it).unwrap_or(0)))).min()
+    }
+}
--- a/crates/sablepass-entry/src/targets/watch.rs
+++ b/crates/sablepass-entry/src/targets/watch.rs
@@ -26,6 +26,8 @@
     pub linked: usize,
     /// Those that may get work.
     pub usable: usize,
+    /// Those that asked for a rest.
+    pub resting: usize,
 }
 
 impl Targets {
@@ -59,6 +61,7 @@
             beside: beside.len(),
             linked: self.listed.keys().filter(|it| member(it).is_some_and(|it| it.linked)).count(),
             usable: self.listed.keys().filter(|it| self.open_for(now, it)).count(),
+            resting: self.resting(now),
         }
     }
 
@@ -76,6 +79,7 @@
         let quiet = self.members.quiet(now);
         let fresh = quiet.difference(&self.quiet).cloned().collect();
         self.find_broken(now);
+        self.notices.sweep(now);
         self.counts = self.count(now);
         self.idle = self.members.standing(now).chain(&quiet).cloned().collect();
         self.quiet = quiet;
--- a/crates/sablepass-entry/src/ticks.rs
+++ b/crates/sablepass-entry/src/ticks.rs
@@ -53,6 +53,7 @@
             ("agents", it.beside),
             ("linked", it.linked),
             ("usable", it.usable),
+            ("resting", it.resting),
         ];
         for (state, count) in counts {
             self.metrics.targets.with_label_values(&[state]).set(count as i64);
