Let the load that a target told fade where nothing newer is heard

Cause: a load told with an answer counted until the next one. A service without agents whose targets all said that they are full was refused as saturated for ever, since nothing was sent that could tell otherwise. Change: what a listed target told counts for a second, as reports do; then only what this entry has there. Ruled out: the 40 ms for which a full target is left alone.

--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -137,6 +137,8 @@
     pub own: u32,
     /// Those that it had there when the target or its agent last told its load.
     pub told: u32,
+    /// When that was.
+    pub told_at: Millis,
     /// Requests of this entry that failed there, one after the other.
     pub failures: u32,
 }
@@ -183,6 +185,7 @@
             others: 0,
             own,
             told: 0,
+            told_at: now,
             failures: known.map_or(0, |it| it.failures),
         };
         self.members.insert(name.to_owned(), member);
@@ -206,13 +209,26 @@
 
     /// Records what a target said of its load with an answer: requests that
     /// run and wait there, this entry's own included.
-    pub fn told(&mut self, name: &str, requests: u32) {
+    pub fn told(&mut self, now: Millis, name: &str, requests: u32) {
         if let Some(member) = self.members.get_mut(name) {
+            member.told_at = now;
             member.others = requests.saturating_sub(member.own);
             member.told = member.own;
         }
     }
 
+    /// Forgets the load that listed targets told too long ago: of one that is taken to be
+    /// full nothing new would ever be heard where no agent tells, since nothing is sent there.
+    pub fn age(&mut self, now: Millis) {
+        let old = |it: &&mut Member| {
+            it.source == Source::Listing && now.saturating_sub(it.told_at) >= TOLD
+        };
+        for member in self.members.values_mut().filter(old) {
+            member.others = 0;
+            member.told = 0;
+        }
+    }
+
     /// Records that a target is better left alone until `until`.
     pub fn leave_alone(&mut self, name: &str, until: Millis) {
         if let Some(member) = self.members.get_mut(name) {
@@ -248,6 +264,7 @@
         member.alive = now.saturating_sub(report.engine_age.unwrap_or(0));
         member.refuses = report.refuses.then(|| member.refuses.unwrap_or(now));
         member.report = report;
+        member.told_at = now;
         member.others = report.in_flight.saturating_sub(member.own);
         member.told = member.own;
         member.leaving |= report.leaving;
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -105,7 +105,7 @@
         }
         self.check_rest(now, carried, Life { name: &target, born });
         if let Some(load) = meta.load {
-            self.targets.told(&target, load.running + load.waiting);
+            self.targets.told(now, &target, load.running + load.waiting);
         }
         let status = head.status().as_u16();
         if meta.rest != Rest::None || meta.proof != Proof::None {
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -318,8 +318,8 @@
     }
 
     /// Records what a target told of its load.
-    pub fn told(&mut self, name: &str, requests: u32) {
-        self.members.told(name, requests);
+    pub fn told(&mut self, now: Millis, name: &str, requests: u32) {
+        self.members.told(now, name, requests);
     }
 
     /// Records that a target is better left alone until `until`.
--- a/crates/sablepass-entry/src/targets/watch.rs
+++ b/crates/sablepass-entry/src/targets/watch.rs
@@ -80,6 +80,7 @@
         let fresh = quiet.difference(&self.quiet).cloned().collect();
         self.find_broken(now);
         self.notices.sweep(now);
+        self.members.age(now);
         self.counts = self.count(now);
         self.idle = self.members.standing(now).chain(&quiet).cloned().collect();
         self.quiet = quiet;
