Test: the other entries are told that a target leaves (red)

Cause: leaving is true for all, and each entry learns it only from an answer to itself. Change: a test with two entries and one that starts later. Before: not known after 60 s.

--- a/crates/sablepass-stand/tests/leaving.rs
+++ b/crates/sablepass-stand/tests/leaving.rs
@@ -85,6 +85,33 @@
     assert_eq!(leaving.arrivals().len(), 1, "more was sent to it");
 }
 
+/// Leaving is true for all: the other entries are told, and one that starts later.
+#[test]
+fn verify_the_other_entries_are_told() {
+    let mut site = site(2);
+    site.add_entry("");
+    site.settle(2);
+    let leaving = site.replicas[0].clone();
+    wait_for("they know of each other", || site.status(0)["entries"].as_u64() == Some(2));
+    tell(&site, &leaving);
+    let left = |site: &Site, entry: usize| {
+        metric(&site.entries[entry].addr("admin"), "sablepass_targets_left_total", "")
+    };
+    wait_for("the other one knows", || left(&site, 1) == 1.0);
+    let late = site.add_entry("");
+    wait_for("one that starts later knows", || left(&site, late) == 1.0);
+    wait_for("it is ready", || site.status(late)["revision"].as_u64() > Some(0));
+    let told = leaving.arrivals().len();
+    for entry in [1, late] {
+        for number in 0..20 {
+            let id = format!("other-{entry}-{number}");
+            let answer = ask("POST", "/safe/x", &id, "q").send(&site.http(entry));
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+    }
+    assert_eq!(leaving.arrivals().len(), told, "more was sent to it");
+}
+
 /// Its entry in the list lapses, and one that says that it is ready is read later.
 #[test]
 fn verify_no_list_takes_the_word_back() {
