Tell the other entries which targets said that they leave

Cause: leaving is true for all, and each entry learnt it from an answer to itself. Change: a message between entries (target and birth of its life), sent at once, and to an entry that connects all that is known; a life that the list has replaced is passed over. Some 50 bytes for each target that leaves and entry. What targets say of themselves moved from direct.rs to entry/src/notices.rs. Before: not known to the others after 60 s. Rests are not told: they bind whoever was asked. Whether telling them serves callers better is to be compared.

--- a/crates/sablepass-core/src/notices.rs
+++ b/crates/sablepass-core/src/notices.rs
@@ -117,6 +117,12 @@
         });
     }
 
+    /// The lives that said that they leave.
+    pub fn leaving(&self) -> impl Iterator<Item = Life<'_>> {
+        let leaving = self.notices.iter().filter(|it| it.1.leaves);
+        leaving.map(|(name, it)| Life { name, born: it.born })
+    }
+
     /// Targets that rest.
     pub fn resting(&self, now: Millis) -> usize {
         self.notices.values().filter(|it| now < it.until).count()
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -65,8 +65,8 @@
     pub deaths: IntCounterVec,
     /// Requests sent to targets that rested: none, unless this program has a fault.
     pub sent_to_resting: IntCounter,
-    /// Targets that said with an answer that they leave.
-    pub left: IntCounter,
+    /// Targets that said with an answer that they leave, seen here or told by others.
+    pub left: IntCounterVec,
     /// Requests that targets did not take, by what they asked for.
     pub turned_away: IntCounterVec,
     /// Requests under which targets ended, forgotten for want of room.
@@ -127,7 +127,12 @@
                 "sent_to_resting_total",
                 "Requests sent to targets that rested: a fault",
             )?,
-            left: counter(r, "targets_left_total", "Targets that said that they leave")?,
+            left: counters(
+                r,
+                "targets_left_total",
+                "Targets that said that they leave",
+                &["source"],
+            )?,
             turned_away: counters(
                 r,
                 "turned_away_total",
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -11,14 +11,14 @@
 use sablepass_core::reason::Refusal;
 use sablepass_edge::client::{self, Outgoing};
 use sablepass_edge::clock;
-use sablepass_platform::answer::{self, Meta, Proof, Rest};
+use sablepass_platform::answer::{self, Proof, Rest};
 use sablepass_platform::request;
 use stakker::CX;
 
+use crate::notices::Source;
 use crate::open::Open;
 use crate::pool::{Carried, ConnectionKey, Destination};
 use crate::router::Router;
-use crate::trace::Step;
 
 /// How long a target is left alone that refused a connection.
 const REST_AWAY: Millis = 400;
@@ -100,8 +100,8 @@
         let meta = answer::decode(now, head);
         let Some(life) = self.pool.target(key) else { return };
         let (target, born) = (life.name.to_owned(), life.born);
-        if meta.leaving {
-            self.target_leaves(now, &target, born);
+        if meta.leaving && self.target_leaves(now, Life { name: &target, born }, Source::Seen) {
+            self.tell_leaving(Life { name: &target, born });
         }
         self.check_rest(now, carried, Life { name: &target, born });
         if let Some(load) = meta.load {
@@ -171,53 +171,6 @@
         }
     }
 
-    /// Records that a target turned a request away, and how long it wants to rest.
-    fn turned_away(
-        &mut self,
-        now: Millis,
-        carried: Carried,
-        it: Life<'_>,
-        status: u16,
-        meta: &Meta,
-    ) {
-        let (asked, rest) = match meta.rest {
-            Rest::None => ("nothing", None),
-            Rest::For(it) => ("rest", Some(it)),
-            Rest::Unread => ("unread", None),
-        };
-        self.metrics.turned_away.with_label_values(&[asked]).inc();
-        let begins = rest.is_some_and(|asked| self.targets.asked_for_rest(now, it, asked));
-        self.traces.add(
-            now,
-            carried.request,
-            Step::TurnedAway { target: it.name.to_owned(), rest },
-        );
-        let label = self.open.get(&carried.request).map(|it| it.run.label.as_str());
-        slog::info!(self.log, "turned away"; "id" => label, "target" => it.name, "born" => it.born,
-            "attempt" => carried.attempt, "status" => status, "not_run" => meta.proof == Proof::NotRun,
-            "asked" => asked, "rest" => rest, "begins" => begins, "load" => ?meta.load);
-    }
-
-    /// Counts an answer to a request that was sent while its target rested. There is none:
-    /// whoever sees this count grow has found a fault of the entry.
-    fn check_rest(&self, now: Millis, carried: Carried, it: Life<'_>) {
-        let Some(open) = self.open.get(&carried.request) else { return };
-        if self.targets.rested_before(now, it, open.sent) {
-            self.metrics.sent_to_resting.inc();
-            slog::error!(self.log, "sent to a target that rests"; "id" => &open.run.label,
-                "target" => it.name, "born" => it.born, "sent" => open.sent);
-        }
-    }
-
-    /// Records that a target leaves: it gets nothing more in this life.
-    fn target_leaves(&mut self, now: Millis, name: &str, born: Millis) {
-        if self.targets.said_it_leaves(now, Life { name, born }) {
-            self.metrics.left.inc();
-            slog::info!(self.log, "target leaves"; "target" => name, "born" => born);
-            self.pool.leave(name);
-        }
-    }
-
     fn target_failed(&mut self, now: Millis, target: &str) {
         if let Some(rest) = self.targets.failed(now, target) {
             slog::warn!(self.log, "target left alone"; "target" => target, "for" => rest,
--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod dialect;
 mod direct;
+mod notices;
 mod open;
 mod openai;
 mod peers;
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -79,6 +79,7 @@
         if it.role == Role::Entry.name() {
             let told = self.watch.entry_up(peer);
             told.into_iter().for_each(|it| call!([self.mesh], send(peer, it.body())));
+            self.tell_all_leaving(peer);
             return;
         }
         let Some(endpoint) = it.dialled.as_ref() else {
@@ -137,6 +138,7 @@
         let body = match body {
             Body::Report(it) => return self.report(cx, peer, &it),
             Body::Suspects(it) => return self.told_suspects(cx, peer, it),
+            Body::Notices(it) => return self.told_leaving(&it),
             other => other,
         };
         let Some(name) = self.targets.name(peer).map(str::to_owned) else {
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -74,6 +74,11 @@
 }
 
 impl Watch {
+    /// Connections to other entries.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = PeerKey> {
+        self.entries.iter().copied()
+    }
+
     /// Records a connection to another entry, which is told all that is known.
     pub(crate) fn entry_up(&mut self, peer: PeerKey) -> Option<Told> {
         self.entries.insert(peer);
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -44,6 +44,11 @@
         !self.notices.leaves(it) && self.notices.rests(now, it).is_none()
     }
 
+    /// The lives of targets that said that they leave.
+    pub fn left(&self) -> impl Iterator<Item = Life<'_>> {
+        self.notices.leaving()
+    }
+
     /// Whether a life of a target said that it leaves.
     pub fn has_left(&self, it: Life<'_>) -> bool {
         self.notices.leaves(it)
--- a/crates/sablepass-wire/src/frame.rs
+++ b/crates/sablepass-wire/src/frame.rs
@@ -106,5 +106,6 @@
         Body::MapPull(_) => "map-pull",
         Body::Entries(_) => "entries",
         Body::Suspects(_) => "suspects",
+        Body::Notices(_) => "notices",
     }
 }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -55,6 +55,8 @@
         Entries(super::Entries),
         #[prost(message, tag = "22")]
         Suspects(super::Suspects),
+        #[prost(message, tag = "23")]
+        Notices(super::Notices),
     }
 }
 /// First frame in each direction of a connection.
@@ -267,6 +269,21 @@
     #[prost(fixed64, tag = "5")]
     pub ended: u64,
 }
+/// What targets said of themselves. Entries tell it each other.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Notices {
+    #[prost(message, repeated, tag = "1")]
+    pub notices: ::prost::alloc::vec::Vec<Notice>,
+}
+/// A target wants no more requests, for this life.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Notice {
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+    /// When that life of the target began; 0 if it does not say.
+    #[prost(fixed64, tag = "2")]
+    pub born: u64,
+}
 /// What configuration a process holds.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Digest {
--- a/crates/sablepass-wire/src/lib.rs
+++ b/crates/sablepass-wire/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod convert;
 pub mod frame;
+pub mod notices;
 pub mod suspects;
 
 /// Code that `examples/generate.rs` writes from `proto/sablepass.proto`.
