Test: an engine behind its agent is left alone as it asks (red)

Change: two tests on the project's own interface, with an engine stand-in that asks for rest. Before: callers are refused as the retry budget is used up, with another engine idle; none is told when to come back.

--- a/crates/sablepass-stand/src/engine.rs
+++ b/crates/sablepass-stand/src/engine.rs
@@ -7,7 +7,7 @@
 //! An answer's tokens are `WORD:0 WORD:1 ...`, where WORD is the last word of
 //! the prompt, so that a caller can tell its own answer. `POST
 //! /control/mode` takes `ok`, `freeze` (no steps), `busy` (503 to new
-//! requests), `break N` (close each stream after N tokens) or `hold N` (make
+//! requests), `rest N` (the same, and it asks for a rest of N milliseconds), `break N` (close each stream after N tokens) or `hold N` (make
 //! N tokens of each answer and no more until told otherwise).
 
 use std::collections::VecDeque;
@@ -16,6 +16,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use sablepass_edge::clock;
 use sablepass_stand::http::StreamWriter;
 use serde_json::{Value, json};
 use tiny_http::{Method, Request};
@@ -45,6 +46,7 @@
     Ok,
     Freeze,
     Busy,
+    Rest(u64),
     Break(u64),
     Hold(u64),
 }
@@ -67,6 +69,8 @@
     cached: VecDeque<String>,
     hits: u64,
     runs: Vec<Value>,
+    /// When it turned requests away and asked for a rest. Milliseconds since the Unix epoch.
+    turned: Vec<u64>,
 }
 
 /// An engine.
@@ -92,6 +96,7 @@
             cached: VecDeque::new(),
             hits: 0,
             runs: Vec::new(),
+            turned: Vec::new(),
         };
         Arc::new(Self { options, state: Mutex::new(state) })
     }
@@ -212,6 +217,10 @@
             let runs = engine.lock().runs.clone();
             web::json(request, 200, &Value::Array(runs));
         }
+        (Method::Get, "/control/turned") => {
+            let turned = engine.lock().turned.clone();
+            web::json(request, 200, &json!(turned));
+        }
         (Method::Get, "/control/cache") => {
             let state = engine.lock();
             let counts = json!({ "hits": state.hits, "runs": state.runs.len() });
@@ -233,10 +242,15 @@
         "ok" => Mode::Ok,
         "freeze" => Mode::Freeze,
         "busy" => Mode::Busy,
+        "rest" => Mode::Rest(number.parse().unwrap_or(0)),
         "break" => Mode::Break(number.parse().unwrap_or(0)),
         "hold" => Mode::Hold(number.parse().unwrap_or(0)),
         _ => {
-            web::json(request, 400, &json!({ "error": "ok, freeze, busy, break N or hold N" }));
+            web::json(
+                request,
+                400,
+                &json!({ "error": "ok, freeze, busy, rest N, break N or hold N" }),
+            );
             return;
         }
     };
@@ -260,6 +274,12 @@
             web::json(request, 503, &json!({ "error": "busy" }));
             return;
         }
+        if let Mode::Rest(rest) = state.mode {
+            state.turned.push(clock::now());
+            drop(state);
+            web::turn_away(request, rest);
+            return;
+        }
         let prefix: String = prompt.chars().take(PREFIX).collect();
         let cached = state.cache(prefix, engine.options.cache);
         let run = state.runs.len();
--- a/crates/sablepass-stand/src/fleet.rs
+++ b/crates/sablepass-stand/src/fleet.rs
@@ -62,6 +62,12 @@
         log.as_array().cloned().unwrap_or_default()
     }
 
+    /// When its engine turned requests away and asked for a rest.
+    pub fn turned(&self) -> Vec<u64> {
+        let turned = control(&self.base, "GET", "/control/turned", "");
+        turned.as_array().into_iter().flatten().filter_map(serde_json::Value::as_u64).collect()
+    }
+
     /// Commands the proxy between entries and the agent.
     pub fn fault(&self, command: &str) -> serde_json::Value {
         let proxy = self.proxy.as_ref().expect("the target was started with a proxy");
--- a/crates/sablepass-stand/src/web.rs
+++ b/crates/sablepass-stand/src/web.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sablepass_stand::http;
 use tiny_http::Request;
@@ -59,6 +60,15 @@
     text
 }
 
+/// Turns a request away and asks for a rest of so many milliseconds.
+pub fn turn_away(request: Request, rest: u64) {
+    let seconds = Duration::from_millis(rest).as_secs_f64().to_string();
+    let field = tiny_http::Header::from_bytes("retry-after", seconds).expect("a header field");
+    let answer = http::answer_json(503, &serde_json::json!({ "error": "busy" }));
+    // The asker may be gone.
+    let _ = request.respond(answer.with_header(field));
+}
+
 /// Answers with JSON.
 pub fn json(request: Request, status: u16, value: &serde_json::Value) {
     // The asker may be gone.
--- a/crates/sablepass-stand/tests/resting.rs
+++ b/crates/sablepass-stand/tests/resting.rs
@@ -11,10 +11,12 @@
 //! for 40 ms of their own; one that turns all away has no load and is then chosen first.
 //! Proof: at one entry, all other targets being sound, most of the requests reach it.
 
+mod common;
+
 use std::thread;
 use std::time::{Duration, Instant};
 
-use sablepass_stand::client::{Answer, metric, wait_for};
+use sablepass_stand::client::{Answer, Ask, metric, wait_for};
 use sablepass_stand::replica::{Arrival, Mode, Replica, most_in_rest};
 use sablepass_stand::site::{Site, ask};
 
@@ -154,6 +156,46 @@
     });
 }
 
+/// Targets with an agent before them: it knows what they ask for, and so do the entries.
+#[test]
+fn verify_an_engine_behind_its_agent_is_left_alone() {
+    let fleet = common::fleet(false);
+    let (resting, addr) = (&fleet.targets[0], fleet.http(0));
+    resting.mode(&format!("rest {REST}"));
+    let until = Instant::now() + Duration::from_millis(REST + 500);
+    let mut number = 0;
+    while Instant::now() < until {
+        number += 1;
+        let word = format!("rested{number}");
+        let answer = Ask::chat(common::FARM, "triage", &word, 2, true).send(&addr);
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    let turned = resting.turned();
+    let first = *turned.first().expect("it was asked once");
+    let within = first + GRACE..first + REST;
+    let most = turned.iter().filter(|it| within.contains(it)).count();
+    assert!(most <= MOST, "{most} of {} reached an engine that rests", turned.len());
+}
+
+/// All of them rest: callers are told how long.
+#[test]
+fn verify_callers_are_told_when_all_engines_have_rested() {
+    let fleet = common::fleet(false);
+    let addr = fleet.http(0);
+    fleet.targets[..2].iter().for_each(|it| it.mode(&format!("rest {REST}")));
+    let asked = Instant::now();
+    let ask = || Ask::chat(common::FARM, "triage", "all", 2, true).send(&addr);
+    wait_for("all ask for rest", || {
+        ask();
+        fleet.targets[..2].iter().all(|it| !it.turned().is_empty())
+    });
+    wait_for("the entry knows", || ask().reason() == "targets-rest");
+    let answer = ask();
+    let left = REST as f64 / 1_000.0 - asked.elapsed().as_secs_f64();
+    let told: f64 = answer.retry_after.parse().expect("a time to come back");
+    assert!((left..left + 1.3).contains(&told), "told {told} whole seconds, {left} are left");
+}
+
 /// Where all rest nothing can be served: callers are told so at once, and when to return.
 #[test]
 fn verify_callers_are_told_when_all_targets_have_rested() {
