Agents heed the rest that their target asks for

Cause: an agent passed its engine's 503 on as an answer like any other. Change: it keeps the latest end that the engine named, refuses what comes before that (target-rests, not run, tried elsewhere) and tells the entries with its heartbeat, at once; they choose others, and where all rest tell callers when. An engine that refuses connections has ended, and its rest with it. Before: callers refused as the retry budget was used up, with another engine idle. Left: an engine that ends and is back while it rests is not seen to, since nothing is sent to it; its rest is kept to the end.

--- a/crates/sablepass-agent/src/keeper.rs
+++ b/crates/sablepass-agent/src/keeper.rs
@@ -84,6 +84,8 @@
     pub(crate) load: Option<Load>,
     /// When the target last refused a connection, until it is known to take them again.
     pub(crate) away: Option<Millis>,
+    /// Until when the target wants nothing, as it said: the latest end that it named.
+    pub(crate) rests: Millis,
     pub(crate) capacity: u32,
     pub(crate) stop_at: Option<Millis>,
     pub(crate) stopping: bool,
@@ -119,6 +121,7 @@
             memory: Memory::default(),
             load: None,
             away: None,
+            rests: 0,
             capacity: 0,
             stop_at: None,
             stopping: false,
@@ -198,6 +201,10 @@
     fn dispatch(&mut self, peer: PeerKey, it: wire::Dispatch) -> Result<(), convert::Error> {
         let asked = convert::dispatch(&it)?;
         let attempt = asked.attempt;
+        if clock::now() < self.rests {
+            self.refuse(peer, attempt, Refusal::TargetRests);
+            return Ok(());
+        }
         match self.gate.dispatch(clock::now(), &asked) {
             Decision::Run => {
                 let key = asked.key.filter(|_| asked.unsafe_repeat);
@@ -257,7 +264,10 @@
     pub fn part(&mut self, _cx: CX![], part: Part) {
         let attempt = part.attempt;
         match part.content {
-            Content::Head { status, content_type } => {
+            Content::Head { status, content_type, rest } => {
+                if let Some(asked) = rest {
+                    self.rest(attempt, asked);
+                }
                 let Some(active) = self.active.get_mut(&attempt) else {
                     return;
                 };
@@ -271,6 +281,15 @@
         }
     }
 
+    /// Leaves the target alone for as long as it asked, and tells the entries.
+    fn rest(&mut self, attempt: AttemptId, asked: Millis) {
+        let until = clock::now().saturating_add(asked);
+        slog::info!(self.log, "target rests"; "request" => %attempt.request,
+            "attempt" => attempt.number, "rest" => asked, "begins" => clock::now() >= self.rests);
+        self.rests = self.rests.max(until);
+        self.report();
+    }
+
     fn bytes(&mut self, attempt: AttemptId, bytes: &[u8]) {
         let Some(active) = self.active.get_mut(&attempt) else {
             return;
@@ -317,6 +336,8 @@
             Err(failure) => {
                 if failure.reason == Refusal::EngineAway {
                     self.away = Some(now);
+                    // What refuses connections has ended, and its next life asked for nothing.
+                    self.rests = 0;
                 }
                 self.metrics.refused(failure.reason);
                 self.send(peer, convert::failed(attempt, failure));
--- a/crates/sablepass-agent/src/leaving.rs
+++ b/crates/sablepass-agent/src/leaving.rs
@@ -64,6 +64,7 @@
             group: 0,
             stands: false,
             refuses: self.away.is_some(),
+            rest: self.rests.saturating_sub(now),
         });
         for peer in self.entries.peers() {
             self.send(Some(peer), report.clone());
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -365,6 +365,8 @@
             stands: self.state().stands,
             refuses: self.refuses,
             group: self.group().map_or(0, |it| rendezvous::stable_hash(&it.name) as u32),
+            // It sends the target no requests that could be turned away.
+            rest: 0,
         });
         for peer in self.entries.peers() {
             call!([self.mesh], send(peer, report.clone()));
--- a/crates/sablepass-agent/src/run.rs
+++ b/crates/sablepass-agent/src/run.rs
@@ -8,9 +8,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use sablepass_core::id::AttemptId;
+use sablepass_core::id::{AttemptId, Millis};
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
+use sablepass_edge::clock;
+use sablepass_platform::answer::{self, Rest};
 use stakker::sync::Channel;
 
 /// Bytes read from the target at once.
@@ -55,6 +57,8 @@
         status: u32,
         /// Content type.
         content_type: String,
+        /// How long the target wants nothing more.
+        rest: Option<Millis>,
     },
     /// Bytes.
     Bytes(Vec<u8>),
@@ -93,8 +97,10 @@
         .and_then(|it| it.to_str().ok())
         .unwrap_or("application/octet-stream")
         .to_owned();
-    send(Content::Head { status: u32::from(response.status().as_u16()), content_type });
-    let end = copy(response.into_body().into_reader(), &job.cancelled, |bytes| {
+    let (head, body) = response.into_parts();
+    let status = u32::from(head.status.as_u16());
+    send(Content::Head { status, content_type, rest: rest(head) });
+    let end = copy(body.into_reader(), &job.cancelled, |bytes| {
         send(Content::Bytes(bytes));
     });
     send(end);
@@ -129,6 +135,13 @@
     agent.run(request)
 }
 
+fn rest(head: ureq::http::response::Parts) -> Option<Millis> {
+    match answer::decode(clock::now(), &ureq::http::Response::from_parts(head, ())).rest {
+        Rest::For(it) => Some(it),
+        Rest::None | Rest::Unread => None,
+    }
+}
+
 fn copy(mut from: impl Read, cancelled: &AtomicBool, mut to: impl FnMut(Vec<u8>)) -> Content {
     let broke = |reason| Content::Failed(Failure { reason, ran: Ran::Ran });
     let mut buffer = vec![0; READ_SIZE];
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -93,6 +93,8 @@
     pub refuses: bool,
     /// Entries connected to the agent; 0 if it did not say.
     pub entries: u32,
+    /// How much longer the target wants nothing.
+    pub rest: Millis,
     /// Time since the engine last answered its agent; none if it is not asked.
     pub engine_age: Option<Millis>,
 }
@@ -112,7 +114,8 @@
     /// What tells that it is live.
     pub source: Source,
     /// It refused a connection or work, or failed, and is left alone until then: a guess,
-    /// unlike the rest that a target asks for.
+    /// unlike the rest that a target asks for. Of a target behind its agent, the end of the rest
+    /// that the agent was asked for.
     pub alone: Millis,
     /// Its incarnation.
     pub incarnation: Incarnation,
@@ -262,6 +265,10 @@
         member.reported = true;
         member.linked = true;
         member.alive = now.saturating_sub(report.engine_age.unwrap_or(0));
+        if member.source == Source::Heartbeats {
+            // The agent was asked, and keeps to it by itself.
+            member.alone = now.saturating_add(report.rest);
+        }
         member.refuses = report.refuses.then(|| member.refuses.unwrap_or(now));
         member.report = report;
         member.told_at = now;
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -135,6 +135,8 @@
         EndsTargets = 50, "ends-targets";
         /// All targets that could serve it asked not to be sent anything for a while.
         TargetsRest = 51, "targets-rest";
+        /// The target asked not to be sent anything for a while.
+        TargetRests = 52, "target-rests";
         /// The headers are longer than the limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -210,6 +212,7 @@
             | Self::GroupClosed
             | Self::EndsTargets
             | Self::TargetsRest
+            | Self::TargetRests
             | Self::TargetFull
             | Self::Misdirected
             | Self::ProcessLimit
@@ -256,6 +259,7 @@
                 | Self::EngineAway
                 | Self::Blocked
                 | Self::TargetFull
+                | Self::TargetRests
                 | Self::Misdirected
         )
     }
--- a/crates/sablepass-core/tests/membership.rs
+++ b/crates/sablepass-core/tests/membership.rs
@@ -19,6 +19,7 @@
         group: 0,
         stands: false,
         refuses: false,
+        rest: 0,
         engine_age: None,
     }
 }
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -4,6 +4,7 @@
 //! What targets said of themselves to this entry, and what that leaves of a service.
 
 use sablepass_core::id::Millis;
+use sablepass_core::membership::Source;
 use sablepass_core::notices::Life;
 
 use crate::targets::{Served, Targets};
@@ -64,13 +65,19 @@
         self.notices.resting(now)
     }
 
+    /// Whether a target rests that is reached through its agent.
+    fn rests_behind_agent(&self, now: Millis, name: &str) -> bool {
+        let member = self.members.get(name);
+        member.is_some_and(|it| it.source == Source::Heartbeats && now < it.alone)
+    }
+
     /// When the first target takes requests again, where all that could serve are left alone
     /// and some of them asked for it.
     pub fn rested(&self, now: Millis, served: &Served) -> Option<Millis> {
         let names = self.subsets.get(served)?;
         let rests = |it: &String| self.notices.rests(now, self.life(it));
-        let asked = !self.notices.is_empty() && names.iter().any(|it| rests(it).is_some());
-        if !asked || names.iter().any(|it| self.open_for(now, it)) {
+        let asked = |it: &String| rests(it).is_some() || self.rests_behind_agent(now, it);
+        if !names.iter().any(asked) || names.iter().any(|it| self.open_for(now, it)) {
             return None;
         }
         let there = names.iter().filter(|it| !self.notices.leaves(self.life(it)));
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -165,6 +165,7 @@
         group: it.group,
         stands: it.stands,
         refuses: it.refuses,
+        rest: it.rest,
         // The agent of a plain service has no reading, which it says by the greatest age.
         engine_age: (it.load_age != u32::MAX).then_some(it.load_age.into()),
     })
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -240,6 +240,9 @@
     /// The target refuses its agent's connections.
     #[prost(bool, tag = "13")]
     pub refuses: bool,
+    /// How many milliseconds longer the target wants nothing, as it asked its agent.
+    #[prost(uint64, tag = "14")]
+    pub rest: u64,
 }
 /// What requests were seen to do to targets. Entries tell it each other, and the
 /// agents, whose memory outlasts the entries.
