Compare the instance list by parts where changes do not tell it

Change: 128 parts of the list, each with a hash of what its lines say (core/config/parts.rs). Whoever is behind a peer's last read of everything sends the hashes (1 KB) and gets the lines of the parts that differ; lines that say the same keep their revision. An answer to hashes that no longer hold is dropped. Removals from before such a read are forgotten on both sides. Digests tell since when; the hash of a list is kept as lines change. Declarations go on as before.

Wire: comparisons cut short, too long or of declarations are refused.

--- a/crates/sablepass-core/src/config.rs
+++ b/crates/sablepass-core/src/config.rs
@@ -12,11 +12,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use crate::config::parts::{Mask, Parts};
 use crate::declaration::{self, Declarations};
 use crate::id::Millis;
 use crate::reason::Ignored;
 use crate::rendezvous;
 
+pub mod parts;
+
 /// One version of a document.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Version {
@@ -83,8 +86,38 @@
 pub struct Digest {
     /// Highest revision held.
     pub revision: u64,
-    /// Hash of all keys, revisions held, and revisions in force.
+    /// Hash of all keys, revisions held, and revisions in force; of the instance list, of what its lines say.
     pub hash: u64,
+    /// Whoever holds less than this revision has to be told by comparison.
+    pub since: u64,
+}
+
+/// What a process asks a peer for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pull {
+    /// The revision held.
+    pub after: u64,
+    /// What is held, for a comparison.
+    pub parts: Option<Parts>,
+}
+
+/// What a delta is besides changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Whole {
+    /// All that there is: what it does not name is gone. Since this revision the sender
+    /// knows of each removal.
+    All(u64),
+    /// The same of these parts, which differed from what the receiver held by this hash.
+    Parts(Mask, u64),
+}
+
+impl Whole {
+    fn mask(self) -> Mask {
+        match self {
+            Self::All(_) => Mask::ALL,
+            Self::Parts(mask, _) => mask,
+        }
+    }
 }
 
 /// Documents changed after a revision, up to another; or all that there are.
@@ -96,18 +129,17 @@
     pub revision: u64,
     /// The changed documents.
     pub documents: Vec<Document>,
-    /// Set where the documents are all that the sender holds: what it does not
-    /// name is gone. Since then the sender knows of each removal.
-    pub whole: Option<u64>,
+    /// Set where the documents are not changes, but what there is.
+    pub whole: Option<Whole>,
 }
 
 /// What a peer's digest asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Compare {
     /// Nothing to do.
     Same,
-    /// The peer is ahead: pull from it after this revision.
-    Pull(u64),
+    /// The peer is ahead: pull this from it.
+    Pull(Pull),
     /// The peer is behind: it will pull when it hears of us.
     Behind,
 }
@@ -138,10 +170,12 @@
     what: What,
     check: Check,
     revision: u64,
-    /// Removals after this revision are held, each with its key. What was gone
-    /// before the platform was read as a whole left no trace here.
+    /// What was there at this revision is held, by lines that may have older ones; what came
+    /// and went before it left no trace here. Of what is later each change is held.
     since: u64,
     documents: BTreeMap<String, Document>,
+    /// Of the instances that are there.
+    parts: Parts,
     verdicts: BTreeMap<String, Verdict>,
 }
 
@@ -159,6 +193,7 @@
             revision: 0,
             since: 0,
             documents: BTreeMap::new(),
+            parts: Parts::default(),
             verdicts: BTreeMap::new(),
         }
     }
@@ -187,9 +222,17 @@
     /// one in force. Without the latter, a process that never saw the last
     /// accepted version of a badly edited document would not notice.
     pub fn digest(&self) -> Digest {
-        let line = |it: &Document| (it.key.clone(), it.newest.revision, self.force(&it.key));
-        let held: Vec<(String, u64, Option<u64>)> = self.documents.values().map(line).collect();
-        Digest { revision: self.revision, hash: rendezvous::stable_hash(&held) }
+        let hash = match self.what {
+            What::Instances => self.parts.hash(),
+            What::Declarations => {
+                let line =
+                    |it: &Document| (it.key.clone(), it.newest.revision, self.force(&it.key));
+                let held: Vec<(String, u64, Option<u64>)> =
+                    self.documents.values().map(line).collect();
+                rendezvous::stable_hash(&held)
+            }
+        };
+        Digest { revision: self.revision, hash, since: self.since }
     }
 
     /// Revision in force of a document.
@@ -200,7 +243,7 @@
     /// Compares with a peer's digest.
     pub fn compare(&self, peer: Digest) -> (Compare, Option<Ignored>) {
         if peer.revision > self.revision {
-            return (Compare::Pull(self.revision), None);
+            return (Compare::Pull(self.pull(peer.since > self.revision)), None);
         }
         if peer.revision < self.revision {
             return (Compare::Behind, None);
@@ -208,19 +251,39 @@
         if peer.hash == self.digest().hash {
             return (Compare::Same, None);
         }
-        (Compare::Pull(0), Some(Ignored::HashMismatch))
+        (Compare::Pull(self.pull(true)), Some(Ignored::HashMismatch))
     }
 
-    /// What a peer that holds `after` lacks, in order of revision and in
-    /// parts of about `limit` bytes. Each part makes the receiver complete up
-    /// to its revision, so the parts need not arrive together. A peer that may
-    /// hold what was gone before this process knew of removals gets everything
-    /// at once: only so it learns what is not there.
-    pub fn deltas(&self, after: u64, limit: usize) -> Vec<Delta> {
+    /// What to ask for: what changed since, or all that differs.
+    fn pull(&self, all: bool) -> Pull {
+        match (self.what, all) {
+            (_, false) => Pull { after: self.revision, parts: None },
+            (What::Declarations, true) => Pull::default(),
+            (What::Instances, true) => {
+                Pull { after: self.revision, parts: Some(self.parts.clone()) }
+            }
+        }
+    }
+
+    /// What a peer lacks, in order of revision and in parts of about `limit` bytes. Each
+    /// part makes the receiver complete up to its revision, so the parts need not arrive
+    /// together. A peer that may hold what was gone before this process knew of removals has
+    /// to compare, and gets the parts of the list that differ at once.
+    pub fn deltas(&self, pull: &Pull, limit: usize) -> Vec<Delta> {
+        let after = pull.after;
+        if let Some(parts) = &pull.parts {
+            return vec![self.difference(after, parts)];
+        }
         if after < self.since {
-            let documents = self.documents.values().cloned().collect();
-            let (revision, whole) = (self.revision, Some(self.since));
-            return vec![Delta { after, revision, documents, whole }];
+            return match self.what {
+                What::Declarations => {
+                    let documents = self.documents.values().cloned().collect();
+                    let whole = Some(Whole::All(self.since));
+                    vec![Delta { after, revision: self.revision, documents, whole }]
+                }
+                // It asked before it knew; the next digest tells it.
+                What::Instances => Vec::new(),
+            };
         }
         let mut newer: Vec<&Document> =
             self.documents.values().filter(|it| it.newest.revision > after).collect();
@@ -246,6 +309,15 @@
         deltas
     }
 
+    /// What this process holds of the parts in which it differs from a peer.
+    fn difference(&self, after: u64, parts: &Parts) -> Delta {
+        let mask = self.parts.differing(parts);
+        let there = self.documents.values().filter(|it| !it.removed && mask.has(&it.key));
+        let documents = there.cloned().collect();
+        let whole = Some(Whole::Parts(mask, parts.hash()));
+        Delta { after, revision: self.revision, documents, whole }
+    }
+
     /// Takes a delta in. True if anything changed. The parts of a full copy
     /// may be older than what is held and still bring an accepted version;
     /// one that brings nothing is old.
@@ -253,7 +325,10 @@
         if delta.after > self.revision {
             return Err(Ignored::DeltaGap);
         }
-        if delta.whole.is_some() {
+        if let Some(whole) = delta.whole {
+            if self.what == What::Instances {
+                return self.replace(delta, whole);
+            }
             self.complete(&mut delta);
         }
         let old = delta.revision < self.revision;
@@ -262,7 +337,9 @@
             changed |= self.put(document);
         }
         // What came and went between the two revisions is not known here.
-        if let Some(since) = delta.whole.filter(|it| *it > self.revision) {
+        if let Some(Whole::All(since)) = delta.whole
+            && since > self.revision
+        {
             self.since = since;
         }
         if old && !changed {
@@ -272,6 +349,60 @@
         Ok(changed)
     }
 
+    /// Takes in what there is of some parts of the list. A line that says the same keeps
+    /// its revision, and is told to no peer: whoever is behind this revision compares.
+    fn replace(&mut self, delta: Delta, whole: Whole) -> Result<bool, Ignored> {
+        let other = matches!(whole, Whole::Parts(_, of) if of != self.parts.hash());
+        if delta.revision < self.revision || other {
+            return Err(Ignored::OldRevision);
+        }
+        let newer = delta.revision > self.revision;
+        let mut changed = newer;
+        for key in self.unnamed(&delta, whole.mask()) {
+            self.remove(&key);
+            changed = true;
+        }
+        for document in delta.documents {
+            let held = self.documents.get(&document.key);
+            let later = held.is_some_and(|it| it.newest.revision > delta.revision);
+            let older = held.is_some_and(|it| it.newest.revision >= document.newest.revision);
+            if later || self.holds(&document) || (older && !newer) {
+                continue;
+            }
+            self.insert(document);
+            changed = true;
+        }
+        self.revision = delta.revision;
+        self.since = delta.revision;
+        // Whoever is told of these by comparison has no use for them.
+        self.documents.retain(|_, it| !it.removed || it.newest.revision > delta.revision);
+        Ok(changed)
+    }
+
+    /// What is held of some parts, is not named and is not newer.
+    fn unnamed(&self, delta: &Delta, mask: Mask) -> Vec<String> {
+        let named: BTreeSet<&str> = delta.documents.iter().map(|it| it.key.as_str()).collect();
+        let gone = |it: &&Document| {
+            let there = !it.removed && it.newest.revision < delta.revision;
+            there && mask.has(&it.key) && !named.contains(it.key.as_str())
+        };
+        self.documents.values().filter(gone).map(|it| it.key.clone()).collect()
+    }
+
+    fn insert(&mut self, document: Document) {
+        self.remove(&document.key);
+        if !document.removed {
+            self.parts.toggle(&document.key, &document.newest.body);
+        }
+        self.documents.insert(document.key.clone(), document);
+    }
+
+    fn remove(&mut self, key: &str) {
+        if let Some(held) = self.documents.remove(key).filter(|it| !it.removed) {
+            self.parts.toggle(key, &held.newest.body);
+        }
+    }
+
     /// Makes a delta out of everything that there is: what is held, is not
     /// named and is not newer is removed. What was gone already may have been
     /// back meanwhile, for those who hold more of its history: it is gone again.
@@ -321,8 +452,9 @@
 
     fn put(&mut self, mut document: Document) -> bool {
         let held = self.documents.get(&document.key).map(|it| it.newest.revision);
-        if held.is_none() && document.newest.revision <= self.since {
-            // Everything was read later than that, and it was not there.
+        let known = held.is_none() || self.what == What::Instances;
+        if known && document.newest.revision <= self.since {
+            // Everything was read later than that.
             return false;
         }
         if held > Some(document.newest.revision) {
@@ -334,7 +466,7 @@
         if self.what == What::Declarations {
             self.judge(&mut document);
         }
-        self.documents.insert(document.key.clone(), document);
+        self.insert(document);
         true
     }
 
--- a/crates/sablepass-core/tests/config.rs
+++ b/crates/sablepass-core/tests/config.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use sablepass_core::catalogue::Catalogue;
 use sablepass_core::config::{
-    Compare, Delta, Document, DutyOptions, Store, Version, What, on_duty,
+    Compare, Delta, Document, DutyOptions, Pull, Store, Version, What, on_duty,
 };
 use sablepass_core::reason::Ignored;
 
@@ -39,7 +39,7 @@
     assert_eq!(store.verdicts()["p/a"].force.as_ref().map(|it| it.0), Some(1));
     // A process that starts now learns both from a peer.
     let mut fresh = self::store();
-    for it in store.deltas(0, 1 << 20) {
+    for it in store.deltas(&Pull::default(), 1 << 20) {
         fresh.merge(it).expect("newer");
     }
     assert!(Catalogue::build(&fresh).customers.contains_key("p/one"));
@@ -105,8 +105,8 @@
                 2 => {
                     let (a, b) = (rng.random_range(0..4), rng.random_range(0..4));
                     let (compare, _) = stores[a].compare(stores[b].digest());
-                    if let Compare::Pull(after) = compare {
-                        late.extend(stores[b].deltas(after, 64).into_iter().map(|it| (a, it)));
+                    if let Compare::Pull(pull) = compare {
+                        late.extend(stores[b].deltas(&pull, 64).into_iter().map(|it| (a, it)));
                     }
                 }
                 _ => {}
@@ -124,8 +124,8 @@
         for _ in 0..4 {
             for a in 0..4 {
                 for b in 0..4 {
-                    if let (Compare::Pull(after), _) = stores[a].compare(stores[b].digest()) {
-                        for it in stores[b].deltas(after, 64) {
+                    if let (Compare::Pull(pull), _) = stores[a].compare(stores[b].digest()) {
+                        for it in stores[b].deltas(&pull, 64) {
                             let _ = stores[a].merge(it);
                         }
                     }
--- a/crates/sablepass-core/tests/listing.rs
+++ b/crates/sablepass-core/tests/listing.rs
@@ -15,7 +15,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use sablepass_core::config::{Compare, Delta, Document, Store, Version, What};
+use sablepass_core::config::{Compare, Delta, Document, Store, Version, What, Whole};
 
 const KEYS: usize = 4;
 /// Texts that an entry of the list has: targets are ready, or leaving.
@@ -55,7 +55,7 @@
             all.insert(&it.key, it);
         }
         let documents = all.into_values().filter(|it| !it.removed).cloned().collect();
-        let whole = Some(revision);
+        let whole = Some(Whole::All(revision));
         Delta { after: after.min(revision), revision, documents, whole }
     }
 }
@@ -70,8 +70,8 @@
 }
 
 fn pull(stores: &mut [Store], from: usize, to: usize) {
-    if let (Compare::Pull(after), _) = stores[to].compare(stores[from].digest()) {
-        for it in stores[from].deltas(after, 100) {
+    if let (Compare::Pull(pull), _) = stores[to].compare(stores[from].digest()) {
+        for it in stores[from].deltas(&pull, 100) {
             // As above.
             let _ = stores[to].merge(it);
         }
--- a/crates/sablepass-core/tests/telling.rs
+++ b/crates/sablepass-core/tests/telling.rs
@@ -13,7 +13,7 @@
 
 use std::collections::BTreeMap;
 
-use sablepass_core::config::{Compare, Delta, Document, Store, Version, What};
+use sablepass_core::config::{Compare, Delta, Document, Store, Version, What, Whole};
 
 /// Targets in the list.
 const SIZES: [usize; 5] = [30, 100, 300, 1_000, 5_000];
@@ -77,7 +77,7 @@
             Some(Document { key: key.clone(), newest, removed: false, accepted: None })
         };
         let documents = self.lines.iter().filter_map(line).collect();
-        Delta { after, revision: self.revision, documents, whole: Some(self.revision) }
+        Delta { after, revision: self.revision, documents, whole: Some(Whole::All(self.revision)) }
     }
 }
 
@@ -116,10 +116,13 @@
 
     fn pull(&mut self, from: usize, to: usize) {
         let digest = self.stores[from].digest();
-        let (Compare::Pull(after), _) = self.stores[to].compare(digest) else { return };
-        for it in self.stores[from].deltas(after, 16_384) {
+        let (Compare::Pull(pull), _) = self.stores[to].compare(digest) else { return };
+        for it in self.stores[from].deltas(&pull, 16_384) {
             let size = |it: &Document| it.key.len() + it.newest.body.len();
             self.told[to] += it.documents.iter().map(size).sum::<usize>();
+            // What it sends to ask, and the mask of the answer.
+            let asked = pull.parts.as_ref().map_or(0, |it| 8 * it.hashes().len() + 16);
+            self.told[to] += asked;
             // One that is old by now is ignored.
             let _ = self.stores[to].merge(it);
         }
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sablepass_core::config::{Delta, Document, Version, What};
+use sablepass_core::config::{Delta, Document, Version, What, Whole};
 use sablepass_platform::{config, replica, store};
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
@@ -219,7 +219,7 @@
             documents.push(it);
             problems.extend(problem);
         }
-        let whole = whole.then_some(revision);
+        let whole = whole.then_some(Whole::All(revision));
         Batch { delta: Delta { after, revision, documents, whole }, problems }
     }
 
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -242,6 +242,7 @@
             age: u32::try_from(now.saturating_sub(self.fresh)).unwrap_or(u32::MAX),
             list_revision: instances.revision,
             list_hash: instances.hash,
+            list_since: instances.since,
         }
     }
 
@@ -249,8 +250,11 @@
     pub fn compare(&mut self, now: Millis, it: &wire::Digest) -> Vec<wire::Pull> {
         self.fresh = self.fresh.max(now.saturating_sub(Millis::from(it.age)));
         let theirs = [
-            (What::Declarations, Digest { revision: it.revision, hash: it.hash }),
-            (What::Instances, Digest { revision: it.list_revision, hash: it.list_hash }),
+            (What::Declarations, Digest { revision: it.revision, hash: it.hash, since: 0 }),
+            (
+                What::Instances,
+                Digest { revision: it.list_revision, hash: it.list_hash, since: it.list_since },
+            ),
         ];
         let mut pulls = Vec::new();
         for (what, digest) in theirs {
@@ -261,10 +265,10 @@
             if let Some(reason) = ignored {
                 self.metrics.ignored(reason);
             }
-            if let Compare::Pull(after) = compare
-                && self.source(what).may_pull(now, after)
+            if let Compare::Pull(pull) = compare
+                && self.source(what).may_pull(now, pull.after)
             {
-                pulls.push(wire::Pull { after, what: what as u32 });
+                pulls.push(convert::pull(what, &pull));
             }
         }
         pulls
@@ -272,8 +276,8 @@
 
     /// The answer to a peer's pull.
     pub fn deltas(&mut self, it: &wire::Pull) -> Result<Vec<Body>, convert::Error> {
-        let what = convert::what("pull", it.what)?;
-        let deltas = self.source(what).store.deltas(it.after, DELTA_SIZE);
+        let (what, pull) = convert::parse_pull(it)?;
+        let deltas = self.source(what).store.deltas(&pull, DELTA_SIZE);
         Ok(deltas.iter().map(|it| convert::delta(what, it)).collect())
     }
 
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -5,7 +5,8 @@
 //! behind it has to validate.
 
 use bytes::Bytes;
-use sablepass_core::config::{self, What};
+use sablepass_core::config::parts::{Mask, Parts};
+use sablepass_core::config::{self, What, Whole};
 use sablepass_core::expert::map::Bounds;
 use sablepass_core::flight::{Event, Head, Verdict};
 use sablepass_core::id::{AttemptId, Incarnation, RequestId};
@@ -208,13 +209,20 @@
 /// The message of a delta.
 pub fn delta(what: What, it: &config::Delta) -> Body {
     let documents = it.documents.iter().map(document).collect();
+    let (whole, since, parts, asked) = match it.whole {
+        None => (false, 0, Vec::new(), 0),
+        Some(Whole::All(since)) => (true, since, Vec::new(), 0),
+        Some(Whole::Parts(mask, asked)) => (false, 0, mask.0.to_le_bytes().to_vec(), asked),
+    };
     Body::Delta(wire::Delta {
         after: it.after,
         revision: it.revision,
         documents,
         what: what as u32,
-        whole: it.whole.is_some(),
-        since: it.whole.unwrap_or(0),
+        whole,
+        since,
+        parts: parts.into(),
+        asked,
     })
 }
 
@@ -234,10 +242,39 @@
 pub fn parse_delta(it: wire::Delta) -> Result<(What, config::Delta), Error> {
     let what = what("delta", it.what)?;
     let documents = it.documents.into_iter().map(parse_document).collect();
-    let whole = it.whole.then_some(it.since);
+    let parts = (!it.parts.is_empty()).then(|| mask(&it.parts)).transpose()?;
+    let whole = match (it.whole, parts) {
+        (false, None) => None,
+        (true, None) => Some(Whole::All(it.since)),
+        (false, Some(mask)) => Some(Whole::Parts(mask, it.asked)),
+        (true, Some(_)) => return Err(Error::Field { message: "delta", field: "whole" }),
+    };
     Ok((what, config::Delta { after: it.after, revision: it.revision, documents, whole }))
 }
 
+fn mask(bytes: &[u8]) -> Result<Mask, Error> {
+    let error = Error::Field { message: "delta", field: "parts" };
+    let raw: [u8; 16] = bytes.try_into().map_err(|_| error)?;
+    Ok(Mask(u128::from_le_bytes(raw)))
+}
+
+/// The message that asks a peer for what it holds.
+pub fn pull(what: What, it: &config::Pull) -> wire::Pull {
+    let parts = it.parts.as_ref().map_or_else(Vec::new, |it| it.hashes().to_vec());
+    wire::Pull { after: it.after, what: what as u32, parts }
+}
+
+/// Reads what a peer asks for.
+pub fn parse_pull(it: &wire::Pull) -> Result<(What, config::Pull), Error> {
+    let what = what("pull", it.what)?;
+    if it.parts.is_empty() {
+        return Ok((what, config::Pull { after: it.after, parts: None }));
+    }
+    let error = Error::Field { message: "pull", field: "parts" };
+    let parts = Parts::parse(&it.parts).filter(|_| what == What::Instances).ok_or(error)?;
+    Ok((what, config::Pull { after: it.after, parts: Some(parts) }))
+}
+
 /// Reads which store a message is about.
 pub fn what(message: &'static str, code: u32) -> Result<What, Error> {
     What::parse(code).ok_or(Error::Field { message, field: "what" })
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -302,14 +302,21 @@
     pub list_revision: u64,
     #[prost(fixed64, tag = "5")]
     pub list_hash: u64,
+    /// Whoever holds less of the instance list than this revision has to compare.
+    #[prost(fixed64, tag = "6")]
+    pub list_since: u64,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Pull {
     #[prost(fixed64, tag = "1")]
     pub after: u64,
     /// 0 declarations, 1 instance list.
     #[prost(uint32, tag = "2")]
     pub what: u32,
+    /// A hash for each of the 128 parts of the list that the sender holds, where it asks for
+    /// those that differ.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub parts: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Delta {
@@ -329,6 +336,13 @@
     /// With `whole`: the sender knows of each removal after this revision.
     #[prost(fixed64, tag = "6")]
     pub since: u64,
+    /// The documents are all that the sender holds of these parts of the list: a bit for each
+    /// of the 128, the lowest first, in 16 bytes. Empty otherwise.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub parts: ::prost::bytes::Bytes,
+    /// With `parts`: hash of what the receiver held when it asked.
+    #[prost(fixed64, tag = "8")]
+    pub asked: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Document {
--- a/crates/sablepass-wire/tests/wire.rs
+++ b/crates/sablepass-wire/tests/wire.rs
@@ -4,7 +4,8 @@
 //! Frames and conversions, and whether the committed code fits the schema.
 
 use quickcheck::QuickCheck;
-use sablepass_core::config::{Delta, Document, Version, What};
+use sablepass_core::config::parts::{Mask, Parts};
+use sablepass_core::config::{Delta, Document, Pull, Version, What, Whole};
 use sablepass_core::expert::demand;
 use sablepass_core::flight::{Event, Verdict};
 use sablepass_core::id::{AttemptId, RequestId};
@@ -36,7 +37,7 @@
 #[test]
 fn verify_frames_survive_any_cut() {
     fn holds(data: Vec<u8>, cuts: Vec<u8>) -> bool {
-        let bodies = [chunk(data), Body::Pull(wire::Pull { after: 9, what: 1 })];
+        let bodies = [chunk(data), Body::Pull(wire::Pull { after: 9, what: 1, parts: vec![] })];
         let bytes: Vec<u8> = bodies.iter().cloned().flat_map(encode).collect();
         let mut codec = Codec::open();
         let mut read = Vec::new();
@@ -112,12 +113,43 @@
         removed: false,
         accepted: Some(Version { revision: 2, body: "y".to_owned() }),
     };
-    let delta = Delta { after: 1, revision: 4, documents: vec![document], whole: Some(3) };
-    let Body::Delta(sent) = convert::delta(What::Declarations, &delta) else {
-        panic!("a delta makes a delta");
-    };
-    let read = convert::parse_delta(sent).expect("read");
-    assert_eq!(read, (What::Declarations, delta));
+    for whole in [None, Some(Whole::All(3)), Some(Whole::Parts(Mask(1 << 127 | 5), 77))] {
+        let documents = vec![document.clone()];
+        let delta = Delta { after: 1, revision: 4, documents, whole };
+        let Body::Delta(sent) = convert::delta(What::Declarations, &delta) else {
+            panic!("a delta makes a delta");
+        };
+        let read = convert::parse_delta(sent).expect("read");
+        assert_eq!(read, (What::Declarations, delta));
+    }
+}
+
+#[test]
+fn verify_pulls_survive() {
+    let mut parts = Parts::default();
+    parts.toggle("i-1", "a line");
+    for (what, parts) in [(What::Declarations, None), (What::Instances, Some(parts))] {
+        let pull = Pull { after: 3, parts };
+        let read = convert::parse_pull(&convert::pull(what, &pull)).expect("read");
+        assert_eq!(read, (what, pull));
+    }
+}
+
+/// Comparisons that are cut short or too long are refused.
+#[test]
+fn verify_comparisons_of_another_length_are_refused() {
+    for length in [1, 127, 129, 10_000] {
+        let pull = wire::Pull { after: 1, what: 1, parts: vec![1; length] };
+        assert!(convert::parse_pull(&pull).is_err(), "{length} hashes");
+    }
+    let declarations = wire::Pull { after: 1, what: 0, parts: vec![1; 128] };
+    assert!(convert::parse_pull(&declarations).is_err(), "declarations are not compared");
+    for length in [1, 15, 17] {
+        let delta = wire::Delta { parts: vec![1; length].into(), ..wire::Delta::default() };
+        assert!(convert::parse_delta(delta).is_err(), "a mask of {length} bytes");
+    }
+    let both = wire::Delta { whole: true, parts: vec![1; 16].into(), ..wire::Delta::default() };
+    assert!(convert::parse_delta(both).is_err(), "all, and parts of it");
 }
 
 /// The committed code is what the generator makes of the schema.
