--- a/crates/sablepass-core/src/config.rs
+++ b/crates/sablepass-core/src/config.rs
@@ -349,7 +349,7 @@
         Ok(changed)
     }
 
-    /// Takes in what there is of some parts of the list. A line that says the same keeps
+    /// Takes in what there is of some parts of the list. True if any line changed. A line that says the same keeps
     /// its revision, and is told to no peer: whoever is behind this revision compares.
     fn replace(&mut self, delta: Delta, whole: Whole) -> Result<bool, Ignored> {
         let other = matches!(whole, Whole::Parts(_, of) if of != self.parts.hash());
@@ -357,7 +357,7 @@
             return Err(Ignored::OldRevision);
         }
         let newer = delta.revision > self.revision;
-        let mut changed = newer;
+        let mut changed = false;
         for key in self.unnamed(&delta, whole.mask()) {
             self.remove(&key);
             changed = true;
--- a/crates/sablepass-core/tests/telling.rs
+++ b/crates/sablepass-core/tests/telling.rs
@@ -193,6 +193,25 @@
     }
 }
 
+/// What is compared may differ by nothing but what is gone.
+#[test]
+fn verify_what_is_gone_is_a_change() {
+    let mut platform = Platform::open(30);
+    let mut fleet = settled(&mut platform);
+    platform.lapse(1);
+    fleet.read(0, &platform, true);
+    let (Compare::Pull(pull), _) = fleet.stores[READERS].compare(fleet.stores[0].digest()) else {
+        panic!("it is behind");
+    };
+    let deltas = fleet.stores[0].deltas(&pull, 16_384);
+    let delta = deltas.first().expect("an answer").clone();
+    assert_eq!(fleet.stores[READERS].merge(delta.clone()), Ok(true));
+    let again = Delta { after: 0, ..delta };
+    assert!(fleet.stores[READERS].merge(again).is_err(), "it is of a list held before");
+    fleet.talk();
+    fleet.agrees(&platform);
+}
+
 /// An outage in which some entries lapse and its history is lost.
 #[test]
 fn verify_an_outage_tells_what_lapsed_and_came_back() {
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -284,7 +284,7 @@
     /// Takes a delta in. Returns what changed.
     pub fn merge(&mut self, what: What, it: Delta) -> Option<What> {
         // A revision that brings no document is known to peers by the next digest.
-        let empty = it.documents.is_empty();
+        let empty = it.documents.is_empty() && it.whole.is_none();
         match self.source(what).store.merge(it) {
             Ok(false) => None,
             Ok(true) if empty => None,
