--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod deaths;
 pub mod declaration;
+pub mod duty;
 pub mod events;
 pub mod expert;
 pub mod fingerprint;
--- a/crates/sablepass-core/tests/config.rs
+++ b/crates/sablepass-core/tests/config.rs
@@ -6,9 +6,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sablepass_core::catalogue::Catalogue;
-use sablepass_core::config::{
-    Compare, Delta, Document, DutyOptions, Pull, Store, Version, What, on_duty,
-};
+use sablepass_core::config::{Compare, Delta, Document, Pull, Store, Version, What};
+use sablepass_core::duty;
 use sablepass_core::reason::Ignored;
 
 fn body(name: &str) -> String {
@@ -149,14 +148,15 @@
 fn verify_readers_are_few_and_replaced() {
     let names: Vec<String> = (0..50).map(|it| format!("n{it}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
-    let options = DutyOptions::default();
-    let readers = |age| names.iter().filter(|it| on_duty(options, it, "h", &names, age)).count();
+    let options = duty::Options::default();
+    let readers =
+        |age| names.iter().filter(|it| duty::on_duty(options, it, "h", &names, age)).count();
     assert_eq!(readers(0), 2);
     assert_eq!(readers(options.patience), 3);
     assert_eq!(readers(1_000_000), 8);
     // A reader that the list no longer names is replaced.
-    let first = names.iter().copied().find(|it| on_duty(options, it, "h", &names, 0));
+    let first = names.iter().copied().find(|it| duty::on_duty(options, it, "h", &names, 0));
     let rest: Vec<&str> = names.iter().copied().filter(|it| Some(*it) != first).collect();
-    let left = rest.iter().filter(|it| on_duty(options, it, "h", &rest, 0)).count();
+    let left = rest.iter().filter(|it| duty::on_duty(options, it, "h", &rest, 0)).count();
     assert_eq!(left, 2);
 }
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -17,8 +17,9 @@
 use std::time::Duration;
 
 use sablepass_core::catalogue::Catalogue;
-use sablepass_core::config::{self, Check, Compare, Delta, Digest, Document, Store, What};
+use sablepass_core::config::{Check, Compare, Delta, Digest, Document, Store, What};
 use sablepass_core::declaration;
+use sablepass_core::duty;
 use sablepass_core::id::Millis;
 use sablepass_core::reason::Ignored;
 use sablepass_wire::convert;
@@ -459,7 +460,7 @@
     fn ranks_as_reader(&self, now: Millis) -> bool {
         let me = self.node.name.as_str();
         let patience = self.node.patience;
-        let options = config::DutyOptions { patience, ..config::DutyOptions::default() };
+        let options = duty::Options { patience, ..duty::Options::default() };
         let hall = match self.node.form {
             Form::Changes => self.node.hall.as_str(),
             // A few of all entries together.
@@ -478,6 +479,6 @@
         if names.is_empty() {
             names.push(me);
         }
-        config::on_duty(options, me, hall, &names, self.age(now))
+        duty::on_duty(options, me, hall, &names, self.age(now))
     }
 }
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -163,8 +163,12 @@
             return;
         }
         let carried = self.pool.carried(key).copied();
-        self.pool.take_back(key);
-        self.pool.rest(now, key, None);
+        if self.pool.target(key).is_some_and(|it| self.targets.has_left(it)) {
+            self.pool.close(key);
+        } else {
+            self.pool.take_back(key);
+            self.pool.rest(now, key, None);
+        }
         if let Some(it) = carried {
             self.left(it.request, key);
             self.event(cx, it.request, it.attempt, Event::Unsent);
