Refuse a comparison of declarations from a peer

Cause: found by reading for bad input: a delta that names parts of the list but declarations as its subject would have been taken as all declarations there are, and everything that it does not name as gone. Change: a typed error, counted as a bad frame. Before: read as if it were right (wire/tests/wire.rs, run without the change); after: refused.

--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -246,8 +246,9 @@
     let whole = match (it.whole, parts) {
         (false, None) => None,
         (true, None) => Some(Whole::All(it.since)),
-        (false, Some(mask)) => Some(Whole::Parts(mask, it.asked)),
-        (true, Some(_)) => return Err(Error::Field { message: "delta", field: "whole" }),
+        (false, Some(mask)) if what == What::Instances => Some(Whole::Parts(mask, it.asked)),
+        // Declarations are not compared: what is not among some would count as gone.
+        (_, Some(_)) => return Err(Error::Field { message: "delta", field: "whole" }),
     };
     Ok((what, config::Delta { after: it.after, revision: it.revision, documents, whole }))
 }
--- a/crates/sablepass-wire/tests/wire.rs
+++ b/crates/sablepass-wire/tests/wire.rs
@@ -113,14 +113,19 @@
         removed: false,
         accepted: Some(Version { revision: 2, body: "y".to_owned() }),
     };
-    for whole in [None, Some(Whole::All(3)), Some(Whole::Parts(Mask(1 << 127 | 5), 77))] {
+    let parts = Some(Whole::Parts(Mask(1 << 127 | 5), 77));
+    let wholes = [
+        (What::Declarations, None),
+        (What::Declarations, Some(Whole::All(3))),
+        (What::Instances, parts),
+    ];
+    for (what, whole) in wholes {
         let documents = vec![document.clone()];
         let delta = Delta { after: 1, revision: 4, documents, whole };
-        let Body::Delta(sent) = convert::delta(What::Declarations, &delta) else {
+        let Body::Delta(sent) = convert::delta(what, &delta) else {
             panic!("a delta makes a delta");
         };
-        let read = convert::parse_delta(sent).expect("read");
-        assert_eq!(read, (What::Declarations, delta));
+        assert_eq!(convert::parse_delta(sent).expect("read"), (what, delta));
     }
 }
 
@@ -145,10 +150,15 @@
     let declarations = wire::Pull { after: 1, what: 0, parts: vec![1; 128] };
     assert!(convert::parse_pull(&declarations).is_err(), "declarations are not compared");
     for length in [1, 15, 17] {
-        let delta = wire::Delta { parts: vec![1; length].into(), ..wire::Delta::default() };
+        let parts = vec![1; length];
+        let delta = wire::Delta { what: 1, parts: parts.into(), ..wire::Delta::default() };
         assert!(convert::parse_delta(delta).is_err(), "a mask of {length} bytes");
     }
-    let both = wire::Delta { whole: true, parts: vec![1; 16].into(), ..wire::Delta::default() };
+    let parts = vec![1; 16];
+    let declarations = wire::Delta { what: 0, parts: parts.into(), ..wire::Delta::default() };
+    assert!(convert::parse_delta(declarations).is_err(), "declarations are not compared");
+    let both =
+        wire::Delta { what: 1, whole: true, parts: vec![1; 16].into(), ..wire::Delta::default() };
     assert!(convert::parse_delta(both).is_err(), "all, and parts of it");
 }
 
