Sight: which answers of targets name a limit, and what it is

Cause of the change: no log or metric told whether an answer named a limit, so that an entry that does not read it could not be told from one that reads it and takes all of it for itself. An entry now logs each answer that names one (target, life, attempt, status, limit) and counts them in sablepass_limits_named_total; an agent logs when the account that its target gives of itself begins or ends to name one. What is not a rate is counted apart. Requests go where they went before.

--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -22,6 +22,7 @@
 use sablepass_edge::mesh::{self, Mesh, Wanted};
 use sablepass_edge::telemetry::Metrics;
 use sablepass_edge::{admin, clock, runtime};
+use sablepass_platform::answer::{self, Limit};
 use sablepass_platform::engine;
 use sablepass_wire::generated::frame::Body;
 use sablepass_wire::{convert, generated as wire};
@@ -65,6 +66,8 @@
     good: bool,
     /// It refused the last connection.
     refuses: bool,
+    /// The limit that it last named.
+    limit: Limit,
     ranks: Ranks,
     /// What entries told of the maps of services, with the revision that says so.
     bounds: BTreeMap<String, (u64, Bounds)>,
@@ -123,6 +126,7 @@
             steps: Steps::default(),
             good: false,
             refuses: false,
+            limit: Limit::None,
             ranks,
             bounds: BTreeMap::new(),
             instances: Rc::default(),
@@ -267,8 +271,11 @@
     /// Takes the end of a call to the target.
     pub fn heard(&mut self, _cx: CX![], (ask, heard): (Ask, Heard)) {
         let now = clock::now();
+        if let Ok(it) = &heard {
+            self.names_limit(answer::limit(&it.fields));
+        }
         match (&ask, &heard) {
-            (Ask::Report, Ok(Answer { status: 200, body })) => match engine::report(body) {
+            (Ask::Report, Ok(Answer { status: 200, body, .. })) => match engine::report(body) {
                 Ok(it) => self.report(now, it),
                 Err(e) => self.lost(now, &e.to_string(), false),
             },
@@ -281,6 +288,13 @@
         }
     }
 
+    /// Says when the target begins or ends to name a limit, or names another.
+    fn names_limit(&mut self, limit: Limit) {
+        if std::mem::replace(&mut self.limit, limit) != limit {
+            slog::info!(self.log, "target names a limit"; "limit" => ?limit);
+        }
+    }
+
     fn report(&mut self, now: Millis, report: engine::Report) {
         self.refuses = false;
         if !self.good {
--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -347,11 +347,11 @@
                 list.push(Do::Ask(Ask::Report));
                 list
             }
-            (Ask::Counts, Ok(Answer { status: 200, body })) => match engine::picked(body) {
+            (Ask::Counts, Ok(Answer { status: 200, body, .. })) => match engine::picked(body) {
                 Ok(it) => self.picked(now, it),
                 Err(e) => self.not_decoded(&e),
             },
-            (Ask::Lists, Ok(Answer { status: 200, body })) => match engine::lists(body) {
+            (Ask::Lists, Ok(Answer { status: 200, body, .. })) => match engine::lists(body) {
                 Ok(it) => {
                     self.lists = Some(it);
                     let mut list: Vec<Do> = self.tell_planner(now).into_iter().collect();
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod forming;
 pub mod gate;
 pub mod id;
+pub mod limits;
 pub mod membership;
 pub mod notices;
 pub mod once;
--- a/crates/sablepass-edge/src/caller.rs
+++ b/crates/sablepass-edge/src/caller.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::header::{self, HeaderValue};
+use http::header::{self, HeaderMap, HeaderValue};
 use snafu::Snafu;
 use stakker::{ActorOwn, CX, Fwd, actor_new, after, call, fwd_to, ret_nop};
 
@@ -41,10 +41,12 @@
 }
 
 /// A whole answer.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
+    /// Its header fields.
+    pub fields: HeaderMap,
     /// Its body.
     pub body: Vec<u8>,
 }
@@ -111,7 +113,7 @@
         }
         self.calls += 1;
         let number = self.calls;
-        self.current = Some(Current { number, answer: Answer { status: 0, body: Vec::new() } });
+        self.current = Some(Current { number, answer: Answer::default() });
         let limit = it.limit;
         let outgoing = self.outgoing(it);
         if self.connection.is_none() {
@@ -165,6 +167,7 @@
             client::Event::Head(head) => {
                 if let Some(it) = &mut self.current {
                     it.answer.status = head.status().as_u16();
+                    it.answer.fields = head.into_parts().0.headers;
                 }
             }
             client::Event::Bytes(bytes) => self.bytes(&bytes),
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -161,7 +161,7 @@
     fn heard(&mut self, _cx: CX![], result: Result<Answer, caller::Error>) {
         let Some(reading) = self.reading.take() else { return };
         let order = reading.order;
-        let Answer { status, body } = match result {
+        let Answer { status, body, .. } = match result {
             Ok(it) => it,
             Err(source) => {
                 self.report(Err(Error::Call { source }));
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -69,6 +69,8 @@
     pub left: IntCounterVec,
     /// Requests that targets did not take, by what they asked for.
     pub turned_away: IntCounterVec,
+    /// Answers that named a limit, by whether that could be read.
+    pub limits_named: IntCounterVec,
     /// Requests under which targets ended, forgotten for want of room.
     pub suspects_evicted: IntCounter,
 }
@@ -139,6 +141,12 @@
                 "Requests that targets did not take",
                 &["asked"],
             )?,
+            limits_named: counters(
+                r,
+                "limits_named_total",
+                "Answers that named a limit",
+                &["limit"],
+            )?,
             suspects_evicted: counter(
                 r,
                 "suspects_evicted_total",
--- a/crates/sablepass-entry/src/notices.rs
+++ b/crates/sablepass-entry/src/notices.rs
@@ -9,7 +9,7 @@
 use sablepass_core::reason::Ignored;
 use sablepass_edge::clock;
 use sablepass_edge::mesh::PeerKey;
-use sablepass_platform::answer::{Meta, Proof, Rest};
+use sablepass_platform::answer::{Limit, Meta, Proof, Rest};
 use sablepass_wire::generated as wire;
 use sablepass_wire::notices;
 use stakker::call;
@@ -64,6 +64,20 @@
             "asked" => asked, "rest" => rest, "begins" => begins, "load" => ?meta.load);
     }
 
+    /// Records that a target names with an answer what it takes from all entries together.
+    pub(crate) fn names_limit(&self, carried: Carried, it: Life<'_>, status: u16, limit: Limit) {
+        let rate = match limit {
+            Limit::None => return,
+            Limit::Of(it) => Some(it.a_second()),
+            Limit::Unread => None,
+        };
+        let read = if rate.is_some() { "read" } else { "unread" };
+        self.metrics.limits_named.with_label_values(&[read]).inc();
+        let label = self.open.get(&carried.request).map(|it| it.run.label.as_str());
+        slog::info!(self.log, "target names a limit"; "id" => label, "target" => it.name,
+            "born" => it.born, "attempt" => carried.attempt, "status" => status, "limit" => rate);
+    }
+
     /// Counts an answer to a request that was sent while its target rested. There is none:
     /// whoever sees this count grow has found a fault of the entry.
     pub(crate) fn check_rest(&self, now: Millis, carried: Carried, it: Life<'_>) {
