Test: a target gets no more than the limit that it names (red)

What callers saw: nothing; the target in need got its even share all the same. The stand-ins name a limit in their answers and log what reached them; stand/src/limits.rs judges that as the users state it.

--- a/crates/sablepass-stand/src/engine.rs
+++ b/crates/sablepass-stand/src/engine.rs
@@ -8,7 +8,8 @@
 //! the prompt, so that a caller can tell its own answer. `POST
 //! /control/mode` takes `ok`, `freeze` (no steps), `busy` (503 to new
 //! requests), `rest N` (the same, and it asks for a rest of N milliseconds), `break N` (close each stream after N tokens) or `hold N` (make
-//! N tokens of each answer and no more until told otherwise).
+//! N tokens of each answer and no more until told otherwise). `POST /control/limit`
+//! takes the requests a second that its answers name as its limit, or `none`.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -63,6 +64,8 @@
 
 struct State {
     mode: Mode,
+    /// What its answers name as the requests a second that it takes.
+    limit: Option<f64>,
     batch: usize,
     running: Vec<Sequence>,
     waiting: VecDeque<Sequence>,
@@ -90,6 +93,7 @@
     pub fn open(options: Options) -> Arc<Self> {
         let state = State {
             mode: Mode::Ok,
+            limit: None,
             batch: options.batch,
             running: Vec::new(),
             waiting: VecDeque::new(),
@@ -228,6 +232,10 @@
             web::json(request, 200, &counts);
         }
         (Method::Post, "/control/mode") => set_mode(engine, request, &body),
+        (Method::Post, "/control/limit") => {
+            engine.lock().limit = body.trim().parse().ok();
+            web::json(request, 200, &json!({}));
+        }
         (Method::Post, "/control/batch") => {
             engine.lock().batch = body.trim().parse().unwrap_or(engine.options.batch).max(1);
             web::json(request, 200, &json!({}));
@@ -284,7 +292,7 @@
         let cached = state.cache(prefix, engine.options.cache);
         let run = state.runs.len();
         let customer = web::header(&request, "x-customer");
-        let entry = json!({ "id": id, "customer": customer, "prompt": prompt, "tokens": 0, "end": "running" });
+        let entry = json!({ "id": id, "customer": customer, "prompt": prompt, "tokens": 0, "end": "running", "at": clock::now() });
         state.runs.push(entry);
         let priority = web::header(&request, "x-priority").parse().unwrap_or(1);
         let prefill = if cached { 1 } else { engine.options.prefill };
@@ -315,10 +323,10 @@
     chat: bool,
     wanted: u64,
 ) {
-    let Ok(mut out) = StreamWriter::open(request, 200, &[("content-type", "text/event-stream")])
-    else {
-        return;
-    };
+    let limit = engine.lock().limit.map(|it| it.to_string());
+    let limit = limit.iter().map(|it| (web::LIMIT, it.as_str()));
+    let fields: Vec<_> = limit.chain([("content-type", "text/event-stream")]).collect();
+    let Ok(mut out) = StreamWriter::open(request, 200, &fields) else { return };
     let mut sent = 0;
     while let Ok(token) = tokens.recv() {
         if engine.breaks_at(token) {
@@ -371,5 +379,6 @@
         json!({ "prompt_tokens": 1, "completion_tokens": wanted, "total_tokens": wanted + 1 });
     let answer =
         json!({ "id": "c", "object": "chat.completion", "choices": [choice], "usage": usage });
-    web::json(request, 200, &answer);
+    let limit = engine.lock().limit;
+    web::json_with_limit(request, &answer, limit);
 }
--- a/crates/sablepass-stand/src/fleet.rs
+++ b/crates/sablepass-stand/src/fleet.rs
@@ -62,6 +62,12 @@
         log.as_array().cloned().unwrap_or_default()
     }
 
+    /// Has its engine name what it takes a second; none if as many as come.
+    pub fn name_limit(&self, a_second: Option<f64>) {
+        let text = a_second.map_or("none".to_owned(), |it| it.to_string());
+        control(&self.base, "POST", "/control/limit", &text);
+    }
+
     /// When its engine turned requests away and asked for a rest.
     pub fn turned(&self) -> Vec<u64> {
         let turned = control(&self.base, "GET", "/control/turned", "");
--- a/crates/sablepass-stand/src/lib.rs
+++ b/crates/sablepass-stand/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod http;
 pub mod keys;
+pub mod limits;
 pub mod process;
 pub mod ranks;
 pub mod replica;
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -74,7 +74,7 @@
 }
 
 /// A request that reached it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Arrival {
     /// The caller's name for it.
     pub id: String,
@@ -84,6 +84,8 @@
     pub rest: Option<u64>,
     /// Since when all answers had said that the replica leaves.
     pub leaves: Option<u64>,
+    /// The requests a second that its answer named as a limit.
+    pub limit: Option<f64>,
 }
 
 /// The most requests that one sender had reach a replica while it wanted to rest: those
@@ -111,7 +113,9 @@
     arrivals: Vec<Arrival>,
     /// Since when all its answers say that it leaves.
     leaves: Option<u64>,
-    /// The answers that said so, by the caller's name for the request, and when.
+    /// The requests a second that all its answers name as a limit.
+    limit: Option<f64>,
+    /// The answers that said that it leaves, by the caller's name for the request, and when.
     notices: Vec<(String, u64)>,
     connections: u32,
     /// What it tells of its group, if it is a rank of one.
@@ -182,6 +186,7 @@
             runs: Vec::new(),
             arrivals: Vec::new(),
             leaves: None,
+            limit: None,
             notices: Vec::new(),
             connections: 0,
             group: None,
@@ -302,6 +307,11 @@
         self.lock().leaves.get_or_insert(clock::now());
     }
 
+    /// Has all its answers name from now on what it takes a second; none if as many as come.
+    pub fn name_limit(&self, a_second: Option<f64>) {
+        self.lock().limit = a_second;
+    }
+
     /// The answers that said that it leaves: the caller's name for the request, and when.
     pub fn notices(&self) -> Vec<(String, u64)> {
         self.lock().notices.clone()
@@ -391,7 +401,8 @@
     fn arrived(&self, run: &Run, mode: Mode) {
         let rest = if let Mode::Shed(it) = mode { Some(it) } else { None };
         let mut state = self.lock();
-        let arrival = Arrival { id: run.id.clone(), at: clock::now(), rest, leaves: state.leaves };
+        let (leaves, limit) = (state.leaves, state.limit);
+        let arrival = Arrival { id: run.id.clone(), at: clock::now(), rest, leaves, limit };
         state.arrivals.push(arrival);
     }
 
@@ -491,14 +502,18 @@
         stream.set_read_timeout(None)
     }
 
-    /// The field that says that it leaves, if it does.
-    fn notice(&self, run: &Run) -> &'static str {
+    /// The fields that say that it leaves, if it does, and what its limit is, if it names one.
+    fn notice(&self, run: &Run) -> String {
         let mut state = self.lock();
-        if state.leaves.is_none() {
-            return "";
+        let mut fields = String::new();
+        if state.leaves.is_some() {
+            state.notices.push((run.id.clone(), clock::now()));
+            fields += "server-leaving: 1\r\n";
+        }
+        if let Some(it) = state.limit {
+            fields += &format!("server-limit: {it}\r\n");
         }
-        state.notices.push((run.id.clone(), clock::now()));
-        "server-leaving: 1\r\n"
+        fields
     }
 
     fn stream(&self, mut stream: &TcpStream, run: &Run) -> std::io::Result<()> {
--- a/crates/sablepass-stand/src/web.rs
+++ b/crates/sablepass-stand/src/web.rs
@@ -69,6 +69,19 @@
     let _ = request.respond(answer.with_header(field));
 }
 
+/// The field that names a limit.
+pub const LIMIT: &str = "server-limit";
+
+/// Answers with JSON, and names a limit if there is one.
+pub fn json_with_limit(request: Request, value: &serde_json::Value, limit: Option<f64>) {
+    let mut answer = http::answer_json(200, value);
+    if let Some(field) = limit.and_then(|it| http::header(LIMIT, &it.to_string())) {
+        answer.add_header(field);
+    }
+    // The asker may be gone.
+    let _ = request.respond(answer);
+}
+
 /// Answers with JSON.
 pub fn json(request: Request, status: u16, value: &serde_json::Value) {
     // The asker may be gone.
