--- a/crates/sablepass-core/src/notices.rs
+++ b/crates/sablepass-core/src/notices.rs
@@ -1,16 +1,19 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! What targets said of themselves: that they want to rest, and that they leave.
+//! What targets said of themselves: that they want to rest, that they leave, and how much
+//! they take from all entries together.
 //!
-//! Both bind whoever was told, unlike what an entry guesses from failures: no later
-//! answer, report, list or reload takes them back, and the latest end of a rest holds. They
-//! hang on a life of the target, not on its address or its entry in a list, which may
-//! lapse and come back.
+//! All of it binds whoever was told, unlike what an entry guesses from failures: no report,
+//! list or reload takes it back, and the latest end of a rest holds. It hangs on a
+//! life of the target, not on its address or its entry in a list, which may lapse and come
+//! back.
 
 use std::collections::HashMap;
 
+use crate::holders::Holders;
 use crate::id::Millis;
+use crate::limits::{Change, Limit, Rate};
 
 /// How long a notice is kept of a target that the list names no more. On the users' platform
 /// an entry that lapsed is back within some seconds; one that stays away has ended.
@@ -26,7 +29,7 @@
 }
 
 /// What one life of a target said.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Notice {
     born: Millis,
     /// Since when it wants nothing, and until when.
@@ -34,10 +37,42 @@
     until: Millis,
     /// It wants nothing any more.
     leaves: bool,
+    /// What it takes from all entries together, if it names a limit.
+    limit: Option<Limit>,
     /// Since when the list does not name it.
     unlisted: Option<Millis>,
 }
 
+impl Notice {
+    /// Changes the limit, if there is one.
+    fn change(
+        &mut self,
+        now: Millis,
+        it: Life<'_>,
+        holders: &Holders,
+        change: impl FnOnce(&mut Limit) -> Change,
+    ) -> Change {
+        let Some(limit) = &mut self.limit else { return Change::None };
+        let before = limit.rate();
+        let change = change(limit);
+        let changed = limit.rate() != before;
+        if change == Change::Ends {
+            self.limit = None;
+        } else if changed {
+            self.share(now, it, holders);
+        }
+        change
+    }
+
+    /// Works out this entry's part of the limit.
+    fn share(&mut self, now: Millis, it: Life<'_>, holders: &Holders) {
+        if let Some(limit) = &mut self.limit {
+            let part = holders.part(it, limit.rate());
+            limit.bucket.set(now, part);
+        }
+    }
+}
+
 /// What all targets said.
 #[derive(Debug, Default)]
 pub struct Notices {
@@ -113,10 +148,93 @@
     pub fn sweep(&mut self, now: Millis) {
         self.notices.retain(|_, it| {
             let lapsed = it.unlisted.is_some_and(|since| now >= since.saturating_add(LAPSED));
-            !lapsed && (it.leaves || now < it.until)
+            !lapsed && (it.leaves || now < it.until || it.limit.is_some())
         });
     }
 
+    /// Takes the limit that an answer names, or that it names none. The request was sent at
+    /// `sent`.
+    pub fn answered(
+        &mut self,
+        now: Millis,
+        it: Life<'_>,
+        sent: Millis,
+        named: Option<Rate>,
+        holders: &Holders,
+    ) -> Change {
+        self.limit(now, it, named, holders, |limit| limit.answered(now, sent, named))
+    }
+
+    /// Takes what another process told of a target's limit; none if it is over.
+    pub fn told(
+        &mut self,
+        now: Millis,
+        it: Life<'_>,
+        rate: Option<Rate>,
+        holders: &Holders,
+    ) -> Change {
+        self.limit(now, it, rate, holders, |limit| limit.told(now, rate))
+    }
+
+    fn limit(
+        &mut self,
+        now: Millis,
+        it: Life<'_>,
+        rate: Option<Rate>,
+        holders: &Holders,
+        change: impl FnOnce(&mut Limit) -> Change,
+    ) -> Change {
+        let known = self.get(it).is_some_and(|it| it.limit.is_some());
+        let Some(rate) = rate.filter(|_| !known) else {
+            let notice = self.notices.get_mut(it.name).filter(|known| known.born == it.born);
+            return notice.map_or(Change::None, |known| known.change(now, it, holders, change));
+        };
+        let mut limit = Limit::begin(now, rate);
+        limit.bucket.set(now, holders.part(it, rate));
+        self.open(it).limit = Some(limit);
+        Change::Holds(rate)
+    }
+
+    /// Believes what was told of limits, where nothing speaks against it. What changed.
+    pub fn settle(&mut self, now: Millis, holders: &Holders) -> Vec<(String, Change)> {
+        let mut changes = Vec::new();
+        for (name, notice) in &mut self.notices {
+            let life = Life { name, born: notice.born };
+            let change = notice.change(now, life, holders, |limit| limit.settle(now));
+            if change != Change::None {
+                changes.push((name.clone(), change));
+            }
+        }
+        changes
+    }
+
+    /// Shares all limits out anew: other entries hold them.
+    pub fn share(&mut self, now: Millis, holders: &Holders) {
+        for (name, notice) in &mut self.notices {
+            let life = Life { name, born: notice.born };
+            notice.share(now, life, holders);
+        }
+    }
+
+    /// The limit that a target names, if it does.
+    pub fn limited(&self, it: Life<'_>) -> Option<&Limit> {
+        self.get(it)?.limit.as_ref()
+    }
+
+    /// Takes a request out of this entry's part of a target's limit. False if that has none.
+    pub fn spend(&mut self, now: Millis, it: Life<'_>) -> bool {
+        let notice = self.notices.get_mut(it.name).filter(|known| known.born == it.born);
+        let limit = notice.and_then(|it| it.limit.as_mut());
+        limit.is_none_or(|it| it.bucket.take(now))
+    }
+
+    /// The lives that name a limit.
+    pub fn limits(&self) -> impl Iterator<Item = (Life<'_>, &Limit)> {
+        self.notices
+            .iter()
+            .filter_map(|(name, it)| Some((Life { name, born: it.born }, it.limit.as_ref()?)))
+    }
+
     /// The lives that said that they leave.
     pub fn leaving(&self) -> impl Iterator<Item = Life<'_>> {
         let leaving = self.notices.iter().filter(|it| it.1.leaves);
