--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -113,8 +113,14 @@
     arrivals: Vec<Arrival>,
     /// Since when all its answers say that it leaves.
     leaves: Option<u64>,
-    /// The requests a second that all its answers name as a limit.
+    /// The requests a second that its answers name as a limit.
     limit: Option<f64>,
+    /// One in so many answers names it.
+    limit_every: u32,
+    /// Answers since one did.
+    unnamed: u32,
+    /// What answers name where that is no rate.
+    garbled: Option<String>,
     /// The answers that said that it leaves, by the caller's name for the request, and when.
     notices: Vec<(String, u64)>,
     connections: u32,
@@ -187,6 +193,9 @@
             arrivals: Vec::new(),
             leaves: None,
             limit: None,
+            limit_every: 1,
+            unnamed: 0,
+            garbled: None,
             notices: Vec::new(),
             connections: 0,
             group: None,
@@ -312,6 +321,16 @@
         self.lock().limit = a_second;
     }
 
+    /// Has only one in so many answers name it.
+    pub fn name_limit_in(&self, answers: u32) {
+        self.lock().limit_every = answers;
+    }
+
+    /// Has all answers name this, whatever it is; nothing if none.
+    pub fn garble_limit(&self, text: Option<&str>) {
+        self.lock().garbled = text.map(str::to_owned);
+    }
+
     /// The answers that said that it leaves: the caller's name for the request, and when.
     pub fn notices(&self) -> Vec<(String, u64)> {
         self.lock().notices.clone()
@@ -510,7 +529,13 @@
             state.notices.push((run.id.clone(), clock::now()));
             fields += "server-leaving: 1\r\n";
         }
-        if let Some(it) = state.limit {
+        state.unnamed += 1;
+        let named = state.limit.filter(|_| state.unnamed >= state.limit_every);
+        if let Some(it) = named {
+            state.unnamed = 0;
+            fields += &format!("server-limit: {it}\r\n");
+        }
+        if let Some(it) = &state.garbled {
             fields += &format!("server-limit: {it}\r\n");
         }
         fields
--- a/crates/sablepass-stand/src/site.rs
+++ b/crates/sablepass-stand/src/site.rs
@@ -33,6 +33,8 @@
     pub replicas: Vec<Replica>,
     /// Entries and agents in the order they were added.
     pub entries: Vec<Process>,
+    /// Entries started, for their names.
+    started: usize,
     dir: PathBuf,
 }
 
@@ -43,7 +45,13 @@
         let name = format!("sablepass-site-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&dir).expect("a directory for settings");
-        let site = Self { store: Store::spawn(), replicas: Vec::new(), entries: Vec::new(), dir };
+        let site = Self {
+            store: Store::spawn(),
+            replicas: Vec::new(),
+            entries: Vec::new(),
+            started: 0,
+            dir,
+        };
         let mut site = site;
         for _ in 0..replicas {
             site.add_replica("orders");
@@ -79,7 +87,8 @@
     pub fn add_entry_at(&mut self, more: &str, seeds: usize) -> usize {
         let seeds = self.entries.iter().take(seeds);
         let seeds: Vec<String> = seeds.map(|it| it.addr("peers")).collect();
-        let name = format!("entry-{}", self.entries.len() + 1);
+        self.started += 1;
+        let name = format!("entry-{}", self.started);
         let text = format!(
             "http = \"127.0.0.1:0\"\ndialect = \"routes\"\npolicy = \"even\"\nretry_slack = 90\n{more}\n\
              [node]\nname = {name:?}\nhall = \"ba-1\"\nlisten = \"127.0.0.1:0\"\n\
--- a/crates/sablepass-stand/tests/limited.rs
+++ b/crates/sablepass-stand/tests/limited.rs
@@ -16,9 +16,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use sablepass_stand::client::{Answer, Ask};
+use sablepass_stand::client::{Answer, Ask, metric, wait_for};
 use sablepass_stand::limits;
-use sablepass_stand::replica::Arrival;
+use sablepass_stand::replica::{Arrival, Replica};
 use sablepass_stand::site::{Site, ask};
 
 /// Entries of a small site.
@@ -74,6 +74,141 @@
     assert!(unserved.is_empty(), "the others have room for all: {unserved:?}");
 }
 
+/// In one answer in three: the others do not mean that it is over.
+#[test]
+fn verify_a_limit_holds_that_few_answers_name() {
+    let site = site(3, 2);
+    site.replicas[0].name_limit(Some(1.0));
+    site.replicas[0].name_limit_in(3);
+    call(&site, 2, "few", LASTS);
+    keeps(&site.replicas[0].arrivals(), 1.0);
+}
+
+/// The field that cannot be read changes nothing, whatever stands there.
+#[test]
+fn verify_what_is_no_rate_is_counted_and_changes_nothing() {
+    let site = site(2, 1);
+    let garbled = &site.replicas[0];
+    for text in ["many", "-1", "NaN", "2/s", "1, 2", ""] {
+        garbled.garble_limit(Some(text));
+        let before = garbled.runs().len();
+        call(&site, 1, "garbled", Duration::from_millis(400));
+        assert!(garbled.runs().len() > before + 5, "{text:?}: it is used as before");
+    }
+    let admin = site.entries[0].addr("admin");
+    assert!(metric(&admin, "sablepass_limits_named_total", "limit=\"unread\"") > 30.0);
+    assert_eq!(metric(&admin, "sablepass_targets", "state=\"limited\""), 0.0);
+}
+
+/// It is lowered, raised and ends; soon after that the target gets as much as the others.
+#[test]
+fn verify_a_limit_follows_what_its_target_says() {
+    let site = site(3, 2);
+    let limited = &site.replicas[0];
+    for limit in [20.0, 2.0, 8.0] {
+        limited.name_limit(Some(limit));
+        call(&site, 2, &format!("at-{limit}"), LASTS);
+        keeps(&limited.arrivals(), limit);
+    }
+    limited.name_limit(None);
+    let ended = Instant::now();
+    wait_for("all entries know that it is over", || {
+        call(&site, 2, "over", Duration::from_millis(200));
+        site.entries
+            .iter()
+            .all(|it| metric(&it.addr("admin"), "sablepass_targets", "state=\"limited\"") == 0.0)
+    });
+    // Three answers at eight a second, and a second until the others believe it.
+    assert!(ended.elapsed() < Duration::from_secs(4), "{:?}", ended.elapsed());
+    let before: Vec<usize> = site.replicas.iter().map(|it| it.runs().len()).collect();
+    call(&site, 2, "after", Duration::from_secs(2));
+    let runs = site.replicas.iter().zip(before).map(|(it, before)| it.runs().len() - before);
+    let runs: Vec<usize> = runs.collect();
+    assert!(runs[0] * 6 > runs.iter().sum(), "it gets about a third again: {runs:?}");
+}
+
+/// Its entry in the list lapses and comes back: it is the same life.
+#[test]
+fn verify_no_list_ends_a_limit() {
+    let site = site(3, 2);
+    let limited = &site.replicas[0];
+    limited.name_limit(Some(1.0));
+    call(&site, 2, "first", Duration::from_millis(500));
+    site.store.remove(&format!("servers/{}", limited.id));
+    site.settle(2);
+    site.list(limited, "ready");
+    site.settle(3);
+    call(&site, 2, "back", LASTS);
+    keeps(&limited.arrivals(), 1.0);
+}
+
+#[test]
+fn verify_a_limit_ends_with_the_life_that_named_it() {
+    let mut site = site(2, 2);
+    site.replicas[0].name_limit(Some(0.1));
+    call(&site, 2, "first", Duration::from_millis(500));
+    site.replicas[0].end();
+    let next = site.replicas[0].reborn();
+    site.list(&next, "ready");
+    site.replicas[0] = next;
+    wait_for("its next life gets as many as come", || {
+        call(&site, 2, "next", Duration::from_millis(200));
+        site.replicas[0].runs().len() > 20
+    });
+}
+
+/// Callers come at one entry only, and all targets have limits: all of these are used, and
+/// whoever gets nothing is told so at once, and when there is something.
+#[test]
+fn verify_all_of_a_limit_is_used_where_no_other_target_is_there() {
+    let site = site(2, 3);
+    let limits = [2.0, 4.0];
+    let name = |it: (&Replica, f64)| it.0.name_limit(Some(it.1));
+    site.replicas.iter().zip(limits).for_each(name);
+    let answers = call(&site, 1, "one", LASTS);
+    let seconds = LASTS.as_secs_f64();
+    let served = answers.iter().filter(|it| it.status == 200).count() as f64;
+    let least = 0.7 * 6.0 * seconds;
+    assert!(served > least, "{served} of {} were served, at least {least}", answers.len());
+    for (it, limit) in site.replicas.iter().zip(limits) {
+        keeps(&it.arrivals(), limit);
+    }
+    let refused: Vec<&Answer> = answers.iter().filter(|it| it.status != 200).collect();
+    assert!(refused.iter().all(|it| it.status == 503 && it.ran != "ran"), "{refused:?}");
+    let told = refused.iter().filter_map(|it| it.retry_after.parse::<f64>().ok());
+    let told: Vec<f64> = told.collect();
+    assert_eq!(told.len(), refused.len(), "all are told when to come back");
+    // One of the two takes a request in 0.25 s at the latest; as long again spreads them.
+    assert!(told.iter().all(|it| *it < 1.0), "{told:?}");
+    for entry in &site.entries {
+        let fault = metric(&entry.addr("admin"), "sablepass_sent_over_limit_total", "");
+        assert_eq!(fault, 0.0, "an entry sent over its part");
+    }
+}
+
+/// Entries end, are stopped, go on and start anew meanwhile.
+#[test]
+fn verify_a_limit_holds_while_entries_come_and_go() {
+    let mut site = site(3, 4);
+    let limited = site.replicas[0].clone();
+    limited.name_limit(Some(1.0));
+    for round in 0..3 {
+        call(&site, 4, &format!("before-{round}"), Duration::from_secs(2));
+        let changed = round + 1;
+        if round == 1 {
+            site.entries[changed].pause();
+            call(&site, 1, &format!("stopped-{round}"), Duration::from_secs(3));
+            site.entries[changed].wake();
+        } else {
+            drop(site.entries.remove(changed));
+            call(&site, 1, &format!("ended-{round}"), Duration::from_secs(2));
+            site.add_entry("");
+        }
+    }
+    call(&site, 4, "last", LASTS);
+    keeps(&limited.arrivals(), 1.0);
+}
+
 /// Targets with an agent before them: the agent sees what all entries send.
 #[test]
 fn verify_an_engine_behind_its_agent_gets_no_more_than_it_takes() {
