Soak: targets that name a limit, and a judge of what reaches them

Up to two limits a seed (0.2 to 20 requests a second, 1.5 to 8 s), drawn after all else, so that earlier seeds play what they played.

--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -37,6 +37,8 @@
 const WATCHED: Duration = Duration::from_millis(2);
 /// Longest time that an entry may take to stop.
 const STOPS: Duration = Duration::from_secs(10);
+/// Seconds in which limits are counted by a schedule.
+const TEN_SECONDS: f64 = 10.0;
 /// Replicas that stay listed at least.
 const LEAST: usize = 2;
 
@@ -308,6 +310,10 @@
                 self.site.replicas[replica?].set(replica::Mode::Shed(rest));
                 replica
             }
+            Fault::ReplicaLimits(limit) => {
+                self.site.replicas[replica?].name_limit(Some(f64::from(limit) / TEN_SECONDS));
+                replica
+            }
             Fault::ReplicaTells => {
                 let who = replica.filter(|_| self.ready.len() > LEAST)?;
                 self.site.replicas[who].leave();
@@ -374,6 +380,7 @@
             Fault::ReplicaIs(_) | Fault::ReplicaSheds(_) => {
                 self.site.replicas[who].set(replica::Mode::Good)
             }
+            Fault::ReplicaLimits(_) => self.site.replicas[who].name_limit(None),
             Fault::ReplicaLeaves | Fault::ReplicaTells => {
                 let id = self.site.replicas[who].id.clone();
                 self.site.store.remove(&format!("servers/{id}"));
--- a/crates/sablepass-stand/src/soak/judge.rs
+++ b/crates/sablepass-stand/src/soak/judge.rs
@@ -8,6 +8,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::limits;
 use crate::replica::{self, Arrival, Replica, most_in_rest};
 use crate::soak::callers::{Kind, Sample};
 use crate::soak::fleet::{FATAL, Fleet, Strike, Struck};
@@ -60,6 +61,8 @@
     Rest,
     /// A target that told an entry that it leaves gets nothing more from it.
     Told,
+    /// A target gets no more than it takes from all entries together.
+    Limit,
 }
 
 /// A promise that was broken, and by what.
@@ -160,6 +163,7 @@
     let sent = it.samples.iter().map(|it| (it.id.as_str(), it)).collect();
     breaches.extend((0..it.arrivals.len()).filter_map(|replica| rest(it, &sent, replica)));
     breaches.extend((0..it.notices.len()).filter_map(|replica| told(it, &sent, replica)));
+    breaches.extend((0..it.arrivals.len()).filter_map(|replica| limit(it, &sent, replica)));
     if !it.broken.is_empty() {
         let seen = format!("steps {:?} began on two maps", it.broken);
         breaches.push(Breach { promise: Promise::OneMap, seen });
@@ -291,6 +295,34 @@
     (worst.0 > MOST_IN_REST).then_some(Breach { promise: Promise::Rest, seen })
 }
 
+/// Whether a replica got more than it takes, from entries that were not struck and that it
+/// had told.
+fn limit(it: &Evidence, sent: &Sent<'_>, replica: usize) -> Option<Breach> {
+    let mut told: HashMap<usize, u64> = HashMap::new();
+    let mut counted = Vec::new();
+    for arrival in &it.arrivals[replica] {
+        let Some(sample) = sent.get(arrival.id.as_str()) else { continue };
+        let Some(limit) = arrival.limit else {
+            told.clear();
+            continue;
+        };
+        let told = *told.entry(sample.entry).or_insert(arrival.at);
+        let excused = it.struck(Struck::Entry(sample.entry), told, arrival.at)
+            || it.struck(Struck::Replica(replica), told.saturating_sub(AFTER), arrival.at);
+        if arrival.at > told + AFTER && !excused {
+            counted.push((arrival.at, limit));
+        }
+    }
+    counted.iter().find_map(|&(since, limit)| {
+        let span = since..since + limits::SPAN;
+        let same = |other: &&(u64, f64)| span.contains(&other.0) && other.1 == limit;
+        let most = counted.iter().filter(same).count();
+        let seen = format!("{most} in a span to replica {replica}, that takes {limit} a second");
+        let broken = most as f64 > limits::allowed(limit);
+        broken.then_some(Breach { promise: Promise::Limit, seen })
+    })
+}
+
 /// Whether an entry that a replica had told of its leaving sent it more.
 fn told(it: &Evidence, sent: &Sent<'_>, replica: usize) -> Option<Breach> {
     let mut known: HashMap<usize, u64> = HashMap::new();
--- a/crates/sablepass-stand/src/soak/schedule.rs
+++ b/crates/sablepass-stand/src/soak/schedule.rs
@@ -33,6 +33,8 @@
     ReplicaLeaves,
     /// A replica turns all away and asks for a rest of so many milliseconds.
     ReplicaSheds(u64),
+    /// A replica names in its answers so many requests in ten seconds as its limit.
+    ReplicaLimits(u32),
     /// A replica says in its answers that it leaves while it is listed as ready, and goes for
     /// good after this.
     ReplicaTells,
@@ -95,6 +97,12 @@
     pub fault: Fault,
 }
 
+impl Planned {
+    fn with(self, fault: Fault) -> Self {
+        Self { fault, ..self }
+    }
+}
+
 impl fmt::Display for Planned {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:5} ms, for {:4}: {:?} of {}", self.at, self.lasts, self.fault, self.who)
@@ -152,6 +160,13 @@
     }
 }
 
+/// Limits that replicas name, for long enough to be counted.
+fn limit(rng: &mut StdRng, length: u64) -> Planned {
+    let lasts = rng.random_range(1_500..8_000);
+    let limit = [2, 10, 10, 40, 200][rng.random_range(0..5)];
+    Planned { lasts, ..plan(rng, length, |_| Fault::RouteAdded) }.with(Fault::ReplicaLimits(limit))
+}
+
 fn plan(rng: &mut StdRng, length: u64, fault: fn(&mut StdRng) -> Fault) -> Planned {
     Planned {
         at: rng.random_range(0..length),
@@ -162,7 +177,8 @@
 }
 
 /// A schedule: four to twelve faults that overlap, up to four of targets' lives
-/// and up to four times that targets speak beside them, in the order of their times.
+/// and up to four times that targets speak beside them, and up to two limits that they
+/// name, in the order of their times.
 pub fn draw(seed: u64, length: u64) -> Vec<Planned> {
     let mut rng = StdRng::seed_from_u64(seed);
     let count = rng.random_range(4..=12);
@@ -171,6 +187,8 @@
     list.extend((0..count).map(|_| plan(&mut rng, length, life)));
     let count = rng.random_range(0..=4);
     list.extend((0..count).map(|_| plan(&mut rng, length, notice)));
+    let count = rng.random_range(0..=2);
+    list.extend((0..count).map(|_| limit(&mut rng, length)));
     list.sort_by_key(|it| it.at);
     list
 }
