Fields of answers that nobody reads are counted by name and logged once a target

Also: sablepassctl explain tells turns, and a refusal for want of one says what the limits are and when the next turn is.

--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -69,6 +69,8 @@
     pub left: IntCounterVec,
     /// Requests that targets did not take, by what they asked for.
     pub turned_away: IntCounterVec,
+    /// Fields of targets' answers that nobody reads, by name.
+    pub fields_unread: IntCounterVec,
     /// Requests sent over this entry's part of a limit: none, unless this program has a fault.
     pub sent_over_limit: IntCounter,
     /// Requests a second that targets with limits take from all entries, and this one's part.
@@ -147,6 +149,12 @@
                 "Requests that targets did not take",
                 &["asked"],
             )?,
+            fields_unread: counters(
+                r,
+                "fields_unread_total",
+                "Fields of answers that nobody reads",
+                &["field"],
+            )?,
             sent_over_limit: counter(
                 r,
                 "sent_over_limit_total",
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -108,6 +108,7 @@
             self.targets.told(now, &target, load.running + load.waiting);
         }
         let status = head.status().as_u16();
+        self.note_unread(Life { name: &target, born }, head.headers());
         self.names_limit(now, carried, Life { name: &target, born }, meta.limit);
         if meta.rest != Rest::None || meta.proof != Proof::None {
             self.turned_away(now, carried, Life { name: &target, born }, status, &meta);
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -37,6 +37,7 @@
 use crate::targets::{self, Choice, Served, Targets, Via};
 use crate::trace::{Step, Traces};
 use crate::turns::Turns;
+use crate::unread::Unread;
 
 /// How long a request waits for a connection to the owner of its key.
 const OWNER_WAIT: Millis = 2_000;
@@ -73,6 +74,8 @@
     pub(crate) watch: Watch,
     /// What other entries said of turns at targets with limits.
     pub(crate) turns: Turns,
+    /// Fields of answers that nobody reads.
+    pub(crate) unread: Unread,
     pub(crate) rng: StdRng,
     pub(crate) server: ActorOwn<Server>,
     pub(crate) stopping: Option<Millis>,
@@ -114,6 +117,7 @@
             traces: Traces::open(settings.stories),
             watch: Watch::default(),
             turns: Turns::default(),
+            unread: Unread::default(),
             rng: StdRng::seed_from_u64(rand::random()),
             stopping: None,
             sleep: clock::Sleep::default(),
--- a/crates/sablepass-entry/src/trace.rs
+++ b/crates/sablepass-entry/src/trace.rs
@@ -40,6 +40,13 @@
         /// How long it wants nothing more from this entry.
         rest: Option<Millis>,
     },
+    /// All that could serve it get as many requests as they take; it has its turn at this target.
+    Turn {
+        /// Qualified target.
+        target: String,
+        /// Milliseconds until then.
+        wait: Millis,
+    },
     /// It is sent again.
     Retried(Retry),
     /// It got its answer.
@@ -100,6 +107,9 @@
         Step::TurnedAway { target, rest } => serde_json::json!({
             "at": at, "step": "turned-away", "target": target, "rest": rest,
         }),
+        Step::Turn { target, wait } => {
+            serde_json::json!({ "at": at, "step": "turn", "target": target, "wait": wait })
+        }
         Step::Retried(it) => {
             serde_json::json!({ "at": at, "step": "retried", "reason": it.label() })
         }
--- a/crates/sablepass-entry/src/turns.rs
+++ b/crates/sablepass-entry/src/turns.rs
@@ -21,6 +21,7 @@
 use stakker::{CX, call};
 
 use crate::router::{RESUME_WAIT, Router};
+use crate::trace::Step;
 
 /// How long an entry waits for another one's answer: some ways between regions.
 const ANSWERS: Millis = 150;
@@ -132,8 +133,10 @@
 
     fn give_turn(&mut self, now: Millis, id: RequestId, it: Given) {
         let Some(open) = self.open.get_mut(&id) else { return };
+        let wait = it.at.saturating_sub(now);
         slog::info!(self.log, "has its turn"; "id" => &open.run.label, "target" => &it.target,
-            "wait" => it.at.saturating_sub(now));
+            "wait" => wait);
+        self.traces.add(now, id, Step::Turn { target: it.target.clone(), wait });
         open.waiting = Some(now);
         open.slot = Some(Slot::Given(it));
     }
@@ -177,6 +180,8 @@
         let next = limited.iter().filter_map(known).min().unwrap_or(every);
         let spread = self.rng.random_range(0..=every);
         let Some(open) = self.open.get_mut(&id) else { return };
+        slog::info!(self.log, "no turn"; "id" => &open.run.label, "limited" => limited.len(),
+            "limits" => rate, "next" => next, "asked" => open.sought);
         open.comeback = Some(next.saturating_add(spread));
         let actions = open.flight.refuse(Refusal::TargetsLimited);
         self.act(cx, id, actions);
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -119,8 +119,8 @@
     limit_every: u32,
     /// Answers since one did.
     unnamed: u32,
-    /// What answers name where that is no rate.
-    garbled: Option<String>,
+    /// A field that all its answers have besides.
+    field: Option<String>,
     /// The answers that said that it leaves, by the caller's name for the request, and when.
     notices: Vec<(String, u64)>,
     connections: u32,
@@ -195,7 +195,7 @@
             limit: None,
             limit_every: 1,
             unnamed: 0,
-            garbled: None,
+            field: None,
             notices: Vec::new(),
             connections: 0,
             group: None,
@@ -326,9 +326,14 @@
         self.lock().limit_every = answers;
     }
 
-    /// Has all answers name this, whatever it is; nothing if none.
-    pub fn garble_limit(&self, text: Option<&str>) {
-        self.lock().garbled = text.map(str::to_owned);
+    /// Has all answers name this as its limit, whatever it is.
+    pub fn garble_limit(&self, text: &str) {
+        self.name_field(Some(&format!("server-limit: {text}")));
+    }
+
+    /// Has all its answers have a field besides: name, colon, value.
+    pub fn name_field(&self, field: Option<&str>) {
+        self.lock().field = field.map(str::to_owned);
     }
 
     /// The answers that said that it leaves: the caller's name for the request, and when.
@@ -535,8 +540,8 @@
             state.unnamed = 0;
             fields += &format!("server-limit: {it}\r\n");
         }
-        if let Some(it) = &state.garbled {
-            fields += &format!("server-limit: {it}\r\n");
+        if let Some(it) = &state.field {
+            fields += &format!("{it}\r\n");
         }
         fields
     }
--- a/crates/sablepass-stand/tests/limited.rs
+++ b/crates/sablepass-stand/tests/limited.rs
@@ -90,7 +90,7 @@
     let site = site(2, 1);
     let garbled = &site.replicas[0];
     for text in ["many", "-1", "NaN", "2/s", "1, 2", ""] {
-        garbled.garble_limit(Some(text));
+        garbled.garble_limit(text);
         let before = garbled.runs().len();
         call(&site, 1, "garbled", Duration::from_millis(400));
         assert!(garbled.runs().len() > before + 5, "{text:?}: it is used as before");
@@ -157,6 +157,19 @@
     });
 }
 
+/// What nobody reads may be how a target wants to be used: it shows before it does harm.
+#[test]
+fn verify_fields_that_nobody_reads_are_counted() {
+    let site = site(2, 1);
+    site.replicas[0].name_field(Some("server-mood: low"));
+    call(&site, 1, "mood", Duration::from_millis(500));
+    let admin = site.entries[0].addr("admin");
+    assert!(metric(&admin, "sablepass_fields_unread_total", "field=\"server-mood\"") > 1.0);
+    let log = site.entries[0].log();
+    let lines = log.iter().filter(|it| it["event"] == "field of an answer unread");
+    assert_eq!(lines.count(), 1, "once for the target");
+}
+
 /// Callers come at one entry only, and all targets have limits: all of these are used, and
 /// whoever gets nothing is told so at once, and when there is something.
 #[test]
