Bad input: limits and turns that are none, and a million of unknown targets

Wire tests of both (a rate below zero or no number, no target, no request), a bound of 16,384 targets of which something is kept that the list does not name (counter many-notices), core test of a million.

--- a/crates/sablepass-core/src/notices.rs
+++ b/crates/sablepass-core/src/notices.rs
@@ -19,6 +19,10 @@
 /// an entry that lapsed is back within some seconds; one that stays away has ended.
 const LAPSED: Millis = 60_000;
 
+/// Targets of which something is kept that the list does not name: three times as many as the
+/// largest fleet has.
+const MOST: usize = 16_384;
+
 /// One life of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Life<'a> {
@@ -268,6 +272,11 @@
         self.notices.len()
     }
 
+    /// Whether what is told of a target that the list does not name can be kept.
+    pub fn has_room(&self, name: &str) -> bool {
+        self.notices.len() < MOST || self.notices.contains_key(name)
+    }
+
     /// Whether nothing is kept.
     pub fn is_empty(&self) -> bool {
         self.notices.is_empty()
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -191,6 +191,8 @@
         BadDocument = 8, "bad-document";
         /// A group with more ranks than a switch takes: it is served without maps.
         LargeGroup = 9, "large-group";
+        /// Word of a target that nobody lists, beyond what is kept of such.
+        ManyNotices = 10, "many-notices";
     }
 }
 
--- a/crates/sablepass-core/tests/limit.rs
+++ b/crates/sablepass-core/tests/limit.rs
@@ -160,6 +160,22 @@
     assert!(notices.limited(NEXT).is_none() && notices.is_empty());
 }
 
+/// A million of targets that nobody lists: no more is kept than is stated.
+#[test]
+fn verify_a_flood_of_limits_is_bounded() {
+    let (holders, mut notices) = (alone(), Notices::default());
+    for number in 0..1_000_000 {
+        let name = format!("i-{number}");
+        if notices.has_room(&name) {
+            notices.told(3_000, Life { name: &name, born: 0 }, Some(rate(1.0)), &holders);
+            notices.unlisted(3_000, &name);
+        }
+    }
+    assert_eq!(notices.len(), 16_384);
+    notices.sweep(63_001);
+    assert!(notices.is_empty(), "they lapse");
+}
+
 /// Rest goes first, and neither takes the other back.
 #[test]
 fn verify_a_limit_stands_beside_a_rest() {
--- a/crates/sablepass-entry/src/notices.rs
+++ b/crates/sablepass-entry/src/notices.rs
@@ -193,11 +193,25 @@
         };
         let now = clock::now();
         for it in told.leaving {
-            self.target_leaves(now, it, Source::Told);
+            if self.keeps_word(it) {
+                self.target_leaves(now, it, Source::Told);
+            }
         }
         for (it, rate) in told.limits {
+            if !self.keeps_word(it) {
+                continue;
+            }
             let change = self.targets.told_limit(now, it, rate);
             self.limit_changed(it, change, None, "told");
         }
     }
+
+    /// Whether what is told of a target is kept; counts it if not.
+    fn keeps_word(&self, it: Life<'_>) -> bool {
+        let keeps = self.targets.keeps_word(it);
+        if !keeps {
+            self.metrics.ignored(Ignored::ManyNotices);
+        }
+        keeps
+    }
 }
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -29,6 +29,11 @@
         begins
     }
 
+    /// Whether what another process tells of a target is kept.
+    pub fn keeps_word(&self, it: Life<'_>) -> bool {
+        self.listed.contains_key(it.name) || self.notices.has_room(it.name)
+    }
+
     /// Whether a life of a target is over, and another one listed.
     pub(super) fn is_past(&self, it: Life<'_>) -> bool {
         self.listed.get(it.name).is_some_and(|known| known.instance.born != it.born)
--- a/crates/sablepass-wire/tests/wire.rs
+++ b/crates/sablepass-wire/tests/wire.rs
@@ -9,13 +9,15 @@
 use sablepass_core::expert::demand;
 use sablepass_core::flight::{Event, Verdict};
 use sablepass_core::id::{AttemptId, RequestId};
+use sablepass_core::limits::{Rate, Turn};
+use sablepass_core::notices::Life;
 use sablepass_core::once::Mark;
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
 use sablepass_wire::frame::Codec;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
-use sablepass_wire::{convert, frame};
+use sablepass_wire::{convert, frame, notices, turns};
 
 const ATTEMPT: AttemptId = AttemptId { request: RequestId(77), number: 3 };
 
@@ -162,6 +164,48 @@
     assert!(convert::parse_delta(both).is_err(), "all, and parts of it");
 }
 
+#[test]
+fn verify_limits_and_turns_come_back_as_they_were_told() {
+    let life = Life { name: "i-1", born: 7 };
+    let told = notices::Told {
+        leaving: vec![life],
+        limits: vec![(life, Rate::new(0.25)), (Life { name: "i-2", born: 0 }, None)],
+    };
+    let Body::Notices(it) = told.body() else { panic!("notices") };
+    assert_eq!(notices::parse(&it).expect("parses"), told);
+    let request = RequestId(9);
+    let ask = turns::Ask { target: life, request, most: 120 };
+    let Body::TurnAsk(it) = turns::ask(ask) else { panic!("an ask") };
+    assert_eq!(turns::parse_ask(&it).expect("parses"), ask);
+    for turn in [Turn::In(0), Turn::In(90), Turn::TooLate(4_000), Turn::Never] {
+        let Body::TurnAnswer(it) = turns::answer(turns::Answer { request, turn }) else {
+            panic!("an answer")
+        };
+        assert_eq!(turns::parse_answer(&it).expect("parses").turn, turn);
+    }
+}
+
+#[test]
+fn verify_limits_and_turns_that_are_none_are_refused() {
+    let limit = |target: &str, rate| {
+        let limit = wire::Limit { target: target.to_owned(), born: 1, rate };
+        notices::parse(&wire::Notices { limits: vec![limit], ..Default::default() }).is_ok()
+    };
+    assert!(limit("i-1", Some(2.0)) && limit("i-1", None));
+    assert!(!limit("", Some(2.0)), "of no target");
+    for rate in [-1.0, f64::NAN, f64::INFINITY] {
+        assert!(!limit("i-1", Some(rate)), "{rate}");
+        let report = wire::Report { entries: 1, limit: Some(rate), ..Default::default() };
+        assert!(convert::report(&report).is_err(), "{rate}");
+    }
+    let target = "i-1".to_owned();
+    let ask = wire::TurnAsk { target, request: vec![1; 3].into(), ..Default::default() };
+    assert!(turns::parse_ask(&ask).is_err(), "no request has such an id");
+    let ask = wire::TurnAsk { request: vec![1; 16].into(), ..Default::default() };
+    assert!(turns::parse_ask(&ask).is_err(), "at no target");
+    assert!(turns::parse_answer(&wire::TurnAnswer::default()).is_err(), "to no request");
+}
+
 /// The committed code is what the generator makes of the schema.
 #[test]
 fn verify_generated() {
