Nobody tries a suspected request where one more end costs more than it

Two proofs in turn were needed. And copies at once: two ends of one moment prove nothing, so that three more copies went out. Hypothesis: a pause of 30 s from the first end on where all targets of the service are ranks of one group, and from the second end of one moment on anywhere, costs the others nothing. Not tried: one attempt at a time over all entries; a cost worked out from arrivals. Tests: core/tests/suspects.rs (two new; none changed).

--- a/crates/sablepass-core/src/suspects.rs
+++ b/crates/sablepass-core/src/suspects.rs
@@ -25,6 +25,10 @@
 /// request for seconds; what is wrong with a target's software takes its owners
 /// longer than this. Afterwards it may try once, and one more death renews it.
 pub const HOLD: Millis = 600_000;
+/// How long nobody tries a request that is suspected and not proved to end its targets, where one
+/// more death costs more than the request: longer than its callers wait, and short against
+/// the time between two such ends of an ordinary cause.
+const PAUSE: Millis = 30_000;
 /// How long a request is remembered after its last death or answer.
 const MEMORY: Millis = 2 * HOLD;
 /// Requests remembered: about 400 KB. A hall with 300 targets of twelve places
@@ -150,6 +154,18 @@
         self.seen.get(&it).map_or(Standing::Clear, |seen| seen.standing(now))
     }
 
+    /// Until when nobody tries a request that is suspected. After two deaths of one moment two
+    /// copies ran, and each of the next copies may end one more; after one death the request
+    /// is one of a dozen that its target held, and tried again unless `dear`: the end
+    /// of one target stops all that its service runs.
+    pub fn paused(&self, now: Millis, it: Fingerprint, dear: bool) -> Option<Millis> {
+        let seen = self.seen.get(&it)?;
+        let few = if dear { 1 } else { 2 };
+        let until = seen.last() + PAUSE;
+        let paused = seen.deaths.len() >= few && now < until;
+        paused.then_some(until)
+    }
+
     /// Records that a target ended under a request. What a target has run to
     /// its end does not end targets, and is not suspected again.
     pub fn record(&mut self, now: Millis, it: Fingerprint, death: Death) -> Change {
--- a/crates/sablepass-core/tests/suspects.rs
+++ b/crates/sablepass-core/tests/suspects.rs
@@ -52,6 +52,29 @@
     assert_eq!(record(&mut suspects, death("c", 1_002, 1_202)), Change::Held);
 }
 
+/// Two copies at one moment prove nothing, and yet the next copies would end one target each.
+#[test]
+fn verify_nobody_tries_after_two_deaths_of_one_moment() {
+    let mut suspects = Suspects::default();
+    record(&mut suspects, death("a", 1_000, 1_200));
+    assert_eq!(suspects.paused(1_300, ASKED, false), None, "it is one of a dozen");
+    record(&mut suspects, death("b", 1_001, 1_201));
+    assert_eq!(suspects.standing(1_300, ASKED), Standing::Suspect);
+    assert_eq!(suspects.paused(1_300, ASKED, false), Some(31_201));
+    assert_eq!(suspects.paused(31_201, ASKED, false), None, "innocents may come again");
+    assert!(suspects.clear(1_400, ASKED));
+    assert_eq!(suspects.paused(1_400, ASKED, false), None, "it ran elsewhere");
+}
+
+/// The end of one rank stops all that its group runs.
+#[test]
+fn verify_nobody_tries_after_one_death_that_stops_all() {
+    let mut suspects = Suspects::default();
+    record(&mut suspects, death("a", 1_000, 1_200));
+    assert_eq!(suspects.paused(1_300, ASKED, true), Some(31_200));
+    assert_eq!(suspects.paused(1_300, Fingerprint(8), true), None);
+}
+
 /// Two entries each had a copy at the target that ended.
 #[test]
 fn verify_one_death_seen_twice_is_one() {
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -269,13 +269,16 @@
     /// Returns false for one that is not.
     fn set_comeback(&mut self, now: Millis, id: RequestId) -> bool {
         let Some(open) = self.open.get_mut(&id) else { return false };
-        match self.watch.suspects.standing(now, open.fingerprint()) {
-            Standing::Held(until) => {
-                open.comeback = Some(until.saturating_sub(now));
-                true
-            }
-            Standing::Suspect | Standing::Clear => false,
+        let dear = self.targets.stands_together(&open.served);
+        let until = match self.watch.suspects.standing(now, open.fingerprint()) {
+            Standing::Held(until) => Some(until),
+            Standing::Suspect => self.watch.suspects.paused(now, open.fingerprint(), dear),
+            Standing::Clear => None,
+        };
+        if let Some(until) = until {
+            open.comeback = Some(until.saturating_sub(now));
         }
+        until.is_some()
     }
 
     /// Refuses a request that is held back. Whether it is.
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -19,7 +19,7 @@
 use crate::targets::{Served, Targets};
 
 /// Targets of a kind are relieved while fewer than one in so many crawls: a
-/// move costs the others the prompt once more. Chosen, not measured.
+/// move costs the others the prompt once more.
 const CRAWLING_PART: usize = 4;
 
 /// Part of the pause allowed to callers that a pass may take: the rest is for
@@ -47,6 +47,12 @@
         names.is_some_and(|it| it.iter().any(closed))
     }
 
+    /// Whether all targets of what serves are ranks of one group, so that the end of one
+    /// stops all.
+    pub fn stands_together(&self, served: &Served) -> bool {
+        self.form(served).is_some() && self.groups.get(served).is_some_and(|it| it.len() == 1)
+    }
+
     /// Looks which groups have lost a rank and do not know it yet.
     pub(super) fn find_broken(&mut self, now: Millis) {
         let broken = self.listed.iter().filter_map(|(name, it)| {
