--- a/crates/sablepass-core/src/expert/map.rs
+++ b/crates/sablepass-core/src/expert/map.rs
@@ -270,7 +270,7 @@
 
 impl Paces {
     /// A pace that is believed at most: twice the 8 by which the users' slowest
-    /// kind of fault slows a target. Chosen, not measured.
+    /// kind of fault slows a target.
     const MOST: f64 = 16.0;
 
     /// Takes them rank by rank. Those left out are 1, as are those below 1.
--- a/crates/sablepass-core/src/expert/rebalance.rs
+++ b/crates/sablepass-core/src/expert/rebalance.rs
@@ -77,7 +77,7 @@
 /// searches then take an eleventh of the processor.
 const REST_TIMES: Millis = 10;
 /// How many times as uneven the map must have become for a rest to end sooner, so
-/// that a shift which was not seen as one is answered. Chosen, not measured.
+/// that a shift which was not seen as one is answered.
 const MORE_UNEVEN: f64 = 1.08;
 
 /// The time after a search that found no better map, in which none is made.
--- a/crates/sablepass-core/src/forming.rs
+++ b/crates/sablepass-core/src/forming.rs
@@ -26,8 +26,7 @@
     pub unknown: u32,
 }
 
-/// How long after a rank came back the next one is expected: after a loss of
-/// all machines they came back within 0.3 s, and the last one 0.5 s later.
+/// How long after a rank came back the next one is expected, where all were lost at once.
 const RETURNING: Millis = 800;
 /// Time from a group's opening until entries know of it: reports of its ranks
 /// are up to 200 ms old.
--- a/crates/sablepass-core/src/holders.rs
+++ b/crates/sablepass-core/src/holders.rs
@@ -11,9 +11,8 @@
 
 use std::collections::BTreeSet;
 
-use crate::id::Millis;
+use crate::id::{Life, Millis};
 use crate::limits::Rate;
-use crate::notices::Life;
 use crate::rendezvous;
 
 /// Seconds of a limit that all holders together may send at once: each of them may send one
--- a/crates/sablepass-core/src/id.rs
+++ b/crates/sablepass-core/src/id.rs
@@ -40,3 +40,12 @@
 /// predecessor was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Incarnation(pub u64);
+
+/// One life of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Life<'a> {
+    /// The target's name.
+    pub name: &'a str,
+    /// When the life began; 0 if the target does not say, and its name tells its lives apart.
+    pub born: Millis,
+}
--- a/crates/sablepass-core/src/membership.rs
+++ b/crates/sablepass-core/src/membership.rs
@@ -42,8 +42,7 @@
 
 impl Pace {
     /// Time for the same work, relative to a sound target, from which one is
-    /// slow. Chosen, not measured: sound ones told 1 and slow ones 4 on the one
-    /// day that was looked at.
+    /// slow: more than sound ones differ by.
     pub const SLOW: f64 = 1.25;
     /// The same from which one crawls. A rank's own part is a seventh of a pass
     /// of 80 ms, which may take 120: at 2 it takes 91, with queued prompts more.
--- a/crates/sablepass-core/src/notices.rs
+++ b/crates/sablepass-core/src/notices.rs
@@ -12,7 +12,7 @@
 use std::collections::HashMap;
 
 use crate::holders::Holders;
-use crate::id::Millis;
+use crate::id::{Life, Millis};
 use crate::limits::{Change, Limit, Rate, Turn};
 
 /// How long a notice is kept of a target that the list names no more. On the users' platform
@@ -23,15 +23,6 @@
 /// largest fleet has.
 const MOST: usize = 16_384;
 
-/// One life of a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Life<'a> {
-    /// The target's name.
-    pub name: &'a str,
-    /// When the life began; 0 if the target does not say, and its name tells its lives apart.
-    pub born: Millis,
-}
-
 /// What one life of a target said.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Notice {
--- a/crates/sablepass-core/src/starts.rs
+++ b/crates/sablepass-core/src/starts.rs
@@ -18,14 +18,13 @@
 
 /// How many times as long as usual a stream may take from its start to its
 /// first event, so that it is still in time after the longest wait.
-/// Chosen, not measured.
 const OPENS_TIMES: f64 = 1.3;
 /// Milliseconds that this is taken to last before one has begun.
 const OPENS: f64 = 200.0;
 /// Milliseconds that a stream is taken to last before one has ended.
 const LASTS: f64 = 2_000.0;
 /// By what part a stream that took longer or less long moves both. They follow the
-/// median: a mean took the few streams that a held step had kept for 4 s for all.
+/// median: a mean would take the few streams that a held step keeps for seconds for all.
 const STEP: f64 = 0.02;
 /// Milliseconds of silence for which callers of the users' platform wait at
 /// least, and as parts of their objective and of the pause they allow.
--- a/crates/sablepass-core/tests/holders.rs
+++ b/crates/sablepass-core/tests/holders.rs
@@ -7,9 +7,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sablepass_core::holders::Holders;
-use sablepass_core::id::Millis;
+use sablepass_core::id::{Life, Millis};
 use sablepass_core::limits::{Bucket, Rate};
-use sablepass_core::notices::Life;
 use sablepass_core::sharers::Sharers;
 
 const LIFE: Life<'static> = Life { name: "i-1", born: 100 };
--- a/crates/sablepass-core/tests/limit.rs
+++ b/crates/sablepass-core/tests/limit.rs
@@ -6,8 +6,9 @@
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use sablepass_core::holders::Holders;
+use sablepass_core::id::Life;
 use sablepass_core::limits::{Change, Rate, Turn};
-use sablepass_core::notices::{Life, Notices};
+use sablepass_core::notices::Notices;
 
 const FIRST: Life<'static> = Life { name: "i-1", born: 100 };
 const NEXT: Life<'static> = Life { name: "i-1", born: 200 };
--- a/crates/sablepass-core/tests/notices.rs
+++ b/crates/sablepass-core/tests/notices.rs
@@ -4,7 +4,8 @@
 //! What targets said of themselves binds until its end, whatever else is heard.
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use sablepass_core::notices::{Life, Notices};
+use sablepass_core::id::Life;
+use sablepass_core::notices::Notices;
 
 const FIRST: Life<'static> = Life { name: "i-1", born: 100 };
 const NEXT: Life<'static> = Life { name: "i-1", born: 200 };
--- a/crates/sablepass-core/tests/sharing.rs
+++ b/crates/sablepass-core/tests/sharing.rs
@@ -6,9 +6,8 @@
 //! Ways to share it are compared in a model of entries without network.
 
 use sablepass_core::holders::Holders;
-use sablepass_core::id::Millis;
+use sablepass_core::id::{Life, Millis};
 use sablepass_core::limits::{Bucket, Rate, Turn};
-use sablepass_core::notices::Life;
 
 const LIFE: Life<'static> = Life { name: "i-1", born: 100 };
 /// Milliseconds of a span in which requests are counted, and of a run.
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -5,8 +5,7 @@
 //! what their answers prove.
 
 use sablepass_core::flight::{Event, Head};
-use sablepass_core::id::{AttemptId, Millis, RequestId};
-use sablepass_core::notices::Life;
+use sablepass_core::id::{AttemptId, Life, Millis, RequestId};
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
 use sablepass_edge::client::{self, Outgoing};
--- a/crates/sablepass-entry/src/notices.rs
+++ b/crates/sablepass-entry/src/notices.rs
@@ -5,9 +5,8 @@
 //! rest, which binds this entry, that they leave, which is true for all entries, and what they
 //! take from all of them together.
 
-use sablepass_core::id::Millis;
+use sablepass_core::id::{Life, Millis};
 use sablepass_core::limits::{Change, Rate};
-use sablepass_core::notices::Life;
 use sablepass_core::reason::Ignored;
 use sablepass_edge::clock;
 use sablepass_edge::mesh::PeerKey;
--- a/crates/sablepass-entry/src/pool.rs
+++ b/crates/sablepass-entry/src/pool.rs
@@ -8,8 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sablepass_core::id::{Millis, RequestId};
-use sablepass_core::notices::Life;
+use sablepass_core::id::{Life, Millis, RequestId};
 use sablepass_edge::client::{self, Connection, Outgoing};
 use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
 
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -48,8 +48,8 @@
 /// they do not come as one: some tenths of a second, in which streams begin and are spread.
 const COME_BACK_SPREAD: Millis = 200;
 /// Requests that wait so, for each place of this entry's part of the service. A group
-/// opens on its first map, which is far from even, and what waited begins at once:
-/// with 2 for each place those late made the next ones late as well.
+/// opens on its first map, which is far from even, and what waited begins at once: with more,
+/// those late would make the next ones late as well.
 const FORM_PART: f64 = 0.5;
 
 /// The actor.
--- a/crates/sablepass-entry/src/targets/limits.rs
+++ b/crates/sablepass-entry/src/targets/limits.rs
@@ -3,9 +3,8 @@
 
 //! Limits that targets name: what this entry may send of them, and to whom others turn.
 
-use sablepass_core::id::Millis;
+use sablepass_core::id::{Life, Millis};
 use sablepass_core::limits::{Change, Limit, Rate, Turn};
-use sablepass_core::notices::Life;
 
 use crate::targets::{Served, Targets};
 
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -9,8 +9,7 @@
 
 use sablepass_core::balance;
 use sablepass_core::declaration::Kind;
-use sablepass_core::id::Millis;
-use sablepass_core::notices::Life;
+use sablepass_core::id::{Life, Millis};
 use sablepass_edge::instance::{Instance, Role};
 
 use crate::pool::Destination;
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -3,9 +3,8 @@
 
 //! What targets said of themselves to this entry, and what that leaves of a service.
 
-use sablepass_core::id::Millis;
+use sablepass_core::id::{Life, Millis};
 use sablepass_core::membership::Source;
-use sablepass_core::notices::Life;
 
 use crate::targets::{Served, Targets};
 
--- a/crates/sablepass-entry/src/turns.rs
+++ b/crates/sablepass-entry/src/turns.rs
@@ -10,9 +10,8 @@
 use std::collections::HashMap;
 
 use rand::RngExt;
-use sablepass_core::id::{Millis, RequestId};
+use sablepass_core::id::{Life, Millis, RequestId};
 use sablepass_core::limits::Turn;
-use sablepass_core::notices::Life;
 use sablepass_core::reason::{Ignored, Refusal};
 use sablepass_edge::clock;
 use sablepass_edge::mesh::PeerKey;
--- a/crates/sablepass-entry/src/unread.rs
+++ b/crates/sablepass-entry/src/unread.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 
 use http::HeaderMap;
-use sablepass_core::notices::Life;
+use sablepass_core::id::Life;
 use sablepass_platform::answer;
 
 use crate::router::Router;
--- a/crates/sablepass-stand/tests/common/mod.rs
+++ b/crates/sablepass-stand/tests/common/mod.rs
@@ -5,8 +5,12 @@
 
 #![allow(dead_code, reason = "each test program uses a part")]
 
+use std::thread;
+use std::time::{Duration, Instant};
+
 use sablepass_stand::client::{Answer, wait_for};
 use sablepass_stand::fleet::{Fleet, Serves, Target, Timers};
+use sablepass_stand::site::{self, Site};
 
 /// Key of a customer of Tatranská.
 pub const FARM: &str = "tatranska:key-build-farm";
@@ -112,3 +116,48 @@
 pub fn now_text() -> String {
     sablepass_edge::clock::now().to_string()
 }
+
+/// So many replicas and entries of a small site, settled.
+pub fn site(replicas: usize, entries: usize) -> Site {
+    let mut site = Site::open(replicas);
+    for _ in 0..entries {
+        site.add_entry("");
+    }
+    site.settle(replicas);
+    site
+}
+
+/// Callers of a small site, and how often they ask.
+#[derive(Clone, Copy, Debug)]
+pub struct Callers {
+    /// Entries that they ask.
+    pub entries: usize,
+    /// Callers at each of them.
+    pub each: usize,
+    /// Time between an answer and the next request.
+    pub pause: Duration,
+}
+
+impl Callers {
+    /// Sends requests of all kinds for so long. What they were answered; ids begin with the
+    /// entry's number.
+    pub fn call(self, site: &Site, label: &str, lasts: Duration) -> Vec<Answer> {
+        let until = Instant::now() + lasts;
+        let caller = |entry: usize, caller: usize| {
+            let kinds = ["stream", "safe", "once"].iter().cycle();
+            let numbered = kinds.zip(0..).take_while(|_| Instant::now() < until);
+            let answers = numbered.map(|(kind, number)| {
+                thread::sleep(self.pause);
+                let id = format!("{entry}-{label}-{caller}-{number}");
+                site::ask("POST", &format!("/{kind}/x"), &id, "q").send(&site.http(entry))
+            });
+            answers.collect::<Vec<Answer>>()
+        };
+        thread::scope(|scope| {
+            let all = (0..self.entries).flat_map(|entry| (0..self.each).map(move |it| (entry, it)));
+            let threads: Vec<_> =
+                all.map(|(entry, it)| scope.spawn(move || caller(entry, it))).collect();
+            threads.into_iter().flat_map(|it| it.join().expect("a caller ends")).collect()
+        })
+    }
+}
--- a/crates/sablepass-stand/tests/limited.rs
+++ b/crates/sablepass-stand/tests/limited.rs
@@ -25,38 +25,15 @@
 const ENTRIES: usize = 5;
 /// Callers at each entry.
 const CALLERS: usize = 2;
+/// Time between an answer and its caller's next request.
+const PAUSE: Duration = Duration::from_millis(20);
 /// How long they call: the time from which a limit binds, and more than one span after it.
 const LASTS: Duration = Duration::from_millis(limits::CONTACT + 2 * limits::SPAN);
 
-fn site(replicas: usize, entries: usize) -> Site {
-    let mut site = Site::open(replicas);
-    for _ in 0..entries {
-        site.add_entry("");
-    }
-    site.settle(replicas);
-    site
-}
-
-/// Callers who send requests of all kinds to all entries, each after its answer to the one
-/// before it, for so long. What they were answered.
+/// Callers at so many entries, who send requests of all kinds for so long.
 fn call(site: &Site, entries: usize, label: &str, lasts: Duration) -> Vec<Answer> {
-    let until = Instant::now() + lasts;
-    let caller = |entry: usize, caller: usize| {
-        let kinds = ["stream", "safe", "once"].iter().cycle();
-        let numbered = kinds.zip(0..).take_while(|_| Instant::now() < until);
-        let answers = numbered.map(|(kind, number)| {
-            thread::sleep(Duration::from_millis(20));
-            let id = format!("{entry}-{label}-{caller}-{number}");
-            ask("POST", &format!("/{kind}/x"), &id, "q").send(&site.http(entry))
-        });
-        answers.collect::<Vec<Answer>>()
-    };
-    thread::scope(|scope| {
-        let all = (0..entries).flat_map(|entry| (0..CALLERS).map(move |it| (entry, it)));
-        let threads: Vec<_> =
-            all.map(|(entry, it)| scope.spawn(move || caller(entry, it))).collect();
-        threads.into_iter().flat_map(|it| it.join().expect("a caller ends")).collect()
-    })
+    let callers = common::Callers { entries, each: CALLERS, pause: PAUSE };
+    callers.call(site, label, lasts)
 }
 
 fn keeps(arrivals: &[Arrival], limit: f64) {
@@ -66,7 +43,7 @@
 
 #[test]
 fn verify_a_target_gets_no_more_than_it_takes() {
-    let site = site(3, ENTRIES);
+    let site = common::site(3, ENTRIES);
     site.replicas[0].name_limit(Some(1.0));
     let answers = call(&site, ENTRIES, "limited", LASTS);
     keeps(&site.replicas[0].arrivals(), 1.0);
@@ -77,7 +54,7 @@
 /// In one answer in three: the others do not mean that it is over.
 #[test]
 fn verify_a_limit_holds_that_few_answers_name() {
-    let site = site(3, 2);
+    let site = common::site(3, 2);
     site.replicas[0].name_limit(Some(1.0));
     site.replicas[0].name_limit_in(3);
     call(&site, 2, "few", LASTS);
@@ -87,7 +64,7 @@
 /// The field that cannot be read changes nothing, whatever stands there.
 #[test]
 fn verify_what_is_no_rate_is_counted_and_changes_nothing() {
-    let site = site(2, 1);
+    let site = common::site(2, 1);
     let garbled = &site.replicas[0];
     for text in ["many", "-1", "NaN", "2/s", "1, 2", ""] {
         garbled.garble_limit(text);
@@ -103,7 +80,7 @@
 /// It is lowered, raised and ends; soon after that the target gets as much as the others.
 #[test]
 fn verify_a_limit_follows_what_its_target_says() {
-    let site = site(3, 2);
+    let site = common::site(3, 2);
     let limited = &site.replicas[0];
     for limit in [20.0, 2.0, 8.0] {
         limited.name_limit(Some(limit));
@@ -130,7 +107,7 @@
 /// Its entry in the list lapses and comes back: it is the same life.
 #[test]
 fn verify_no_list_ends_a_limit() {
-    let site = site(3, 2);
+    let site = common::site(3, 2);
     let limited = &site.replicas[0];
     limited.name_limit(Some(1.0));
     call(&site, 2, "first", Duration::from_millis(500));
@@ -144,7 +121,7 @@
 
 #[test]
 fn verify_a_limit_ends_with_the_life_that_named_it() {
-    let mut site = site(2, 2);
+    let mut site = common::site(2, 2);
     site.replicas[0].name_limit(Some(0.1));
     call(&site, 2, "first", Duration::from_millis(500));
     site.replicas[0].end();
@@ -160,7 +137,7 @@
 /// What nobody reads may be how a target wants to be used: it shows before it does harm.
 #[test]
 fn verify_fields_that_nobody_reads_are_counted() {
-    let site = site(2, 1);
+    let site = common::site(2, 1);
     site.replicas[0].name_field(Some("server-mood: low"));
     call(&site, 1, "mood", Duration::from_millis(500));
     let admin = site.entries[0].addr("admin");
@@ -174,7 +151,7 @@
 /// whoever gets nothing is told so at once, and when there is something.
 #[test]
 fn verify_all_of_a_limit_is_used_where_no_other_target_is_there() {
-    let site = site(2, 3);
+    let site = common::site(2, 3);
     let limits = [2.0, 4.0];
     let name = |it: (&Replica, f64)| it.0.name_limit(Some(it.1));
     site.replicas.iter().zip(limits).for_each(name);
@@ -202,7 +179,7 @@
 /// Entries end, are stopped, go on and start anew meanwhile.
 #[test]
 fn verify_a_limit_holds_while_entries_come_and_go() {
-    let mut site = site(3, 4);
+    let mut site = common::site(3, 4);
     let limited = site.replicas[0].clone();
     limited.name_limit(Some(1.0));
     for round in 0..3 {
--- a/crates/sablepass-stand/tests/resting.rs
+++ b/crates/sablepass-stand/tests/resting.rs
@@ -13,7 +13,6 @@
 
 mod common;
 
-use std::thread;
 use std::time::{Duration, Instant};
 
 use sablepass_stand::client::{Answer, Ask, metric, wait_for};
@@ -28,39 +27,17 @@
 const MOST: usize = 2;
 /// Callers at each entry.
 const CALLERS: usize = 3;
-
-fn site(replicas: usize, entries: usize) -> Site {
-    let mut site = Site::open(replicas);
-    for _ in 0..entries {
-        site.add_entry("");
-    }
-    site.settle(replicas);
-    site
-}
+/// Time between an answer and its caller's next request.
+const PAUSE: Duration = Duration::from_millis(5);
 
 fn send(site: &Site, entry: usize, kind: &str, id: &str) -> Answer {
     ask("POST", &format!("/{kind}/x"), id, "q").send(&site.http(entry))
 }
 
-/// Callers who send requests of all kinds to all entries, each after its answer to the one
-/// before it, for so long. What they were answered; ids begin with the entry's number.
+/// Callers at so many entries, who send requests of all kinds for so long.
 fn call(site: &Site, entries: usize, label: &str, lasts: Duration) -> Vec<Answer> {
-    let until = Instant::now() + lasts;
-    let caller = |entry: usize, caller: usize| {
-        let kinds = ["stream", "safe", "once"].iter().cycle();
-        let numbered = kinds.zip(0..).take_while(|_| Instant::now() < until);
-        let answers = numbered.map(|(kind, number)| {
-            thread::sleep(Duration::from_millis(5));
-            send(site, entry, kind, &format!("{entry}-{label}-{caller}-{number}"))
-        });
-        answers.collect::<Vec<Answer>>()
-    };
-    thread::scope(|scope| {
-        let all = (0..entries).flat_map(|entry| (0..CALLERS).map(move |it| (entry, it)));
-        let threads: Vec<_> =
-            all.map(|(entry, it)| scope.spawn(move || caller(entry, it))).collect();
-        threads.into_iter().flat_map(|it| it.join().expect("a caller ends")).collect()
-    })
+    let callers = common::Callers { entries, each: CALLERS, pause: PAUSE };
+    callers.call(site, label, lasts)
 }
 
 /// The most that any entry had reach a target while that wanted to rest.
@@ -74,7 +51,7 @@
 
 #[test]
 fn verify_a_target_that_asks_for_rest_is_left_alone() {
-    let site = site(4, 2);
+    let site = common::site(4, 2);
     site.replicas[0].set(Mode::Shed(REST));
     site.replicas[1].set(Mode::Shed(REST));
     let answers = call(&site, 2, "rest", Duration::from_millis(2 * REST + 500));
@@ -98,7 +75,7 @@
 /// Once its rest is over it is used again, and asked for no more rest it stays so.
 #[test]
 fn verify_a_target_that_has_rested_is_used_again() {
-    let site = site(2, 1);
+    let site = common::site(2, 1);
     let rested = &site.replicas[0];
     rested.set(Mode::Shed(1_000));
     wait_for("it asks for rest", || {
@@ -118,7 +95,7 @@
 /// The list drops a target and names it again: it is the same one, and still rests.
 #[test]
 fn verify_a_lapse_of_its_entry_does_not_end_a_rest() {
-    let site = site(3, 1);
+    let site = common::site(3, 1);
     let resting = &site.replicas[0];
     resting.set(Mode::Shed(6_000));
     wait_for("it asks for rest", || {
@@ -140,7 +117,7 @@
 /// A later life never asked for anything.
 #[test]
 fn verify_a_rest_ends_with_the_life_that_asked_for_it() {
-    let mut site = site(2, 1);
+    let mut site = common::site(2, 1);
     site.replicas[0].set(Mode::Shed(60_000));
     wait_for("it asks for rest", || {
         send(&site, 0, "safe", "0-first");
@@ -199,7 +176,7 @@
 /// Where all rest nothing can be served: callers are told so at once, and when to return.
 #[test]
 fn verify_callers_are_told_when_all_targets_have_rested() {
-    let site = site(2, 1);
+    let site = common::site(2, 1);
     site.replicas.iter().for_each(|it| it.set(Mode::Shed(REST)));
     let asked = Instant::now();
     wait_for("all ask for rest", || {
--- a/crates/sablepass-wire/src/notices.rs
+++ b/crates/sablepass-wire/src/notices.rs
@@ -4,8 +4,8 @@
 //! What entries tell each other of targets: which said that they leave, and what they
 //! take from all entries together.
 
+use sablepass_core::id::Life;
 use sablepass_core::limits::Rate;
-use sablepass_core::notices::Life;
 
 use crate::convert::Error;
 use crate::generated as wire;
--- a/crates/sablepass-wire/src/turns.rs
+++ b/crates/sablepass-wire/src/turns.rs
@@ -3,9 +3,8 @@
 
 //! How an entry asks another one, that holds a target's limit, when it may send a request.
 
-use sablepass_core::id::{Millis, RequestId};
+use sablepass_core::id::{Life, Millis, RequestId};
 use sablepass_core::limits::Turn;
-use sablepass_core::notices::Life;
 
 use crate::convert::{self, Error};
 use crate::generated as wire;
