--- a/crates/sablepass-stand/tests/limited.rs
+++ b/crates/sablepass-stand/tests/limited.rs
@@ -19,7 +19,7 @@
 use sablepass_stand::client::{Answer, Ask, metric, wait_for};
 use sablepass_stand::limits;
 use sablepass_stand::replica::{Arrival, Replica};
-use sablepass_stand::site::{Site, ask};
+use sablepass_stand::site::Site;
 
 /// Entries of a small site.
 const ENTRIES: usize = 5;
