--- a/crates/sablepass-stand/tests/crashing.rs
+++ b/crates/sablepass-stand/tests/crashing.rs
@@ -14,8 +14,8 @@
 use std::time::{Duration, Instant};
 
 use sablepass_stand::beside::Beside;
-use sablepass_stand::client::{Answer, metric};
-use sablepass_stand::replica::Replica;
+use sablepass_stand::client::{Answer, metric, wait_for};
+use sablepass_stand::replica::{Group, Replica};
 use sablepass_stand::site::{Site, ask};
 
 /// Body of the request.
@@ -140,3 +140,25 @@
     }
     assert_eq!(ended(&beside.site), before, "the new entry sent it on");
 }
+
+/// Ranks of one group stop together: one more end would cost all that the service runs, so
+/// that what a rank ended under is not tried at the others. What did not run there is.
+#[test]
+fn verify_what_a_rank_ended_under_is_not_tried_at_the_others() {
+    let beside = Beside::spawn(4);
+    let site = &beside.site;
+    is_fatal_to(&site.replicas);
+    let group = Group { open: true, size: 4, steps: true };
+    site.replicas.iter().for_each(|it| it.tell(group));
+    let admin = site.entries[0].addr("admin");
+    send(site, 0, "once", "first", FATAL);
+    wait_for("its end is known", || metric(&admin, "sablepass_deaths_total", "") >= 1.0);
+    for round in 0..4 {
+        let again = send(site, 0, "once", &format!("again-{round}"), FATAL);
+        assert_eq!(again.status, 503, "{again:?}");
+    }
+    assert_eq!(ended(site), 1, "it was tried again");
+    wait_for("what did not run there is served", || {
+        send(site, 0, "once", "innocent", "ends nothing").status == 200
+    });
+}
