--- a/crates/sablepass-stand/src/process.rs
+++ b/crates/sablepass-stand/src/process.rs
@@ -4,9 +4,9 @@
 //! A child process that says on its first line of output where it listens.
 
 use std::collections::VecDeque;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use nix::sys::signal::{self, Signal};
@@ -56,11 +56,19 @@
     path
 }
 
+/// How a program ended that did not become ready, and what it said of that.
+fn told(child: &mut Child, errors: Option<&mut ChildStderr>) -> String {
+    let mut said = String::new();
+    // Both only help to find out why.
+    let _ = errors.map(|it| it.read_to_string(&mut said));
+    format!("{:?}, {said:?}", child.wait())
+}
+
 impl Process {
     /// Starts a program and waits until it is ready.
     pub fn spawn(name: &str, args: &[&str]) -> Self {
         let quiet = std::env::var_os("SABLEPASS_TEST_LOGS").is_none();
-        let errors = if quiet { Stdio::null() } else { Stdio::inherit() };
+        let errors = if quiet { Stdio::piped() } else { Stdio::inherit() };
         let mut child = Command::new(program(name))
             .args(args)
             .stdin(Stdio::null())
@@ -72,8 +80,15 @@
         let mut out = BufReader::new(out);
         let mut line = String::new();
         out.read_line(&mut line).expect("its output can be read");
-        let ready = serde_json::from_str(&line)
-            .unwrap_or_else(|e| panic!("{name} {args:?} did not become ready: {e}: {line:?}"));
+        let mut errors = child.stderr.take();
+        let ready = serde_json::from_str(&line).unwrap_or_else(|e| {
+            let said = told(&mut child, errors.as_mut());
+            panic!("{name} {args:?} did not become ready: {e}: {line:?}, {said}")
+        });
+        // What it says later is of no use; it must not wait until that is read.
+        if let Some(mut it) = errors {
+            std::thread::spawn(move || std::io::copy(&mut it, &mut std::io::sink()));
+        }
         let lines = Arc::default();
         spawn_reader(out, Arc::clone(&lines), !quiet);
         Self { child, ready, lines }
