Test: the server of http.rs listens until its process ends

Cause, traced by the exit code (EXIT_DEAF, in one place): the test drops its server when it is done, the look-out of that server finds nothing listening within 20 ms and ends the process, which the harness has not left yet on a busy machine. Shown: with 200 ms of sleep after the drop the old test ends so each time. The test now keeps its server; what it asserts is as it was. No product code.

--- a/crates/sablepass-stand/tests/http.rs
+++ b/crates/sablepass-stand/tests/http.rs
@@ -24,6 +24,9 @@
 #[test]
 fn verify_no_connection_starves() {
     let (server, addr) = http::bind(([127, 0, 0, 1], 0).into()).expect("bound");
+    // Once nothing listens its look-out ends the process, also while the harness still writes
+    // how this test went: it listens until the process ends.
+    let server = Box::leak(Box::new(server));
     let mut held = Vec::new();
     let mut sockets = Vec::new();
     for round in 0..20 {
