--- a/crates/sablepass-core/tests/gate.rs
+++ b/crates/sablepass-core/tests/gate.rs
@@ -108,6 +108,27 @@
     assert_eq!(gate.dispatch(20_004, &other), Decision::Refuse(Refusal::KeyReused));
 }
 
+/// A target that wants nothing now takes no new work; of what ran before the caller is told
+/// all the same.
+#[test]
+fn verify_what_ran_is_told_while_the_target_wants_nothing() {
+    let mut gate = gate(0);
+    gate.declare(0, names(&["a", "b"]));
+    pass(&mut gate, 0, 20_000);
+    let key = key(true);
+    let rests = || Err(Refusal::TargetRests);
+    let first = dispatch(1, &key, None);
+    assert_eq!(gate.dispatch_if(20_000, &first, rests), Decision::Refuse(Refusal::TargetRests));
+    assert_eq!(gate.running(), 0);
+    assert_eq!(gate.dispatch(20_001, &first), Decision::Run, "it had not run, nor its key");
+    let second = dispatch(2, &key, None);
+    let in_flight = Decision::Refuse(Refusal::KeyInFlight);
+    assert_eq!(gate.dispatch_if(20_002, &second, rests), in_flight);
+    let answer = Answer { status: 200, content_type: "t".to_owned(), body: b"x".to_vec() };
+    gate.finish(20_003, first.attempt, Some(&key), End::Whole(answer.clone()));
+    assert_eq!(gate.dispatch_if(20_004, &second, rests), Decision::Replay(answer));
+}
+
 #[test]
 fn verify_leaving_is_sticky() {
     let mut gate = gate(0);
