Log the era of the platform's store, and reads that are not taken

The logs of the incident tell neither whether the store that answers is the one that was read before, nor the revision of a read that is ignored, so a store that was restored from a copy looks like one that lags. An entry now logs and exports the era that answers name (Store-Era), and a line 'read not taken' gives the revision read and the one held. No decision reads either.

--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -97,6 +97,8 @@
 pub struct Read {
     /// Of which service.
     pub what: What,
+    /// The service's era, if it answered and names one that can be read.
+    pub era: Option<u64>,
     /// What it gave.
     pub result: Result<Batch, Error>,
 }
@@ -116,6 +118,8 @@
     metrics: Arc<Metrics>,
     caller: ActorOwn<Caller>,
     reading: Option<Reading>,
+    /// Era of the last answer.
+    era: Option<u64>,
 }
 
 impl Reader {
@@ -131,7 +135,7 @@
         let caller = actor_new!(cx, Caller, ret_nop!());
         let answers = fwd_to!([cx], heard() as (Result<Answer, caller::Error>));
         call!([caller], Caller::init(addr, ANSWER_LIMIT, answers));
-        Some(Self { what, form, owner, metrics, caller, reading: None })
+        Some(Self { what, form, owner, metrics, caller, reading: None, era: None })
     }
 
     /// Makes a read. One that is still under way is given up.
@@ -161,13 +165,15 @@
     fn heard(&mut self, _cx: CX![], result: Result<Answer, caller::Error>) {
         let Some(reading) = self.reading.take() else { return };
         let order = reading.order;
-        let Answer { status, body, .. } = match result {
+        self.era = None;
+        let Answer { status, body, fields } = match result {
             Ok(it) => it,
             Err(source) => {
                 self.report(Err(Error::Call { source }));
                 return;
             }
         };
+        self.era = store::era(&fields).ok();
         if status == store::HISTORY_GONE {
             self.report(Err(Error::History { after: order.after }));
             return;
@@ -226,7 +232,7 @@
     fn report(&mut self, result: Result<Batch, Error>) {
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         self.metrics.reads.with_label_values(&[name(self.what), outcome]).inc();
-        self.owner.fwd(Read { what: self.what, result });
+        self.owner.fwd(Read { what: self.what, era: self.era, result });
     }
 }
 
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -127,6 +127,8 @@
     started: Millis,
     /// When the service that readers share the reading of last answered anybody.
     fresh: Millis,
+    /// Era of the platform's service, as its last answer names it.
+    era: Option<u64>,
 }
 
 impl Spread {
@@ -162,6 +164,7 @@
             entries: Vec::new(),
             started: now,
             fresh: 0,
+            era: None,
         }
     }
 
@@ -323,6 +326,7 @@
     pub fn read(&mut self, now: Millis, read: Read) -> Option<What> {
         let what = read.what;
         let ordered = self.source(what).ordered.take().unwrap_or(now);
+        self.note_era(read.era);
         let batch = match read.result {
             Ok(it) => it,
             Err(e) => {
@@ -340,6 +344,9 @@
         source.failures = 0;
         source.next = now.max(ordered + pace);
         if stale {
+            let held = self.source(what).store.revision();
+            slog::info!(self.log, "read not taken"; "what" => ?what,
+                "revision" => batch.delta.revision, "held" => held, "era" => self.era);
             self.metrics.ignored(Ignored::OldRevision);
             return None;
         }
@@ -358,6 +365,16 @@
         changed
     }
 
+    /// A line when the service names another era.
+    fn note_era(&mut self, era: Option<u64>) {
+        let Some(now) = era else { return };
+        let before = self.era.replace(now);
+        if before != era {
+            slog::info!(self.log, "platform era"; "before" => before, "now" => now);
+            self.metrics.era.set(i64::try_from(now).unwrap_or(i64::MAX));
+        }
+    }
+
     /// A line and a count for each change that cannot be taken, not for each read.
     fn report_problem(&mut self, what: What, it: &Problem) {
         let bad = &mut self.source(what).bad;
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -34,6 +34,8 @@
     pub in_flight: IntGauge,
     /// Configuration revision held.
     pub revision: IntGauge,
+    /// Era of the platform's service: it rises each time that this was restored from a copy.
+    pub era: IntGauge,
     /// Reads of the platform's service, watches included, by outcome.
     pub reads: IntCounterVec,
     /// Seconds from a request's arrival to the first byte of its answer.
@@ -113,6 +115,7 @@
             answered: counter(r, "answered_total", "Requests with a whole answer")?,
             in_flight: gauge(r, "in_flight", "Requests held")?,
             revision: gauge(r, "config_revision", "Configuration revision held")?,
+            era: gauge(r, "platform_era", "Era of the platform's service")?,
             reads: counters(
                 r,
                 "platform_reads_total",
