--- a/crates/sablepass-stand/src/keys.rs
+++ b/crates/sablepass-stand/src/keys.rs
@@ -34,7 +34,7 @@
     Refusing,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Item {
     revision: u64,
     /// None is a removal, kept as history.
@@ -48,9 +48,25 @@
     items: BTreeMap<String, Item>,
     /// Revisions up to this one are no longer in the history.
     forgotten: u64,
+    /// Text of the field that names its era; none in answers of a store that has none.
+    era: Option<String>,
     calls: u64,
 }
 
+/// An answer, with the era in which it was made.
+struct Reply {
+    status: u16,
+    body: Value,
+    era: Option<String>,
+}
+
+/// What it held at some moment.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+}
+
 /// The store. It serves until the process ends.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -63,8 +79,14 @@
     /// Starts an empty store.
     pub fn spawn() -> Self {
         let (server, addr) = http::bind(([127, 0, 0, 1], 0).into()).expect("the store listens");
-        let state =
-            State { mode: Mode::Up, revision: 100, items: BTreeMap::new(), forgotten: 0, calls: 0 };
+        let state = State {
+            mode: Mode::Up,
+            revision: 100,
+            items: BTreeMap::new(),
+            forgotten: 0,
+            era: Some("1".to_owned()),
+            calls: 0,
+        };
         let store = Self { addr, state: Arc::new((Mutex::new(state), Condvar::new())) };
         let serving = store.clone();
         std::thread::spawn(move || {
@@ -118,6 +140,32 @@
         self.state.1.notify_all();
     }
 
+    /// Its revision, which every change raises.
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
+    /// Takes a copy of it.
+    pub fn copy(&self) -> Copy {
+        let state = self.lock();
+        Copy { revision: state.revision, items: state.items.clone() }
+    }
+
+    /// Replaces what it holds by a copy, from which it goes on in this era. Later revisions
+    /// are given out again.
+    pub fn restore(&self, copy: &Copy, era: u64) {
+        let mut state = self.lock();
+        state.revision = copy.revision;
+        state.items = copy.items.clone();
+        state.era = Some(era.to_string());
+        self.state.1.notify_all();
+    }
+
+    /// Changes the field that names its era; none leaves it out.
+    pub fn name_era(&self, text: Option<&str>) {
+        self.lock().era = text.map(str::to_owned);
+    }
+
     /// Calls taken so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -131,32 +179,36 @@
             pairs.find(|it| it.0 == name).map_or("", |it| it.1).to_owned()
         };
         let prefix = field("pathPrefix");
-        let (mode, calls) = {
+        let (mode, calls, era) = {
             let mut state = self.lock();
             state.calls += 1;
-            (state.mode, state.calls)
+            (state.mode, state.calls, state.era.clone())
         };
         if mode == Mode::Slow {
             std::thread::sleep(SLOW);
         }
         let refused = mode == Mode::Refusing && calls.is_multiple_of(2);
-        let (status, body) = match (mode, path) {
-            _ if refused => (429, json!({ "error": "too many calls" })),
-            (Mode::Down, _) => (503, json!({ "error": "down" })),
+        let Reply { status, body, era } = match (mode, path) {
+            _ if refused => Reply { status: 429, body: json!({ "error": "too many calls" }), era },
+            (Mode::Down, _) => Reply { status: 503, body: json!({ "error": "down" }), era },
             (Mode::Silent, _) => {
                 self.wait_for_voice();
                 return;
             }
-            (_, "/-/kv-range") => (200, self.range(&prefix)),
+            (_, "/-/kv-range") => self.range(&prefix),
             (_, "/-/kv-watch") => {
                 let after = field("after").parse().unwrap_or(0);
                 let wait = Duration::from_millis(field("waitMs").parse().unwrap_or(0));
                 self.watch(&prefix, after, wait)
             }
-            (_, _) => (400, json!({ "error": "no such call" })),
+            (_, _) => Reply { status: 400, body: json!({ "error": "no such call" }), era },
         };
+        let mut response = http::answer_json(status, &body);
+        if let Some(field) = era.and_then(|it| http::header("Store-Era", &it)) {
+            response.add_header(field);
+        }
         // The asker may be gone.
-        let _ = request.respond(http::answer_json(status, &body));
+        let _ = request.respond(response);
     }
 
     fn wait_for_voice(&self) {
@@ -165,23 +217,25 @@
         drop(held.unwrap_or_else(PoisonError::into_inner));
     }
 
-    fn range(&self, prefix: &str) -> Value {
+    fn range(&self, prefix: &str) -> Reply {
         let state = self.lock();
         let live =
             state.items.iter().filter(|(key, it)| key.starts_with(prefix) && it.value.is_some());
         let items: Vec<Value> = live.map(|(key, it)| item(key, it)).collect();
-        json!({ "items": items, "more": false, "at": state.revision })
+        let body = json!({ "items": items, "more": false, "at": state.revision });
+        Reply { status: 200, body, era: state.era.clone() }
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Value) {
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Reply {
         let until = Instant::now() + wait;
         let mut state = self.lock();
+        let reply = |state: &State, status, body| Reply { status, body, era: state.era.clone() };
         loop {
-            if after < state.forgotten {
-                return (410, json!({ "error": "history gone" }));
+            if after < state.forgotten || after > state.revision {
+                return reply(&state, 410, json!({ "error": "history gone" }));
             }
             if matches!(state.mode, Mode::Down | Mode::Silent) {
-                return (503, json!({ "error": "down" }));
+                return reply(&state, 503, json!({ "error": "down" }));
             }
             let newer = state
                 .items
@@ -193,7 +247,7 @@
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let events: Vec<Value> = events.into_iter().map(|it| it.1).collect();
-                return (200, json!({ "events": events, "at": state.revision }));
+                return reply(&state, 200, json!({ "events": events, "at": state.revision }));
             }
             let held = self.state.1.wait_timeout(state, left);
             state = held.unwrap_or_else(PoisonError::into_inner).0;
--- /dev/null
+++ b/crates/sablepass-stand/tests/restored.rs
@@ -0,0 +1,211 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! The platform's store is restored from a copy: it loses what it had confirmed since, and
+//! gives out the same revisions again. Operators and targets write anew what was lost.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use sablepass_stand::client::wait_for;
+use sablepass_stand::keys::{Copy, Mode};
+use sablepass_stand::site::{self, KEY, Site, ask};
+use serde_json::{Value, json};
+
+const ENTRIES: usize = 5;
+/// Within this time a confirmed configuration is in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// Era of the store after it was restored; it begins in the first one.
+const SECOND: u64 = 2;
+
+fn site(replicas: usize) -> Site {
+    let mut site = Site::open(replicas);
+    for _ in 0..ENTRIES {
+        site.add_entry("");
+    }
+    site.settle(replicas);
+    site
+}
+
+/// A configuration with a public route of its own besides the usual ones.
+fn with_route(version: u64) -> Value {
+    let mut it = site::configuration(version);
+    let mut route = it["routes"][1].clone();
+    route["name"] = json!(format!("added-{version}"));
+    route["pathPrefix"] = json!(format!("/added-{version}/"));
+    it["routes"].as_array_mut().expect("routes").push(route);
+    it
+}
+
+/// Status of a request on the route that a version has.
+fn on_route(site: &Site, entry: usize, version: u64) -> u16 {
+    let path = format!("/added-{version}/x");
+    ask("GET", &path, &format!("r-{entry}-{version}"), "").send(&site.http(entry)).status
+}
+
+fn wait_in_force(site: &Site, version: u64) {
+    let written = Instant::now();
+    for entry in 0..site.entries.len() {
+        let what = format!("version {version} is in force at entry {entry}");
+        wait_for(&what, || on_route(site, entry, version) == 200);
+        assert!(written.elapsed() < IN_FORCE, "{what}: {:?}", written.elapsed());
+    }
+}
+
+/// The store is away for a moment and comes back from a copy.
+fn restore(site: &Site, copy: &Copy) {
+    site.store.set(Mode::Down);
+    thread::sleep(Duration::from_millis(300));
+    site.store.restore(copy, SECOND);
+    site.store.set(Mode::Up);
+}
+
+/// Versions confirmed after the copy raise the revision that processes hold, so that what
+/// is written to the restored store has lower ones.
+#[test]
+fn verify_a_configuration_is_in_force_in_time_after_the_store_was_restored() {
+    let site = site(1);
+    let copy = site.store.copy();
+    for version in 2..8 {
+        site.configure(&with_route(version));
+    }
+    wait_in_force(&site, 7);
+    restore(&site, &copy);
+    thread::sleep(Duration::from_secs(1));
+    site.configure(&with_route(8));
+    wait_in_force(&site, 8);
+}
+
+/// The restored store gives the revision that processes hold to another version.
+#[test]
+fn verify_a_revision_that_is_given_out_again_is_read_again() {
+    let site = site(1);
+    let copy = site.store.copy();
+    let held = site.configure(&with_route(2));
+    wait_in_force(&site, 2);
+    site.store.set(Mode::Down);
+    site.store.restore(&copy, SECOND);
+    assert_eq!(site.configure(&with_route(3)), held);
+    site.store.set(Mode::Up);
+    wait_in_force(&site, 3);
+}
+
+/// The restored store is past the revision that processes hold when they ask again, so
+/// that a watch from there succeeds and gives nothing of what was written before it.
+#[test]
+fn verify_a_watch_from_before_the_restore_misses_nothing() {
+    let site = site(1);
+    let copy = site.store.copy();
+    site.configure(&with_route(2));
+    wait_in_force(&site, 2);
+    site.store.set(Mode::Down);
+    site.store.restore(&copy, SECOND);
+    site.configure(&with_route(3));
+    for _ in 0..10 {
+        site.list(&site.replicas[0], "ready");
+    }
+    site.store.set(Mode::Up);
+    wait_in_force(&site, 3);
+}
+
+/// What the operator wrote is written again only some seconds after the store is back.
+#[test]
+fn verify_a_restored_store_takes_back_nothing_that_was_in_force() {
+    let mut site = site(1);
+    site.configure(&with_route(2));
+    wait_in_force(&site, 2);
+    let copy = site.store.copy();
+    let mut third = with_route(3);
+    third["tenants"][0]["apiKeys"] = json!(["another-key-of-the-customer"]);
+    site.configure(&third);
+    let with_key = |site: &Site, entry: usize, key: &str| {
+        let mut ask = ask("GET", "/added-3/x", &format!("k-{entry}"), "");
+        ask.headers.retain(|it| it.0 != "authorization");
+        ask.with("authorization", &format!("Bearer {key}")).send(&site.http(entry)).status
+    };
+    for entry in 0..ENTRIES {
+        let taken = || with_key(&site, entry, KEY) == 401;
+        wait_for("the key is taken away", taken);
+    }
+    restore(&site, &copy);
+    let until = Instant::now() + Duration::from_millis(1_500);
+    while Instant::now() < until {
+        for entry in 0..ENTRIES {
+            assert_eq!(with_key(&site, entry, KEY), 401, "entry {entry} took an old key");
+            let added = with_key(&site, entry, "another-key-of-the-customer");
+            assert_eq!(added, 200, "entry {entry} lost a route");
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    // A process that knows only the restored store learns better from the others.
+    let fresh = site.add_entry("");
+    wait_for("a fresh entry knows the route", || {
+        with_key(&site, fresh, "another-key-of-the-customer") == 200
+    });
+    assert_eq!(with_key(&site, fresh, KEY), 401, "the fresh entry took an old key");
+    site.configure(&third);
+    site.configure(&site::configuration(4));
+    for entry in 0..=ENTRIES {
+        wait_for("the route is gone", || with_key(&site, entry, KEY) == 404);
+    }
+}
+
+/// Replicas that were not in the copy write their entries again.
+#[test]
+fn verify_targets_written_after_the_copy_serve_on() {
+    let mut site = site(2);
+    let copy = site.store.copy();
+    site.add_replica("orders");
+    site.settle(3);
+    restore(&site, &copy);
+    site.replicas.iter().for_each(|it| site.list(it, "ready"));
+    thread::sleep(Duration::from_secs(4));
+    site.settle(3);
+}
+
+/// The copy names targets that have left since, as if they were ready.
+#[test]
+fn verify_a_target_that_left_before_the_restore_gets_nothing_more() {
+    for says_so in [true, false] {
+        let site = site(3);
+        let copy = site.store.copy();
+        let leaving = &site.replicas[0];
+        if says_so {
+            site.list(leaving, "draining");
+        } else {
+            site.store.remove(&format!("servers/{}", leaving.id));
+        }
+        site.settle(2);
+        // It is gone for good at all entries.
+        thread::sleep(Duration::from_secs(2));
+        let before = leaving.arrivals().len();
+        restore(&site, &copy);
+        site.replicas[1..].iter().for_each(|it| site.list(it, "ready"));
+        let until = Instant::now() + Duration::from_secs(2);
+        while Instant::now() < until {
+            for entry in 0..ENTRIES {
+                let path = "/safe/x";
+                let answer = ask("GET", path, "after", "").send(&site.http(entry));
+                assert_eq!(answer.status, 200, "{answer:?}");
+            }
+        }
+        let sent = leaving.arrivals().len() - before;
+        assert_eq!(sent, 0, "says so: {says_so}; {sent} requests reached what had left");
+    }
+}
+
+/// An era that cannot be read says nothing of where an answer belongs.
+#[test]
+fn verify_an_era_that_cannot_be_read_loses_nothing() {
+    let site = site(1);
+    site.configure(&with_route(2));
+    wait_in_force(&site, 2);
+    for bad in ["", "-1", "two", "18446744073709551616"] {
+        site.store.name_era(Some(bad));
+        thread::sleep(Duration::from_millis(300));
+        assert_eq!(on_route(&site, 0, 2), 200, "{bad:?}");
+    }
+    site.store.name_era(Some("1"));
+    site.configure(&with_route(3));
+    wait_in_force(&site, 3);
+}
