--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -17,6 +17,7 @@
 use sablepass_core::pass::Steps;
 use sablepass_core::reason::Ignored;
 use sablepass_core::rendezvous;
+use sablepass_core::revision::Revision;
 use sablepass_edge::caller::Answer;
 use sablepass_edge::instance::{Instance, Role};
 use sablepass_edge::mesh::{self, Mesh, Wanted};
@@ -70,7 +71,7 @@
     limit: Limit,
     ranks: Ranks,
     /// What entries told of the maps of services, with the revision that says so.
-    bounds: BTreeMap<String, (u64, Bounds)>,
+    bounds: BTreeMap<String, (Revision, Bounds)>,
     instances: Rc<BTreeMap<String, Instance>>,
     /// The service that the target answers for, once it is listed.
     service: String,
@@ -173,7 +174,7 @@
                 let list = self.ranks.message(clock::now(), peer, body);
                 self.carry_out(list.unwrap_or_default());
             }
-            mesh::Event::Instances(it) => {
+            mesh::Event::Instances(it, _) => {
                 self.instances = it;
                 self.meet_group();
             }
@@ -192,15 +193,16 @@
                 return;
             }
         };
+        let revision = Revision::new(it.era, it.revision);
         let known = self.bounds.get(&it.service);
-        if known.is_some_and(|known| known.0 >= it.revision) {
+        if known.is_some_and(|known| known.0 >= revision) {
             return;
         }
         if known.is_none_or(|known| known.1 != told) {
             slog::info!(self.log, "bounds of maps"; "service" => &it.service,
-                "revision" => it.revision, "bounds" => ?told);
+                "era" => it.era, "revision" => it.revision, "bounds" => ?told);
         }
-        self.bounds.insert(it.service, (it.revision, told));
+        self.bounds.insert(it.service, (revision, told));
         self.meet_group();
     }
 
--- a/crates/sablepass-core/src/catalogue.rs
+++ b/crates/sablepass-core/src/catalogue.rs
@@ -16,6 +16,7 @@
     self, Customer, Declarations, Error, Grant, Group, Kind, Limits, Result, Service, Target,
 };
 use crate::id::Millis;
+use crate::revision::Revision;
 use crate::route::Table;
 
 /// A declared resource with its partner and the document it stands in.
@@ -33,7 +34,7 @@
 #[derive(Debug, Default)]
 pub struct Catalogue {
     /// Revision it was made of.
-    pub revision: u64,
+    pub revision: Revision,
     /// Targets.
     pub targets: BTreeMap<String, Declared<Target>>,
     /// Groups.
--- a/crates/sablepass-core/src/config.rs
+++ b/crates/sablepass-core/src/config.rs
@@ -5,25 +5,36 @@
 //!
 //! Documents carry the platform's revisions. Whoever holds revision R holds
 //! every document up to R, so a peer's delta after R makes the receiver as
-//! complete as the peer. The highest revision wins for good; anything older
-//! is ignored and counted. Each document keeps its last accepted version
+//! complete as the peer. Each document keeps its last accepted version
 //! beside its newest one, so a bad edit loses nothing.
-
+//!
+//! A revision says what to read next. Which of two versions of a document is
+//! the newer one is said by the number that its operator gave it, and by the
+//! revision only where there is none: a service that was restored from a copy
+//! lists an earlier version at a later [`Revision`]. What such a service does
+//! not list may be what it lost, so a document of an earlier era stays until
+//! it is removed in the present one; an instance is dropped, and is back when
+//! it writes its line again.
+
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use crate::config::parts::{Mask, Parts};
+use crate::config::removals::Removals;
 use crate::declaration::{self, Declarations};
 use crate::reason::Ignored;
 use crate::rendezvous;
+use crate::revision::Revision;
 
 pub mod parts;
+pub mod removals;
 
 /// One version of a document.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Version {
     /// The platform's revision of this version.
-    pub revision: u64,
+    pub revision: Revision,
     /// TOML text.
     pub body: String,
 }
@@ -52,7 +63,7 @@
 #[derive(Debug)]
 pub struct Verdict {
     /// Revision in force, and what it declares.
-    pub force: Option<(u64, Rc<Declarations>)>,
+    pub force: Option<(Revision, Rc<Declarations>)>,
     /// Why the newest version is refused.
     pub refused: Option<declaration::Error>,
 }
@@ -78,24 +89,38 @@
             }
         }
     }
+
+    /// Which of two verdicts on a document has the newer declarations in force, where their
+    /// operator numbered both.
+    fn numbered(&self, other: &Self) -> Option<Ordering> {
+        let number = |it: &Self| it.force.as_ref()?.1.version;
+        Some(number(self)?.cmp(&number(other)?))
+    }
+
+    /// Whether this one has newer declarations in force.
+    fn supersedes(&self, other: &Self) -> bool {
+        let revision = |it: &Self| it.force.as_ref().map(|it| it.0);
+        let numbered = self.numbered(other).unwrap_or(Ordering::Equal);
+        numbered.then(revision(self).cmp(&revision(other))).is_gt()
+    }
 }
 
 /// What a process tells its peers of what it holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Digest {
     /// Highest revision held.
-    pub revision: u64,
+    pub revision: Revision,
     /// Hash of all keys, revisions held, and revisions in force; of the instance list, of what its lines say.
     pub hash: u64,
     /// Whoever holds less than this revision has to be told by comparison.
-    pub since: u64,
+    pub since: Revision,
 }
 
 /// What a process asks a peer for.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Pull {
     /// The revision held.
-    pub after: u64,
+    pub after: Revision,
     /// What is held, for a comparison.
     pub parts: Option<Parts>,
 }
@@ -105,7 +130,7 @@
 pub enum Whole {
     /// All that there is: what it does not name is gone. Since this revision the sender
     /// knows of each removal.
-    All(u64),
+    All(Revision),
     /// The same of these parts, which differed from what the receiver held by this hash.
     Parts(Mask, u64),
 }
@@ -123,9 +148,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Delta {
     /// The receiver must hold at least this revision.
-    pub after: u64,
+    pub after: Revision,
     /// What the receiver holds afterwards.
-    pub revision: u64,
+    pub revision: Revision,
     /// The changed documents.
     pub documents: Vec<Document>,
     /// Set where the documents are not changes, but what there is.
@@ -168,14 +193,33 @@
 pub struct Store {
     what: What,
     check: Check,
-    revision: u64,
+    revision: Revision,
     /// What was there at this revision is held, by lines that may have older ones; what came
     /// and went before it left no trace here. Of what is later each change is held.
-    since: u64,
+    since: Revision,
     documents: BTreeMap<String, Document>,
     /// Of the instances that are there.
     parts: Parts,
+    /// Of the instances that were there.
+    removals: Removals,
     verdicts: BTreeMap<String, Verdict>,
+    /// Documents not taken since this was last asked for.
+    rejected: Vec<Rejected>,
+}
+
+/// Versions not taken that are remembered until somebody asks for them.
+const MOST_REJECTED: usize = 64;
+
+/// A version of a document that is not taken: its operator's number is lower than that of
+/// the one in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rejected {
+    /// The document.
+    pub key: String,
+    /// Revision of the version.
+    pub revision: Revision,
+    /// Its number.
+    pub version: Option<u64>,
 }
 
 impl Store {
@@ -189,19 +233,26 @@
         Self {
             what,
             check,
-            revision: 0,
-            since: 0,
+            revision: Revision::default(),
+            since: Revision::default(),
             documents: BTreeMap::new(),
             parts: Parts::default(),
+            removals: Removals::default(),
             verdicts: BTreeMap::new(),
+            rejected: Vec::new(),
         }
     }
 
     /// Highest revision held.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
+    /// The documents that were not taken since this was last called.
+    pub fn take_rejected(&mut self) -> Vec<Rejected> {
+        std::mem::take(&mut self.rejected)
+    }
+
     /// A document, or its removal.
     pub fn get(&self, key: &str) -> Option<&Document> {
         self.documents.get(key)
@@ -226,7 +277,7 @@
             What::Declarations => {
                 let line =
                     |it: &Document| (it.key.clone(), it.newest.revision, self.force(&it.key));
-                let held: Vec<(String, u64, Option<u64>)> =
+                let held: Vec<(String, Revision, Option<Revision>)> =
                     self.documents.values().map(line).collect();
                 rendezvous::stable_hash(&held)
             }
@@ -235,7 +286,7 @@
     }
 
     /// Revision in force of a document.
-    fn force(&self, key: &str) -> Option<u64> {
+    fn force(&self, key: &str) -> Option<Revision> {
         self.verdicts.get(key)?.force.as_ref().map(|it| it.0)
     }
 
@@ -309,7 +360,7 @@
     }
 
     /// What this process holds of the parts in which it differs from a peer.
-    fn difference(&self, after: u64, parts: &Parts) -> Delta {
+    fn difference(&self, after: Revision, parts: &Parts) -> Delta {
         let mask = self.parts.differing(parts);
         let there = self.documents.values().filter(|it| !it.removed && mask.has(&it.key));
         let documents = there.cloned().collect();
@@ -317,7 +368,7 @@
         Delta { after, revision: self.revision, documents, whole }
     }
 
-    /// Takes a delta in. True if anything changed. The parts of a full copy
+    /// Takes a delta in. True if any content changed. The parts of a full copy
     /// may be older than what is held and still bring an accepted version;
     /// one that brings nothing is old.
     pub fn merge(&mut self, mut delta: Delta) -> Result<bool, Ignored> {
@@ -331,7 +382,8 @@
             self.complete(&mut delta);
         }
         let old = delta.revision < self.revision;
-        let mut changed = delta.revision > self.revision;
+        let first = self.revision == Revision::default() && delta.revision > self.revision;
+        let mut changed = first;
         for document in delta.documents {
             changed |= self.put(document);
         }
@@ -359,6 +411,9 @@
         let mut changed = false;
         for key in self.unnamed(&delta, whole.mask()) {
             self.remove(&key);
+            if delta.revision.era == self.revision.era {
+                self.removals.record(&key, delta.revision);
+            }
             changed = true;
         }
         for document in delta.documents {
@@ -368,6 +423,9 @@
             if later || self.holds(&document) || (older && !newer) {
                 continue;
             }
+            if !self.admits(whole, &document) {
+                continue;
+            }
             self.insert(document);
             changed = true;
         }
@@ -378,6 +436,15 @@
         Ok(changed)
     }
 
+    /// Whether a line is to be taken. What a peer lists it has judged itself.
+    fn admits(&mut self, whole: Whole, line: &Document) -> bool {
+        let Version { revision, .. } = line.newest;
+        match whole {
+            Whole::All(_) => self.removals.admits_listed(&line.key, revision),
+            Whole::Parts(..) => self.removals.admits_written(&line.key, revision),
+        }
+    }
+
     /// What is held of some parts, is not named and is not newer.
     fn unnamed(&self, delta: &Delta, mask: Mask) -> Vec<String> {
         let named: BTreeSet<&str> = delta.documents.iter().map(|it| it.key.as_str()).collect();
@@ -405,9 +472,17 @@
     /// Makes a delta out of everything that there is: what is held, is not
     /// named and is not newer is removed. What was gone already may have been
     /// back meanwhile, for those who hold more of its history: it is gone again.
+    /// Only a read of the present era shows that a document of that era is gone.
     fn complete(&self, delta: &mut Delta) {
+        let Revision { era, .. } = delta.revision;
+        if era < self.revision.era {
+            return;
+        }
         let named: BTreeSet<&String> = delta.documents.iter().map(|it| &it.key).collect();
-        let gone = |it: &&Document| !named.contains(&it.key) && it.newest.revision < delta.revision;
+        let gone = |it: &&Document| {
+            let Version { revision, .. } = it.newest;
+            revision.era == era && revision < delta.revision && !named.contains(&it.key)
+        };
         let removal = |it: &Document| Document {
             key: it.key.clone(),
             newest: Version { revision: delta.revision, body: String::new() },
@@ -431,9 +506,9 @@
             return;
         }
         let other = |it: &&Document| !self.holds(it);
-        let mut last: BTreeMap<String, u64> = BTreeMap::new();
+        let mut last: BTreeMap<String, Revision> = BTreeMap::new();
         for it in delta.documents.iter().filter(other) {
-            last.insert(it.key.clone(), 0);
+            last.insert(it.key.clone(), Revision::default());
         }
         for it in &delta.documents {
             if let Some(last) = last.get_mut(&it.key) {
@@ -449,53 +524,100 @@
         held.is_some_and(|held| held.removed == it.removed && held.newest.body == it.newest.body)
     }
 
-    fn put(&mut self, mut document: Document) -> bool {
-        let held = self.documents.get(&document.key).map(|it| it.newest.revision);
-        let known = held.is_none() || self.what == What::Instances;
-        if known && document.newest.revision <= self.since {
-            // Everything was read later than that.
+    /// Takes a document or line in. True if that changed what is held.
+    fn put(&mut self, document: Document) -> bool {
+        match self.what {
+            What::Declarations => self.put_document(document),
+            What::Instances => self.put_line(document),
+        }
+    }
+
+    fn put_line(&mut self, line: Document) -> bool {
+        let Version { revision, .. } = line.newest;
+        // Everything was read later than that.
+        let read = revision <= self.since;
+        let held = self.documents.get(&line.key).map(|it| it.newest.revision);
+        if read || held >= Some(revision) {
+            return false;
+        }
+        if line.removed {
+            self.removals.record(&line.key, revision);
+        } else if !self.removals.admits_written(&line.key, revision) {
             return false;
         }
-        if held > Some(document.newest.revision) {
+        self.insert(line);
+        true
+    }
+
+    fn put_document(&mut self, mut document: Document) -> bool {
+        let Version { revision, .. } = document.newest;
+        let held = self.documents.get(&document.key).map(|it| it.newest.revision);
+        let read = revision.era == self.since.era && revision <= self.since;
+        if held.is_none() && read {
+            // Everything was read later than that.
             return false;
         }
-        if held == Some(document.newest.revision) {
+        if held == Some(revision) {
             return self.adopt(&document);
         }
-        if self.what == What::Declarations {
-            self.judge(&mut document);
+        let verdict = self.judge(&mut document);
+        let known = self.verdicts.get(&document.key);
+        let newer = match known.and_then(|it| verdict.numbered(it)) {
+            Some(Ordering::Less) => {
+                let version = verdict.force.and_then(|it| it.1.version);
+                if self.rejected.len() < MOST_REJECTED {
+                    self.rejected.push(Rejected { key: document.key, revision, version });
+                }
+                return false;
+            }
+            Some(Ordering::Greater) => true,
+            Some(Ordering::Equal) | None => held < Some(revision),
+        };
+        if !newer {
+            return false;
         }
+        let accepted = self.documents.get(&document.key).and_then(|it| it.accepted.as_ref());
+        // What is written again at another revision is no change.
+        let changed = !self.holds(&document) || accepted != document.accepted.as_ref();
+        self.verdicts.insert(document.key.clone(), verdict);
         self.insert(document);
-        true
+        changed
     }
 
     /// Takes a peer's last accepted version of a document whose newest one is
     /// held and refused, if that is newer than what is in force here.
     fn adopt(&mut self, document: &Document) -> bool {
-        let accepted = document.accepted.as_ref();
-        let newer = accepted.map(|it| it.revision) > self.force(&document.key);
-        let Some(held) = self.documents.get_mut(&document.key).filter(|_| newer) else {
+        let Some(held) = self.documents.get(&document.key) else { return false };
+        if document.accepted.is_none() || document.accepted == held.accepted {
             return false;
-        };
-        held.accepted = accepted.cloned();
-        let verdict = Verdict::of(held, self.check);
+        }
+        let adopted = Document { accepted: document.accepted.clone(), ..held.clone() };
+        let verdict = Verdict::of(&adopted, self.check);
+        let known = self.verdicts.get(&document.key);
+        if known.is_some_and(|it| !verdict.supersedes(it)) {
+            return false;
+        }
         self.verdicts.insert(document.key.clone(), verdict);
+        self.documents.insert(document.key.clone(), adopted);
         true
     }
 
     /// Judges a document that takes over from the one held. What that one had
     /// in force stays so while the new one is refused.
-    fn judge(&mut self, document: &mut Document) {
-        let older = self.documents.get(&document.key);
-        let force = self.verdicts.get(&document.key).and_then(|it| it.force.as_ref());
-        let inherited = force.map(|it| it.0);
-        let known = document.accepted.as_ref().map(|it| it.revision);
-        if inherited > known
-            && let Some(older) = older
-        {
-            let newest = Some(&older.newest).filter(|it| Some(it.revision) == inherited);
-            document.accepted = newest.or(older.accepted.as_ref()).cloned();
+    fn judge(&self, document: &mut Document) -> Verdict {
+        let verdict = Verdict::of(document, self.check);
+        let (Some(older), Some(known)) =
+            (self.documents.get(&document.key), self.verdicts.get(&document.key))
+        else {
+            return verdict;
+        };
+        if verdict.refused.is_none() || !known.supersedes(&verdict) {
+            return verdict;
         }
-        self.verdicts.insert(document.key.clone(), Verdict::of(document, self.check));
+        let force = known.force.as_ref().map(|it| it.0);
+        let newest = Some(&older.newest).filter(|it| Some(it.revision) == force);
+        document.accepted = newest.or(older.accepted.as_ref()).cloned();
+        let force = known.force.clone();
+        Verdict { force, refused: verdict.refused }
     }
 }
--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -358,6 +358,9 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, default)]
 pub struct Declarations {
+    /// The operator's own number of this document. One with a lower number than the one in
+    /// force is not taken, wherever the service lists it.
+    pub version: Option<u64>,
     /// Targets.
     pub target: Vec<Target>,
     /// Groups.
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod pass;
 pub mod reason;
 pub mod rendezvous;
+pub mod revision;
 pub mod route;
 pub mod sharers;
 pub mod starts;
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -193,6 +193,8 @@
         LargeGroup = 9, "large-group";
         /// Word of a target that nobody lists, beyond what is kept of such.
         ManyNotices = 10, "many-notices";
+        /// A document whose own number is lower than that of the one in force.
+        OlderVersion = 11, "older-version";
     }
 }
 
--- a/crates/sablepass-core/tests/catalogue.rs
+++ b/crates/sablepass-core/tests/catalogue.rs
@@ -19,10 +19,15 @@
 fn publish(all: &[(&str, String)]) -> Catalogue {
     let mut store = Store::open(What::Declarations);
     for (index, (key, body)) in all.iter().enumerate() {
-        let revision = index as u64 + 1;
+        let revision = (index as u64 + 1).into();
         let newest = Version { revision, body: body.clone() };
         let document = Document { key: (*key).to_owned(), newest, removed: false, accepted: None };
-        let delta = Delta { after: revision - 1, revision, documents: vec![document], whole: None };
+        let delta = Delta {
+            after: (index as u64).into(),
+            revision,
+            documents: vec![document],
+            whole: None,
+        };
         store.merge(delta).expect("newer");
     }
     Catalogue::build(&store)
--- a/crates/sablepass-core/tests/config.rs
+++ b/crates/sablepass-core/tests/config.rs
@@ -9,18 +9,19 @@
 use sablepass_core::config::{Compare, Delta, Document, Pull, Store, Version, What};
 use sablepass_core::duty;
 use sablepass_core::reason::Ignored;
+use sablepass_core::revision::Revision;
 
 fn body(name: &str) -> String {
     format!("[[customer]]\nname = {name:?}\nkey = \"p:key-of-{name}\"\nshare = 1\n")
 }
 
 fn document(key: &str, revision: u64, body: &str) -> Document {
-    let newest = Version { revision, body: body.to_owned() };
+    let newest = Version { revision: revision.into(), body: body.to_owned() };
     Document { key: key.to_owned(), newest, removed: false, accepted: None }
 }
 
 fn delta(after: u64, revision: u64, documents: Vec<Document>) -> Delta {
-    Delta { after, revision, documents, whole: None }
+    Delta { after: after.into(), revision: revision.into(), documents, whole: None }
 }
 
 fn store() -> Store {
@@ -35,7 +36,7 @@
     store.merge(delta(2, 3, vec![document("p/a", 3, "oven = 2")])).expect("newer");
     let catalogue = Catalogue::build(&store);
     assert!(catalogue.customers.contains_key("p/one") && catalogue.refused.contains_key("p/a"));
-    assert_eq!(store.verdicts()["p/a"].force.as_ref().map(|it| it.0), Some(1));
+    assert_eq!(store.verdicts()["p/a"].force.as_ref().map(|it| it.0), Some(1.into()));
     // A process that starts now learns both from a peer.
     let mut fresh = self::store();
     for it in store.deltas(&Pull::default(), 1 << 20) {
@@ -60,6 +61,31 @@
     assert!(Catalogue::build(&store).customers.is_empty());
 }
 
+#[test]
+fn verify_a_lower_number_of_the_operator_is_not_taken() {
+    let numbered = |it: u64| format!("version = {it}\n{}", body(&format!("n{it}")));
+    let mut store = store();
+    store.merge(delta(0, 1, vec![document("p/a", 1, &numbered(7))])).expect("newer");
+    assert_eq!(store.merge(delta(1, 2, vec![document("p/a", 2, &numbered(6))])), Ok(false));
+    assert!(Catalogue::build(&store).customers.contains_key("p/n7"));
+    let rejected = store.take_rejected();
+    assert_eq!(rejected.iter().map(|it| it.version).collect::<Vec<_>>(), [Some(6)]);
+    assert_eq!(store.take_rejected(), []);
+    // The same number is an edit, and the same text none.
+    let edit = format!("version = 7\n{}", body("edit"));
+    assert_eq!(store.merge(delta(2, 3, vec![document("p/a", 3, &edit)])), Ok(true));
+    assert_eq!(store.merge(delta(3, 4, vec![document("p/a", 4, &edit)])), Ok(false));
+    // A refused version with any number leaves the one in force.
+    store.merge(delta(4, 5, vec![document("p/a", 5, "version = 9\noven = 1")])).expect("newer");
+    assert!(Catalogue::build(&store).customers.contains_key("p/edit"));
+    assert_eq!(store.merge(delta(5, 6, vec![document("p/a", 6, &numbered(6))])), Ok(false));
+    // Removed, it may start again.
+    let gone = Document { removed: true, ..document("p/a", 7, "") };
+    assert_eq!(store.merge(delta(6, 7, vec![gone])), Ok(true));
+    assert_eq!(store.merge(delta(7, 8, vec![document("p/a", 8, &numbered(1))])), Ok(true));
+    assert!(Catalogue::build(&store).customers.contains_key("p/n1"));
+}
+
 #[test]
 fn verify_older_and_gappy_deltas_are_ignored() {
     let mut store = store();
@@ -68,7 +94,7 @@
     assert_eq!(store.merge(old), Err(Ignored::OldRevision));
     let gap = delta(7, 8, vec![document("p/b", 8, &body("new"))]);
     assert_eq!(store.merge(gap), Err(Ignored::DeltaGap));
-    assert_eq!(store.revision(), 5);
+    assert_eq!(store.revision(), 5.into());
 }
 
 /// Stores that exchange digests and deltas in any order, with reads that may
@@ -93,10 +119,10 @@
                     // A read of the platform as of some time ago.
                     let to = rng.random_range(0..=platform.len());
                     let at = rng.random_range(0..stores.len());
-                    let after = stores[at].revision();
+                    let after = stores[at].revision().number;
                     let newer: Vec<Document> = platform[..to]
                         .iter()
-                        .filter(|it| it.newest.revision > after)
+                        .filter(|it| it.newest.revision.number > after)
                         .cloned()
                         .collect();
                     late.push((at, delta(after, to as u64, newer)));
@@ -131,7 +157,7 @@
                 }
             }
         }
-        let force = |it: &Store| -> Vec<(String, u64)> {
+        let force = |it: &Store| -> Vec<(String, Revision)> {
             let all = it.verdicts().iter();
             all.filter_map(|(key, it)| Some((key.clone(), it.force.as_ref()?.0))).collect()
         };
--- a/crates/sablepass-core/tests/listing.rs
+++ b/crates/sablepass-core/tests/listing.rs
@@ -16,6 +16,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sablepass_core::config::{Compare, Delta, Document, Store, Version, What, Whole};
+use sablepass_core::revision::Revision;
 
 const KEYS: usize = 4;
 /// Texts that an entry of the list has: targets are ready, or leaving.
@@ -31,7 +32,8 @@
 
 impl Platform {
     fn draw(rng: &mut StdRng) -> Self {
-        let change = |revision| {
+        let change = |number: u64| {
+            let revision = number.into();
             let removed = rng.random_bool(0.3);
             let text = if removed { "" } else { TEXTS[usize::from(rng.random_bool(0.2))] };
             let newest = Version { revision, body: text.to_owned() };
@@ -42,14 +44,16 @@
     }
 
     /// What a watch from one revision on answers at another.
-    fn watch(&self, after: u64, revision: u64) -> Delta {
-        let within = |it: &&Document| (after + 1..=revision).contains(&it.newest.revision);
+    fn watch(&self, after: Revision, revision: u64) -> Delta {
+        let revision = revision.into();
+        let within = |it: &&Document| it.newest.revision > after && it.newest.revision <= revision;
         let documents = self.changes.iter().filter(within).cloned().collect();
         Delta { after, revision, documents, whole: None }
     }
 
     /// What a read of everything answers at a revision.
-    fn range(&self, after: u64, revision: u64) -> Delta {
+    fn range(&self, after: Revision, revision: u64) -> Delta {
+        let revision = revision.into();
         let mut all: BTreeMap<&str, &Document> = BTreeMap::new();
         for it in self.changes.iter().filter(|it| it.newest.revision <= revision) {
             all.insert(&it.key, it);
@@ -93,7 +97,7 @@
         now = (now + rng.random_range(0..4)).min(CHANGES);
         let reader = rng.random_range(0..PROCESSES);
         if rng.random_bool(0.6) {
-            let seen = rng.random_range(stores[reader].revision().min(now)..=now);
+            let seen = rng.random_range(stores[reader].revision().number.min(now)..=now);
             let all = rng.random_bool(whole);
             read(&mut stores[reader], &platform, all, seen);
         } else {
@@ -106,7 +110,7 @@
             pull(&mut stores, from, to);
         }
     }
-    let expected = platform.range(0, CHANGES).documents;
+    let expected = platform.range(Revision::default(), CHANGES).documents;
     let expected: Vec<(String, String)> =
         expected.into_iter().map(|it| (it.key, it.newest.body)).collect();
     for (index, store) in stores.iter().enumerate() {
--- a/crates/sablepass-core/tests/telling.rs
+++ b/crates/sablepass-core/tests/telling.rs
@@ -14,6 +14,7 @@
 use std::collections::BTreeMap;
 
 use sablepass_core::config::{Compare, Delta, Document, Store, Version, What, Whole};
+use sablepass_core::revision::Revision;
 
 /// Targets in the list.
 const SIZES: [usize; 5] = [30, 100, 300, 1_000, 5_000];
@@ -43,7 +44,8 @@
 
     fn write(&mut self, key: &str, body: Option<String>) {
         self.revision += 1;
-        let newest = Version { revision: self.revision, body: body.clone().unwrap_or_default() };
+        let newest =
+            Version { revision: self.revision.into(), body: body.clone().unwrap_or_default() };
         let removed = body.is_none();
         let line = (!removed).then(|| newest.clone());
         self.lines.insert(key.to_owned(), line);
@@ -65,19 +67,20 @@
         keys.iter().for_each(|it| self.write(it, None));
     }
 
-    fn watch(&self, after: u64) -> Delta {
+    fn watch(&self, after: Revision) -> Delta {
         let newer = self.changes.iter().filter(|it| it.newest.revision > after);
         let documents = newer.cloned().collect();
-        Delta { after, revision: self.revision, documents, whole: None }
+        Delta { after, revision: self.revision.into(), documents, whole: None }
     }
 
-    fn range(&self, after: u64) -> Delta {
+    fn range(&self, after: Revision) -> Delta {
         let line = |(key, it): (&String, &Option<Version>)| {
             let newest = it.clone()?;
             Some(Document { key: key.clone(), newest, removed: false, accepted: None })
         };
         let documents = self.lines.iter().filter_map(line).collect();
-        Delta { after, revision: self.revision, documents, whole: Some(Whole::All(self.revision)) }
+        let revision = self.revision.into();
+        Delta { after, revision, documents, whole: Some(Whole::All(revision)) }
     }
 }
 
@@ -206,7 +209,7 @@
     let deltas = fleet.stores[0].deltas(&pull, 16_384);
     let delta = deltas.first().expect("an answer").clone();
     assert_eq!(fleet.stores[READERS].merge(delta.clone()), Ok(true));
-    let again = Delta { after: 0, ..delta };
+    let again = Delta { after: Revision::default(), ..delta };
     assert!(fleet.stores[READERS].merge(again).is_err(), "it is of a list held before");
     fleet.talk();
     fleet.agrees(&platform);
--- a/crates/sablepass-ctl/src/check.rs
+++ b/crates/sablepass-ctl/src/check.rs
@@ -8,6 +8,7 @@
 use sablepass_core::catalogue::Catalogue;
 use sablepass_core::config::{Delta, Document, Store, Version, What};
 use sablepass_core::declaration;
+use sablepass_core::revision::Revision;
 use snafu::{ResultExt, Snafu};
 
 /// Why files cannot be judged.
@@ -34,7 +35,7 @@
     let mut documents = Vec::new();
     for (index, file) in files.iter().enumerate() {
         let body = std::fs::read_to_string(file).context(ReadSnafu { file })?;
-        let newest = Version { revision: index as u64 + 1, body };
+        let newest = Version { revision: (index as u64 + 1).into(), body };
         documents.push(Document {
             key: key(file, partner),
             newest,
@@ -44,7 +45,8 @@
     }
     let keys: Vec<String> = documents.iter().map(|it| it.key.clone()).collect();
     let mut store = Store::open(What::Declarations);
-    let delta = Delta { after: 0, revision: files.len() as u64, documents, whole: None };
+    let revision = (files.len() as u64).into();
+    let delta = Delta { after: Revision::default(), revision, documents, whole: None };
     store.merge(delta).map_err(|_| Error::Store)?;
     let catalogue = Catalogue::build(&store);
     let verdict = |key: String| {
--- a/crates/sablepass-ctl/src/show.rs
+++ b/crates/sablepass-ctl/src/show.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
+use sablepass_core::revision::Revision;
 use serde_json::Value;
 
 use crate::remote::Status;
@@ -29,9 +30,19 @@
     out
 }
 
-fn newest(all: &[Status]) -> u64 {
-    let revisions = all.iter().filter_map(|it| it.1.as_ref().ok()?["revision"].as_u64());
-    revisions.max().unwrap_or(0)
+/// A revision as a status tells it, which is of an era of its own.
+fn revision(it: &Value, name: &str) -> Revision {
+    Revision::new(it["era"].as_u64().unwrap_or(0), it[name].as_u64().unwrap_or(0))
+}
+
+fn newest(all: &[Status]) -> Revision {
+    let told = all.iter().filter_map(|it| it.1.as_ref().ok());
+    told.map(|it| revision(it, "revision")).max().unwrap_or_default()
+}
+
+/// How far a process is behind; revisions of two eras cannot be subtracted.
+fn lag(held: Revision, newest: Revision) -> String {
+    if held.era < newest.era { "era".to_owned() } else { (newest.number - held.number).to_string() }
 }
 
 fn write_processes(out: &mut String, all: &[Status]) -> std::fmt::Result {
@@ -40,10 +51,10 @@
     for (process, status) in all {
         match status {
             Ok(it) => {
-                let revision = it["revision"].as_u64().unwrap_or(0);
+                let held = revision(it, "revision");
                 let name = it["name"].as_str().unwrap_or(process);
                 let role = it["role"].as_str().unwrap_or("");
-                let lag = newest - revision;
+                let (revision, lag) = (held.number, lag(held, newest));
                 writeln!(out, "{name:<24} {role:<8} {revision:>9} {lag:>7}  {}", state(it))?;
             }
             Err(e) => writeln!(out, "{process:<24} {:<8} {:>9} {:>7}  {e}", "?", "", "")?,
@@ -79,17 +90,21 @@
 }
 
 fn write_document(out: &mut String, key: &str, seen: &[(&Value, String)]) -> std::fmt::Result {
-    let Some((first, _)) = seen.iter().max_by_key(|it| it.0["desired"].as_u64()) else {
+    let Some((first, _)) = seen.iter().max_by_key(|it| revision(it.0, "desired")) else {
         return Ok(());
     };
-    let desired = first["desired"].as_u64().unwrap_or(0);
+    let newest = revision(first, "desired");
+    let desired = newest.number;
     let lagging: Vec<&str> = seen
         .iter()
-        .filter(|it| it.0["desired"].as_u64() < Some(desired))
+        .filter(|it| revision(it.0, "desired") < newest)
         .map(|it| it.1.as_str())
         .collect();
     let force = first["in_force"].as_u64().map_or("-".to_owned(), |it| it.to_string());
     let mut notes = Vec::new();
+    if let Some(version) = first["version"].as_u64() {
+        notes.push(format!("version {version}"));
+    }
     if first["removed"].as_bool() == Some(true) {
         notes.push("removed".to_owned());
     }
--- a/crates/sablepass-edge/src/instance.rs
+++ b/crates/sablepass-edge/src/instance.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use sablepass_core::revision::Revision;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -62,7 +63,7 @@
     pub born: u64,
     /// Revision of the list that says so. Not part of the line.
     #[serde(skip)]
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 #[allow(clippy::trivially_copy_pass_by_ref, reason = "serde asks for a reference")]
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -18,6 +18,7 @@
 use sablepass_core::catalogue::Catalogue;
 use sablepass_core::id::{Incarnation, Millis};
 use sablepass_core::reason::Ignored;
+use sablepass_core::revision::Revision;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
 use slog::Logger;
@@ -113,7 +114,7 @@
     /// A new configuration is in force here.
     Config(Rc<Catalogue>),
     /// The instance list changed.
-    Instances(Rc<BTreeMap<String, Instance>>),
+    Instances(Rc<BTreeMap<String, Instance>>, Revision),
     /// Names of the entries that there are, without this process.
     Entries(Vec<String>),
 }
@@ -144,7 +145,7 @@
     /// Made for spreading, by either side.
     spread: bool,
     heard: Millis,
-    revision: u64,
+    revision: Revision,
     /// Entries that it said it is connected to.
     entries: Vec<String>,
 }
@@ -247,14 +248,18 @@
 
     /// What the mesh contributes to a process's status.
     pub fn status(&mut self, _cx: CX![], ret: stakker::Ret<serde_json::Value>) {
-        let peers: BTreeMap<&str, u64> = self
+        let peers: BTreeMap<&str, Revision> = self
             .peers
             .values()
             .filter_map(|it| Some((it.introduction.as_ref()?.name.as_str(), it.revision)))
             .collect();
+        let place = |it: Revision| serde_json::json!({ "era": it.era, "revision": it.number });
+        let peers: BTreeMap<&str, _> =
+            peers.into_iter().map(|(name, it)| (name, place(it))).collect();
+        let revision = self.spread.revision();
         ret.ret(serde_json::json!({
             "name": self.node.name, "hall": self.node.hall, "peers": peers,
-            "addr": self.addr.to_string(), "revision": self.spread.revision(),
+            "addr": self.addr.to_string(), "era": revision.era, "revision": revision.number,
             "instances": self.spread.instances().len(),
             "service_age_ms": self.spread.age(clock::now()),
             "documents": self.spread.status(),
@@ -297,7 +302,7 @@
             endpoint,
             spread,
             heard: clock::now(),
-            revision: 0,
+            revision: Revision::default(),
             entries: Vec::new(),
         };
         self.peers.insert(key, peer);
--- a/crates/sablepass-edge/src/mesh/held.rs
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -8,6 +8,7 @@
 use sablepass_core::config::What;
 use sablepass_core::id::Millis;
 use sablepass_core::reason::Ignored;
+use sablepass_core::revision::Revision;
 use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
@@ -26,7 +27,7 @@
         let Some(peer) = self.peers.get_mut(&key) else {
             return;
         };
-        peer.revision = it.revision;
+        peer.revision = Revision::new(it.era, it.revision);
         for pull in self.spread.compare(now, it) {
             call!([peer.link], send(Body::Pull(pull)));
         }
@@ -70,7 +71,7 @@
             }
             Some(What::Instances) => {
                 let instances = self.spread.instances().clone();
-                self.owner.fwd(Event::Instances(instances));
+                self.owner.fwd(Event::Instances(instances, self.spread.list_revision()));
                 self.place(cx);
             }
         }
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -10,8 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::header::HeaderMap;
 use sablepass_core::config::{Delta, Document, Version, What, Whole};
-use sablepass_platform::{config, replica, store};
+use sablepass_core::revision::Revision;
+use sablepass_platform::{self as platform, config, replica, store};
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 use stakker::{ActorOwn, CX, Fwd, actor_new, call, fwd_to, ret_nop};
@@ -25,6 +27,9 @@
 const CALL_TIME: Duration = Duration::from_millis(1_500);
 /// Longest answer read: documents of up to 1 MiB, some hundred of them.
 const ANSWER_LIMIT: usize = 64 << 20;
+/// Restores of the store that a process may have missed. An era that is further ahead is
+/// not believed: taken by mistake, it would hide every later one.
+const MOST_RESTORES: u64 = 10_000;
 
 /// Why a read failed.
 #[derive(Debug, Snafu)]
@@ -47,6 +52,23 @@
         /// The revision.
         after: u64,
     },
+    /// The service was restored from a copy: what changed after the revision held is not
+    /// known there.
+    #[snafu(display("the service was restored: era {now}, {held} was held"))]
+    Restored {
+        /// Era of the revision held.
+        held: u64,
+        /// Era of the answer.
+        now: u64,
+    },
+    /// The answer is from before the service was restored.
+    #[snafu(display("the answer is of era {now}, {held} is held"))]
+    Earlier {
+        /// Era of the revision held.
+        held: u64,
+        /// Era of the answer.
+        now: u64,
+    },
     /// The answer is not of the expected shape.
     #[snafu(display("answer: {source}"))]
     Answer {
@@ -57,7 +79,7 @@
     #[snafu(display("answer: {source}"))]
     Platform {
         /// Why.
-        source: sablepass_platform::Error,
+        source: platform::Error,
     },
 }
 
@@ -76,7 +98,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Order {
     /// The revision held.
-    pub after: u64,
+    pub after: Revision,
     /// How long the service may wait for a change.
     pub wait: Duration,
     /// Everything is to be read, not only what changed.
@@ -97,8 +119,10 @@
 pub struct Read {
     /// Of which service.
     pub what: What,
-    /// The service's era, if it answered and names one that can be read.
+    /// The service's era, if it answered and named one.
     pub era: Option<u64>,
+    /// Why the era that it named is not believed.
+    pub doubt: Option<platform::Error>,
     /// What it gave.
     pub result: Result<Batch, Error>,
 }
@@ -107,7 +131,7 @@
 struct Reading {
     order: Order,
     /// Items of the pages before, and the revision of the first one.
-    pages: Option<(u64, Vec<store::Change>)>,
+    pages: Option<(Revision, Vec<store::Change>)>,
 }
 
 /// The actor.
@@ -118,8 +142,6 @@
     metrics: Arc<Metrics>,
     caller: ActorOwn<Caller>,
     reading: Option<Reading>,
-    /// Era of the last answer.
-    era: Option<u64>,
 }
 
 impl Reader {
@@ -135,7 +157,7 @@
         let caller = actor_new!(cx, Caller, ret_nop!());
         let answers = fwd_to!([cx], heard() as (Result<Answer, caller::Error>));
         call!([caller], Caller::init(addr, ANSWER_LIMIT, answers));
-        Some(Self { what, form, owner, metrics, caller, reading: None, era: None })
+        Some(Self { what, form, owner, metrics, caller, reading: None })
     }
 
     /// Makes a read. One that is still under way is given up.
@@ -155,53 +177,86 @@
             (Form::Changes, what) => {
                 let name = name(what);
                 let wait = wait.as_millis();
-                format!("/v1/{name}?after={}&wait_ms={wait}", order.after)
+                format!("/v1/{name}?after={}&wait_ms={wait}", order.after.number)
             }
             (Form::Keys, what) if order.whole => store::range_path(prefix(what), page_after),
-            (Form::Keys, what) => store::watch_path(prefix(what), order.after, wait),
+            (Form::Keys, what) => store::watch_path(prefix(what), order.after.number, wait),
         }
     }
 
     fn heard(&mut self, _cx: CX![], result: Result<Answer, caller::Error>) {
         let Some(reading) = self.reading.take() else { return };
+        let held = reading.order.after.era;
+        let (era, doubt) = match &result {
+            Ok(it) => self.era(held, &it.fields),
+            Err(_) => (None, None),
+        };
+        if let Some(result) = self.answered(reading, era.unwrap_or(held), result) {
+            self.report(era, doubt, result);
+        }
+    }
+
+    /// The era that an answer names, or why that is not believed. An answer without one is
+    /// of the era held.
+    fn era(&self, held: u64, fields: &HeaderMap) -> (Option<u64>, Option<platform::Error>) {
+        match (self.form, store::era(fields)) {
+            (Form::Changes, _) => (None, None),
+            (Form::Keys, Err(e)) => (None, Some(e)),
+            (Form::Keys, Ok(Some(era))) if held > 0 && era > held.saturating_add(MOST_RESTORES) => {
+                (None, Some(platform::Error::EraJump { held, era }))
+            }
+            (Form::Keys, Ok(era)) => (era, None),
+        }
+    }
+
+    /// What an answer of an era gives; none if more pages are to come.
+    fn answered(
+        &mut self,
+        reading: Reading,
+        era: u64,
+        result: Result<Answer, caller::Error>,
+    ) -> Option<Result<Batch, Error>> {
         let order = reading.order;
-        self.era = None;
-        let Answer { status, body, fields } = match result {
+        let held = order.after.era;
+        let Answer { status, body, .. } = match result {
             Ok(it) => it,
-            Err(source) => {
-                self.report(Err(Error::Call { source }));
-                return;
-            }
+            Err(source) => return Some(Err(Error::Call { source })),
         };
-        self.era = store::era(&fields).ok();
+        if !order.whole && era > held {
+            return Some(Err(Error::Restored { held, now: era }));
+        }
         if status == store::HISTORY_GONE {
-            self.report(Err(Error::History { after: order.after }));
-            return;
+            return Some(Err(Error::History { after: order.after.number }));
         }
         if status != 200 {
-            self.report(Err(Error::Status { status }));
-            return;
+            return Some(Err(Error::Status { status }));
         }
-        let result = match self.form {
-            Form::Changes => changes(order, &body),
+        match self.form {
+            Form::Changes => Some(changes(order, &body)),
             Form::Keys if order.whole => match store::page(&body) {
-                Ok(page) => match self.add_page(reading, page) {
-                    Some(it) => Ok(it),
-                    None => return,
-                },
-                Err(source) => Err(Error::Platform { source }),
+                Ok(page) => self.add_page(reading, era, page),
+                Err(source) => Some(Err(Error::Platform { source })),
             },
-            Form::Keys => self.watched(order, &body),
-        };
-        self.report(result);
+            Form::Keys if era < held => Some(Err(Error::Earlier { held, now: era })),
+            Form::Keys => Some(self.watched(order, &body)),
+        }
     }
 
     /// Takes a page in. The batch, if it was the last; else the next is asked for.
     /// Pages are no snapshot: what changed since the first is watched from there.
-    fn add_page(&mut self, mut reading: Reading, page: store::Page) -> Option<Batch> {
+    fn add_page(
+        &mut self,
+        mut reading: Reading,
+        era: u64,
+        page: store::Page,
+    ) -> Option<Result<Batch, Error>> {
         let order = reading.order;
         let last = page.items.last().map(|it| it.key.clone());
-        let (revision, items) = reading.pages.get_or_insert((page.revision, Vec::new()));
+        let first = Revision::new(era, page.revision);
+        let (revision, items) = reading.pages.get_or_insert((first, Vec::new()));
+        if revision.era != era {
+            return Some(Err(Error::Restored { held: revision.era, now: era }));
+        }
         items.extend(page.items);
         if page.more && last.is_some() {
             self.reading = Some(reading);
@@ -209,19 +264,26 @@
             return None;
         }
         let (revision, items) = (*revision, std::mem::take(items));
-        Some(self.batch(true, order.after.min(revision), revision, items))
+        Some(Ok(self.batch(true, order.after.min(revision), revision, items)))
     }
 
     fn watched(&self, order: Order, body: &[u8]) -> Result<Batch, Error> {
         let it = store::changes(body).context(PlatformSnafu)?;
-        Ok(self.batch(false, order.after, it.revision, it.changes))
+        let revision = Revision::new(order.after.era, it.revision);
+        Ok(self.batch(false, order.after, revision, it.changes))
     }
 
-    fn batch(&self, whole: bool, after: u64, revision: u64, changes: Vec<store::Change>) -> Batch {
+    fn batch(
+        &self,
+        whole: bool,
+        after: Revision,
+        revision: Revision,
+        changes: Vec<store::Change>,
+    ) -> Batch {
         let mut documents = Vec::new();
         let mut problems = Vec::new();
         for it in changes {
-            let (it, problem) = document(self.what, it);
+            let (it, problem) = document(self.what, revision.era, it);
             documents.push(it);
             problems.extend(problem);
         }
@@ -229,10 +291,15 @@
         Batch { delta: Delta { after, revision, documents, whole }, problems }
     }
 
-    fn report(&mut self, result: Result<Batch, Error>) {
+    fn report(
+        &mut self,
+        era: Option<u64>,
+        doubt: Option<platform::Error>,
+        result: Result<Batch, Error>,
+    ) {
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         self.metrics.reads.with_label_values(&[name(self.what), outcome]).inc();
-        self.owner.fwd(Read { what: self.what, era: self.era, result });
+        self.owner.fwd(Read { what: self.what, era, doubt, result });
     }
 }
 
@@ -256,17 +323,17 @@
     /// Its key.
     pub key: String,
     /// Revision of its last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// Why.
-    pub error: sablepass_platform::Error,
+    pub error: platform::Error,
 }
 
 /// A store item as a document. Replicas become lines of the instance list; an
 /// entry that cannot be taken names none, as if it were gone, after a watch as
 /// after a read of everything. A declaration that cannot be read is one that is
 /// refused: the last accepted one stays in force.
-fn document(what: What, it: store::Change) -> (Document, Option<Problem>) {
-    let (key, revision) = (it.key, it.revision);
+fn document(what: What, era: u64, it: store::Change) -> (Document, Option<Problem>) {
+    let (key, revision) = (it.key, Revision::new(era, it.revision));
     let body = it.value.and_then(|value| match (what, value) {
         (What::Instances, Some(text)) => Ok(Some(line(replica::decode(&key, &text)?).text())),
         (_, value) => Ok(value),
@@ -296,7 +363,7 @@
         serves: it.service,
         capacity: it.slots,
         born: it.born,
-        revision: 0,
+        revision: Revision::default(),
     }
 }
 
@@ -321,11 +388,12 @@
     let it: Changes = serde_json::from_slice(body).context(AnswerSnafu)?;
     let document = |it: ChangedDocument| Document {
         key: it.key,
-        newest: Version { revision: it.revision, body: it.body },
+        newest: Version { revision: it.revision.into(), body: it.body },
         removed: it.removed,
         accepted: None,
     };
     let documents = it.documents.into_iter().map(document).collect();
-    let delta = Delta { after: order.after, revision: it.revision, documents, whole: None };
+    let revision = it.revision.into();
+    let delta = Delta { after: order.after, revision, documents, whole: None };
     Ok(Batch { delta, problems: Vec::new() })
 }
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -17,11 +17,12 @@
 use std::time::Duration;
 
 use sablepass_core::catalogue::Catalogue;
-use sablepass_core::config::{Check, Compare, Delta, Digest, Document, Store, What};
+use sablepass_core::config::{Check, Compare, Delta, Digest, Document, Store, Verdict, What};
 use sablepass_core::declaration;
 use sablepass_core::duty;
 use sablepass_core::id::Millis;
 use sablepass_core::reason::Ignored;
+use sablepass_core::revision::Revision;
 use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
@@ -65,12 +66,12 @@
     /// Everything has to be read, not only what changed.
     whole: bool,
     /// Items that could not be taken, with the revision at which that was said.
-    bad: BTreeMap<String, u64>,
+    bad: BTreeMap<String, Revision>,
     /// When the next call is due.
     next: Millis,
     /// The last pull: when, and from which revision. The same is not asked of
     /// a second peer while the first may still answer.
-    pulled: Option<(Millis, u64)>,
+    pulled: Option<(Millis, Revision)>,
 }
 
 impl Source {
@@ -95,7 +96,7 @@
         call!([self.reader], order(order));
     }
 
-    fn may_pull(&mut self, now: Millis, after: u64) -> bool {
+    fn may_pull(&mut self, now: Millis, after: Revision) -> bool {
         let waits = self.pulled.is_some_and(|(at, from)| from == after && now < at + PULL_TIME);
         if !waits {
             self.pulled = Some((now, after));
@@ -129,6 +130,8 @@
     fresh: Millis,
     /// Era of the platform's service, as its last answer names it.
     era: Option<u64>,
+    /// Whether the last answer named an era that is not believed.
+    doubted: bool,
 }
 
 impl Spread {
@@ -165,6 +168,7 @@
             started: now,
             fresh: 0,
             era: None,
+            doubted: false,
         }
     }
 
@@ -186,10 +190,15 @@
     }
 
     /// Revision of the declarations held.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.declarations.store.revision()
     }
 
+    /// Revision of the instance list held.
+    pub fn list_revision(&self) -> Revision {
+        self.list.store.revision()
+    }
+
     /// Time since the service that readers share the reading of last answered
     /// anybody, as far as this process can have heard of it.
     pub fn age(&self, now: Millis) -> Millis {
@@ -225,10 +234,12 @@
         let line = |it: &Document| {
             let refused = catalogue.refused.get(&it.key).map(ToString::to_string);
             let verdict = self.declarations.store.verdicts().get(&it.key);
-            let force = verdict.and_then(|it| it.force.as_ref()).map(|it| it.0);
+            let force = verdict.and_then(|it| it.force.as_ref());
+            let version = force.and_then(|it| it.1.version);
             serde_json::json!({
-                "key": it.key, "desired": it.newest.revision, "removed": it.removed,
-                "in_force": force, "refused": refused,
+                "key": it.key, "desired": it.newest.revision.number,
+                "era": it.newest.revision.era, "removed": it.removed,
+                "in_force": force.map(|it| it.0.number), "version": version, "refused": refused,
             })
         };
         self.declarations.store.documents().map(line).collect()
@@ -241,25 +252,32 @@
         let declarations = self.declarations.store.digest();
         let instances = self.list.store.digest();
         wire::Digest {
-            revision: declarations.revision,
+            revision: declarations.revision.number,
             hash: declarations.hash,
             age: u32::try_from(now.saturating_sub(self.fresh)).unwrap_or(u32::MAX),
-            list_revision: instances.revision,
+            list_revision: instances.revision.number,
             list_hash: instances.hash,
-            list_since: instances.since,
+            list_since: instances.since.number,
+            era: declarations.revision.era,
+            list_era: instances.revision.era,
+            list_since_era: instances.since.era,
         }
     }
 
     /// What to ask a peer for, given what it holds.
     pub fn compare(&mut self, now: Millis, it: &wire::Digest) -> Vec<wire::Pull> {
         self.fresh = self.fresh.max(now.saturating_sub(Millis::from(it.age)));
-        let theirs = [
-            (What::Declarations, Digest { revision: it.revision, hash: it.hash, since: 0 }),
-            (
-                What::Instances,
-                Digest { revision: it.list_revision, hash: it.list_hash, since: it.list_since },
-            ),
-        ];
+        let declarations = Digest {
+            revision: Revision::new(it.era, it.revision),
+            hash: it.hash,
+            since: Revision::default(),
+        };
+        let instances = Digest {
+            revision: Revision::new(it.list_era, it.list_revision),
+            hash: it.list_hash,
+            since: Revision::new(it.list_since_era, it.list_since),
+        };
+        let theirs = [(What::Declarations, declarations), (What::Instances, instances)];
         let mut pulls = Vec::new();
         for (what, digest) in theirs {
             if !self.is_held(what) {
@@ -278,6 +296,14 @@
         pulls
     }
 
+    /// The documents in force that their operators numbered.
+    fn versions(&self) -> String {
+        let version = |it: &Verdict| it.force.as_ref()?.1.version;
+        let all = self.declarations.store.verdicts().iter();
+        let numbered = all.filter_map(|(key, it)| Some(format!("{key}={}", version(it)?)));
+        numbered.collect::<Vec<String>>().join(" ")
+    }
+
     /// The answer to a peer's pull.
     pub fn deltas(&mut self, it: &wire::Pull) -> Result<Vec<Body>, convert::Error> {
         let (what, pull) = convert::parse_pull(it)?;
@@ -289,7 +315,10 @@
     pub fn merge(&mut self, what: What, it: Delta) -> Option<What> {
         // A revision that brings no document is known to peers by the next digest.
         let empty = it.documents.is_empty() && it.whole.is_none();
-        match self.source(what).store.merge(it) {
+        let merged = self.source(what).store.merge(it);
+        self.report_rejected(what);
+        self.metrics.revision.set(self.revision().number as i64);
+        match merged {
             Ok(false) => None,
             Ok(true) if empty => None,
             Ok(true) => {
@@ -308,8 +337,9 @@
             self.instances = Rc::new(self.parse_instances());
             return;
         }
-        self.metrics.revision.set(self.revision() as i64);
-        slog::info!(self.log, "configuration in force"; "revision" => self.revision());
+        let revision = self.revision();
+        slog::info!(self.log, "configuration in force"; "era" => revision.era,
+            "revision" => revision.number, "versions" => self.versions());
     }
 
     // The platform.
@@ -327,6 +357,9 @@
         let what = read.what;
         let ordered = self.source(what).ordered.take().unwrap_or(now);
         self.note_era(read.era);
+        if let Some(e) = &read.doubt {
+            self.report_doubt(what, e);
+        }
         let batch = match read.result {
             Ok(it) => it,
             Err(e) => {
@@ -339,17 +372,13 @@
         }
         let stale = batch.delta.revision < self.source(what).store.revision();
         self.judge(what, !stale, "stale");
+        if stale {
+            return self.read_stale(now, what, batch.delta);
+        }
         let pace = self.pace(what);
         let source = self.source(what);
         source.failures = 0;
         source.next = now.max(ordered + pace);
-        if stale {
-            let held = self.source(what).store.revision();
-            slog::info!(self.log, "read not taken"; "what" => ?what,
-                "revision" => batch.delta.revision, "held" => held, "era" => self.era);
-            self.metrics.ignored(Ignored::OldRevision);
-            return None;
-        }
         let mut delta = batch.delta;
         let source = self.source(what);
         source.whole &= delta.whole.is_none();
@@ -365,9 +394,46 @@
         changed
     }
 
+    /// Takes from a read that is older than what is held the documents that their operator
+    /// gave a later number.
+    fn read_stale(&mut self, now: Millis, what: What, delta: Delta) -> Option<What> {
+        let (read, held) = (delta.revision, self.source(what).store.revision());
+        slog::info!(self.log, "stale read"; "what" => ?what, "era" => read.era,
+            "revision" => read.number, "held_era" => held.era, "held" => held.number);
+        let source = self.source(what);
+        source.next = source.retry_at(now);
+        if what == What::Declarations && delta.whole.is_some() {
+            return self.merge(what, delta);
+        }
+        self.metrics.ignored(Ignored::OldRevision);
+        None
+    }
+
+    /// A line and a count for documents whose operator's number is too low.
+    fn report_rejected(&mut self, what: What) {
+        for it in self.source(what).store.take_rejected() {
+            if self.is_reported(what, &it.key, it.revision) {
+                continue;
+            }
+            slog::warn!(self.log, "older version not taken"; "key" => &it.key,
+                "version" => it.version, "era" => it.revision.era, "revision" => it.revision.number);
+            self.metrics.ignored(Ignored::OlderVersion);
+        }
+    }
+
+    /// A count for each answer whose era is not believed, and a line for the first in a row.
+    fn report_doubt(&mut self, what: What, e: &sablepass_platform::Error) {
+        self.metrics.bad_items.with_label_values(&[e.label()]).inc();
+        if std::mem::replace(&mut self.doubted, true) {
+            return;
+        }
+        slog::warn!(self.log, "era not believed"; "what" => ?what, "error" => %e);
+    }
+
     /// A line when the service names another era.
     fn note_era(&mut self, era: Option<u64>) {
         let Some(now) = era else { return };
+        self.doubted = false;
         let before = self.era.replace(now);
         if before != era {
             slog::info!(self.log, "platform era"; "before" => before, "now" => now);
@@ -375,31 +441,40 @@
         }
     }
 
-    /// A line and a count for each change that cannot be taken, not for each read.
-    fn report_problem(&mut self, what: What, it: &Problem) {
+    /// Whether a version that cannot be taken is known as such.
+    fn is_reported(&mut self, what: What, key: &str, revision: Revision) -> bool {
         let bad = &mut self.source(what).bad;
-        if bad.len() >= MOST_BAD && !bad.contains_key(&it.key) {
+        if bad.len() >= MOST_BAD && !bad.contains_key(key) {
             bad.clear();
         }
-        if bad.insert(it.key.clone(), it.revision) == Some(it.revision) {
+        bad.insert(key.to_owned(), revision) == Some(revision)
+    }
+
+    /// A line and a count for each change that cannot be taken, not for each read.
+    fn report_problem(&mut self, what: What, it: &Problem) {
+        if self.is_reported(what, &it.key, it.revision) {
             return;
         }
         slog::warn!(self.log, "item not taken"; "what" => ?what, "key" => &it.key,
-            "revision" => it.revision, "reason" => it.error.label(), "error" => %it.error);
+            "era" => it.revision.era, "revision" => it.revision.number, "reason" => it.error.label(), "error" => %it.error);
         self.metrics.ignored(Ignored::BadDocument);
         self.metrics.bad_items.with_label_values(&[it.error.label()]).inc();
     }
 
     fn failed(&mut self, now: Millis, what: What, e: &reader::Error) {
         let source = self.source(what);
-        if let reader::Error::History { .. } = e {
-            source.whole = true;
-            source.next = now;
-            slog::info!(self.log, "platform history gone"; "what" => ?what, "error" => %e);
-            return;
+        match e {
+            reader::Error::History { .. } | reader::Error::Restored { .. } => {
+                source.whole = true;
+                source.next = now;
+                slog::info!(self.log, "platform to be read anew"; "what" => ?what, "error" => %e);
+                return;
+            }
+            reader::Error::Earlier { .. } => self.metrics.ignored(Ignored::OldRevision),
+            _ => {}
         }
-        let next = source.retry_at(now);
-        source.next = next;
+        let source = self.source(what);
+        source.next = source.retry_at(now);
         slog::debug!(self.log, "read failed"; "what" => ?what, "error" => %e);
         self.judge(what, false, &e.to_string());
     }
--- a/crates/sablepass-entry/src/answers.rs
+++ b/crates/sablepass-entry/src/answers.rs
@@ -3,6 +3,7 @@
 
 //! What a router answers to operators: readiness, status, a request's story.
 
+use sablepass_core::revision::Revision;
 use sablepass_edge::admin::{self, Ask};
 use sablepass_edge::clock;
 use stakker::{CX, call, ret_some_do};
@@ -29,8 +30,10 @@
 
     fn ready(&self) -> admin::Reply {
         let revision = self.targets.catalogue().revision;
-        let ready = revision > 0 && self.stopping.is_none();
-        let json = serde_json::json!({ "ready": ready, "revision": revision }).to_string();
+        let ready = revision > Revision::default() && self.stopping.is_none();
+        let json =
+            serde_json::json!({ "ready": ready, "era": revision.era, "revision": revision.number })
+                .to_string();
         admin::Reply { status: if ready { 200 } else { 503 }, json }
     }
 
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -15,6 +15,7 @@
 use sablepass_core::once::Key;
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
+use sablepass_core::revision::Revision;
 use sablepass_core::route::{Class, Route};
 use sablepass_edge::{clock, server};
 use stakker::CX;
@@ -94,8 +95,9 @@
 
     fn refuse(&self, reply: &server::Reply, label: &str, reason: Refusal) {
         self.metrics.refused(reason);
+        let revision = self.targets.catalogue().revision;
         slog::warn!(self.log, "refused"; "id" => label, "reason" => reason.label(),
-            "revision" => self.targets.catalogue().revision, "held" => self.open.len());
+            "revision" => revision.number, "era" => revision.era, "held" => self.open.len());
         self.settings.dialect.fail(reply, label, Failure { reason, ran: Ran::NotRun }, None);
     }
 
@@ -183,7 +185,7 @@
             return Err(Refusal::Stopping);
         }
         let catalogue = self.targets.catalogue().clone();
-        if catalogue.revision == 0 {
+        if catalogue.revision == Revision::default() {
             return Err(Refusal::NoConfiguration);
         }
         match &run.asks {
--- a/crates/sablepass-entry/src/open.rs
+++ b/crates/sablepass-entry/src/open.rs
@@ -11,6 +11,7 @@
 use sablepass_core::fingerprint::Fingerprint;
 use sablepass_core::flight::Flight;
 use sablepass_core::id::Millis;
+use sablepass_core::revision::Revision;
 use sablepass_core::route::Route;
 use sablepass_edge::server::ExchangeKey;
 
@@ -66,7 +67,7 @@
     /// When its caller may come back, if it is refused.
     pub(crate) comeback: Option<Millis>,
     /// Revision of the configuration that it was admitted by.
-    pub(crate) revision: u64,
+    pub(crate) revision: Revision,
 }
 
 impl Open {
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -34,8 +34,8 @@
                 self.want(cx);
                 self.tell_bounds();
             }
-            mesh::Event::Instances(instances) => {
-                let lost = self.targets.list(clock::now(), &instances);
+            mesh::Event::Instances(instances, revision) => {
+                let lost = self.targets.list(clock::now(), &instances, revision.era);
                 for target in &lost.reborn {
                     slog::info!(self.log, "target started anew"; "target" => target,
                         "born" => self.targets.born(target));
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -265,8 +265,8 @@
         };
         slog::info!(self.log, "sent"; "id" => &open.run.label, "target" => &choice.name, "addr" => addr,
             "attempt" => attempt.number, "load" => choice.load, "of" => choice.candidates,
-            "after" => open.flight.last_event(), "route" => route_name(open), "revision" => open.revision,
-            "left" => open.flight.request().deadline.saturating_sub(now));
+            "after" => open.flight.last_event(), "route" => route_name(open), "era" => open.revision.era,
+            "revision" => open.revision.number, "left" => open.flight.request().deadline.saturating_sub(now));
         let step = Step::Sent {
             target: choice.name.clone(),
             load: choice.load,
@@ -393,7 +393,7 @@
             "target" => open.flight.target(), "attempts" => open.flight.attempt().number,
             "begun" => open.begun, "took" => now.saturating_sub(open.run.arrived),
             "customer" => &open.customer, "service" => &open.served.1,
-            "revision" => open.revision, "comeback" => open.comeback);
+            "era" => open.revision.era, "revision" => open.revision.number, "comeback" => open.comeback);
         self.traces.add(now, id, Step::Failed(failure));
         if failure.reason == Refusal::CallerGone {
             return;
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -136,6 +136,9 @@
     met: usize,
     /// Entries that the instance list names.
     listed_entries: usize,
+    /// Era of the list, and when a later one last took over from it.
+    era: u64,
+    restored: Millis,
     sharers: Sharers,
     /// Who uses the limits that targets name.
     holders: Holders,
@@ -168,6 +171,8 @@
             broken: BTreeSet::new(),
             met: 1,
             listed_entries: 0,
+            era: 0,
+            restored: 0,
             sharers: Sharers::open(options.agent_port.is_some()),
             holders: Holders::open(&options.me),
             chooser: Chooser::open(policy),
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -10,6 +10,7 @@
 use sablepass_core::balance;
 use sablepass_core::declaration::Kind;
 use sablepass_core::id::{Life, Millis};
+use sablepass_core::revision::Revision;
 use sablepass_edge::instance::{Instance, Role};
 
 use crate::pool::Destination;
@@ -20,7 +21,8 @@
 /// ended refuses connections. Less than the time in which new work must stop.
 const LAPSE: Millis = 1_200;
 /// The same while most targets of the list are missing at once, as after an
-/// outage of the list's service: they are back within about two seconds.
+/// outage of the list's service, and after it was restored from a copy that lacks
+/// some: they are back within about two seconds.
 const LAPSE_OF_MANY: Millis = 3_000;
 
 /// Targets of which a new list says that a life of theirs is over.
@@ -54,7 +56,11 @@
     }
 
     /// Takes a new instance list.
-    pub fn list(&mut self, now: Millis, instances: &BTreeMap<String, Instance>) -> Lost {
+    pub fn list(&mut self, now: Millis, instances: &BTreeMap<String, Instance>, era: u64) -> Lost {
+        let before = std::mem::replace(&mut self.era, era);
+        if before > 0 && before < era {
+            self.restored = now;
+        }
         if !instances.is_empty() {
             self.learning.get_or_insert(now);
         }
@@ -96,7 +102,8 @@
     pub fn lapse(&mut self, now: Millis) -> Vec<String> {
         let missing = self.listed.values().filter(|it| it.missing.is_some()).count();
         let many = missing * 2 > self.listed.len() && missing > 1;
-        let span = if many { LAPSE_OF_MANY } else { LAPSE };
+        let restored = now < self.restored + LAPSE_OF_MANY;
+        let span = if many || restored { LAPSE_OF_MANY } else { LAPSE };
         let over = |it: &Listed| it.missing.is_some_and(|since| now >= since + span);
         let gone: Vec<String> =
             self.listed.iter().filter(|it| over(it.1)).map(|it| it.0.clone()).collect();
@@ -118,7 +125,7 @@
     /// Finds the targets whose address a later one has. One that turned out
     /// not to be there replaces nothing.
     pub(super) fn find_replaced(&mut self) {
-        let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
+        let mut latest: HashMap<SocketAddr, Revision> = HashMap::new();
         let there = |it: &&Listed| it.missing.is_none() && !it.misdirected;
         for it in self.listed.values().filter(there) {
             let revision = latest.entry(it.instance.addr).or_default();
--- a/crates/sablepass-load/src/capacity.rs
+++ b/crates/sablepass-load/src/capacity.rs
@@ -15,6 +15,7 @@
 use sablepass_core::expert::plan;
 use sablepass_core::id::{AttemptId, RequestId};
 use sablepass_core::once::{self, Table};
+use sablepass_core::revision::Revision;
 use sablepass_stand::client::{control, metric};
 use sablepass_stand::fleet::Fleet;
 
@@ -306,7 +307,7 @@
         .map(|it| Document {
             key: format!("tatranska/d{it}.toml"),
             newest: Version {
-                revision: it as u64 + 1,
+                revision: (it as u64 + 1).into(),
                 body: bench::targets(&format!("d{it}t"), 50, 32),
             },
             removed: false,
@@ -316,8 +317,9 @@
     let bytes: usize = documents.iter().map(|it| it.newest.body.len()).sum();
     let start = Instant::now();
     let mut store = Store::open(What::Declarations);
-    let revision = documents.len() as u64;
-    if store.merge(Delta { after: 0, revision, documents, whole: None }).is_err() {
+    let revision = (documents.len() as u64).into();
+    if store.merge(Delta { after: Revision::default(), revision, documents, whole: None }).is_err()
+    {
         return;
     }
     let first = start.elapsed().as_secs_f64() * 1_000.0;
--- a/crates/sablepass-stand/src/keys.rs
+++ b/crates/sablepass-stand/src/keys.rs
@@ -50,6 +50,9 @@
     forgotten: u64,
     /// Text of the field that names its era; none in answers of a store that has none.
     era: Option<String>,
+    /// Most items of a page, and what happens once the first page of a read is answered.
+    page: usize,
+    after_page: Option<(Copy, u64)>,
     calls: u64,
 }
 
@@ -67,6 +70,14 @@
     items: BTreeMap<String, Item>,
 }
 
+impl State {
+    fn restore(&mut self, copy: &Copy, era: u64) {
+        self.revision = copy.revision;
+        self.items = copy.items.clone();
+        self.era = Some(era.to_string());
+    }
+}
+
 /// The store. It serves until the process ends.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -85,6 +96,8 @@
             items: BTreeMap::new(),
             forgotten: 0,
             era: Some("1".to_owned()),
+            page: 500,
+            after_page: None,
             calls: 0,
         };
         let store = Self { addr, state: Arc::new((Mutex::new(state), Condvar::new())) };
@@ -154,13 +167,18 @@
     /// Replaces what it holds by a copy, from which it goes on in this era. Later revisions
     /// are given out again.
     pub fn restore(&self, copy: &Copy, era: u64) {
-        let mut state = self.lock();
-        state.revision = copy.revision;
-        state.items = copy.items.clone();
-        state.era = Some(era.to_string());
+        self.lock().restore(copy, era);
         self.state.1.notify_all();
     }
 
+    /// Answers reads by pages of so many items, and is restored between the first page of the
+    /// next read and its second.
+    pub fn restore_within_read(&self, items: usize, copy: &Copy, era: u64) {
+        let mut state = self.lock();
+        state.page = items;
+        state.after_page = Some((copy.clone(), era));
+    }
+
     /// Changes the field that names its era; none leaves it out.
     pub fn name_era(&self, text: Option<&str>) {
         self.lock().era = text.map(str::to_owned);
@@ -195,7 +213,7 @@
                 self.wait_for_voice();
                 return;
             }
-            (_, "/-/kv-range") => self.range(&prefix),
+            (_, "/-/kv-range") => self.range(&prefix, &field("after")),
             (_, "/-/kv-watch") => {
                 let after = field("after").parse().unwrap_or(0);
                 let wait = Duration::from_millis(field("waitMs").parse().unwrap_or(0));
@@ -217,13 +235,21 @@
         drop(held.unwrap_or_else(PoisonError::into_inner));
     }
 
-    fn range(&self, prefix: &str) -> Reply {
-        let state = self.lock();
-        let live =
-            state.items.iter().filter(|(key, it)| key.starts_with(prefix) && it.value.is_some());
-        let items: Vec<Value> = live.map(|(key, it)| item(key, it)).collect();
-        let body = json!({ "items": items, "more": false, "at": state.revision });
-        Reply { status: 200, body, era: state.era.clone() }
+    fn range(&self, prefix: &str, after: &str) -> Reply {
+        let mut state = self.lock();
+        let live = state.items.iter().filter(|(key, it)| {
+            key.starts_with(prefix) && key.as_str() > after && it.value.is_some()
+        });
+        let mut items: Vec<Value> = live.map(|(key, it)| item(key, it)).collect();
+        let more = items.len() > state.page;
+        items.truncate(state.page);
+        let body = json!({ "items": items, "more": more, "at": state.revision });
+        let reply = Reply { status: 200, body, era: state.era.clone() };
+        if more && let Some((copy, era)) = state.after_page.take() {
+            state.restore(&copy, era);
+            self.state.1.notify_all();
+        }
+        reply
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Reply {
--- a/crates/sablepass-stand/tests/restored.rs
+++ b/crates/sablepass-stand/tests/restored.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use sablepass_stand::client::wait_for;
+use sablepass_stand::client::{metric, wait_for};
 use sablepass_stand::keys::{Copy, Mode};
 use sablepass_stand::site::{self, KEY, Site, ask};
 use serde_json::{Value, json};
@@ -194,18 +194,103 @@
     }
 }
 
-/// An era that cannot be read says nothing of where an answer belongs.
+/// An era that is missing, cannot be read or is far ahead says nothing of where an answer
+/// belongs; what the store lists is taken all the same.
 #[test]
-fn verify_an_era_that_cannot_be_read_loses_nothing() {
+fn verify_an_era_that_cannot_be_believed_loses_nothing() {
     let site = site(1);
+    let bad = ["", "-1", "two", "18446744073709551615", "18446744073709551616"];
+    let texts = bad.into_iter().map(Some).chain([None, Some("1")]);
+    for (version, text) in (2..).zip(texts) {
+        site.store.name_era(text);
+        site.configure(&with_route(version));
+        wait_in_force(&site, version);
+    }
+    // An entry that another one told first has no answer of its own.
+    let count = |entry: usize| {
+        let admin = site.entries[entry].addr("admin");
+        metric(&admin, "sablepass_bad_items_total", "reason=\"era\"")
+    };
+    let counted: f64 = (0..ENTRIES).map(count).sum();
+    assert!(counted >= bad.len() as f64, "{counted} counted");
+}
+
+/// Something still answers as the store before it was restored.
+#[test]
+fn verify_answers_of_an_earlier_era_take_nothing_back() {
+    let site = site(1);
+    site.configure(&with_route(2));
+    wait_in_force(&site, 2);
+    let before = site.store.copy();
+    restore(&site, &before);
+    site.configure(&with_route(3));
+    wait_in_force(&site, 3);
+    let after = site.store.copy();
+    site.store.restore(&before, 1);
+    let until = Instant::now() + Duration::from_secs(1);
+    while Instant::now() < until {
+        for entry in 0..ENTRIES {
+            assert_eq!(on_route(&site, entry, 3), 200, "entry {entry}");
+        }
+    }
+    site.store.restore(&after, SECOND);
+    site.configure(&with_route(4));
+    wait_in_force(&site, 4);
+}
+
+/// Two restores in a moment, and all entries start anew between them: the copy is all that
+/// there is until the operator writes again.
+#[test]
+fn verify_entries_that_start_within_restores_learn_what_is_written_again() {
+    let mut site = site(2);
+    let copy = site.store.copy();
     site.configure(&with_route(2));
     wait_in_force(&site, 2);
-    for bad in ["", "-1", "two", "18446744073709551616"] {
-        site.store.name_era(Some(bad));
-        thread::sleep(Duration::from_millis(300));
-        assert_eq!(on_route(&site, 0, 2), 200, "{bad:?}");
+    restore(&site, &copy);
+    for entry in 0..ENTRIES {
+        site.entries[entry].kill();
     }
-    site.store.name_era(Some("1"));
+    site.entries.clear();
+    for _ in 0..ENTRIES {
+        site.add_entry("");
+    }
+    site.store.restore(&copy, SECOND + 1);
+    site.settle(2);
+    site.configure(&with_route(2));
+    wait_in_force(&site, 2);
+    site.configure(&with_route(3));
+    wait_in_force(&site, 3);
+}
+
+/// Pages of two eras are no read: the first page names what the copy has not.
+#[test]
+fn verify_pages_from_before_and_after_a_restore_are_no_read() {
+    let mut site = site(2);
+    let copy = site.store.copy();
+    site.add_replica("orders");
+    site.add_replica("orders");
+    site.settle(4);
+    site.store.restore_within_read(1, &copy, SECOND);
+    let fresh = site.add_entry("");
+    let listed = || {
+        let admin = site.entries[fresh].addr("admin");
+        metric(&admin, "sablepass_targets", "state=\"listed\"")
+    };
+    wait_for("the fresh entry lists what the copy has", || listed() == 2.0);
+    site.replicas.iter().for_each(|it| site.list(it, "ready"));
+    site.settle(4);
+}
+
+/// A refusal names the era as well, and the store may pass the held revision meanwhile.
+#[test]
+fn verify_a_store_that_refuses_calls_after_a_restore_is_read_anew() {
+    let site = site(1);
+    let copy = site.store.copy();
+    site.configure(&with_route(2));
+    wait_in_force(&site, 2);
+    site.store.set(Mode::Refusing);
+    site.store.restore(&copy, SECOND);
     site.configure(&with_route(3));
+    (0..10).for_each(|_| site.list(&site.replicas[0], "ready"));
     wait_in_force(&site, 3);
 }
--- a/crates/sablepass-wire/src/convert.rs
+++ b/crates/sablepass-wire/src/convert.rs
@@ -14,6 +14,7 @@
 use sablepass_core::once::{Key, Mark};
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
+use sablepass_core::revision::Revision;
 use sablepass_core::{gate, membership, rendezvous};
 use snafu::Snafu;
 
@@ -175,10 +176,11 @@
 }
 
 /// The message of what bounds the maps of a service's groups.
-pub fn bounds(service: &str, revision: u64, it: Bounds) -> Body {
+pub fn bounds(service: &str, revision: Revision, it: Bounds) -> Body {
     Body::Bounds(wire::Bounds {
         service: service.to_owned(),
-        revision,
+        era: revision.era,
+        revision: revision.number,
         layers: it.layers,
         experts: it.experts,
         slots: it.slots,
@@ -212,31 +214,39 @@
 pub fn delta(what: What, it: &config::Delta) -> Body {
     let documents = it.documents.iter().map(document).collect();
     let (whole, since, parts, asked) = match it.whole {
-        None => (false, 0, Vec::new(), 0),
+        None => (false, Revision::default(), Vec::new(), 0),
         Some(Whole::All(since)) => (true, since, Vec::new(), 0),
-        Some(Whole::Parts(mask, asked)) => (false, 0, mask.0.to_le_bytes().to_vec(), asked),
+        Some(Whole::Parts(mask, asked)) => {
+            (false, Revision::default(), mask.0.to_le_bytes().to_vec(), asked)
+        }
     };
     Body::Delta(wire::Delta {
-        after: it.after,
-        revision: it.revision,
+        after: it.after.number,
+        revision: it.revision.number,
         documents,
         what: what as u32,
         whole,
-        since,
+        since: since.number,
         parts: parts.into(),
         asked,
+        after_era: it.after.era,
+        era: it.revision.era,
+        since_era: since.era,
     })
 }
 
 fn document(it: &config::Document) -> wire::Document {
     let accepted = it.accepted.clone();
+    let known = accepted.as_ref().map_or_else(Revision::default, |it| it.revision);
     wire::Document {
         key: it.key.clone(),
-        revision: it.newest.revision,
+        revision: it.newest.revision.number,
         removed: it.removed,
         body: it.newest.body.clone(),
-        accepted_revision: accepted.as_ref().map_or(0, |it| it.revision),
+        accepted_revision: known.number,
         accepted_body: accepted.map_or(String::new(), |it| it.body),
+        era: it.newest.revision.era,
+        accepted_era: known.era,
     }
 }
 
@@ -247,12 +257,14 @@
     let parts = (!it.parts.is_empty()).then(|| mask(&it.parts)).transpose()?;
     let whole = match (it.whole, parts) {
         (false, None) => None,
-        (true, None) => Some(Whole::All(it.since)),
+        (true, None) => Some(Whole::All(Revision::new(it.since_era, it.since))),
         (false, Some(mask)) if what == What::Instances => Some(Whole::Parts(mask, it.asked)),
         // Declarations are not compared: what is not among some would count as gone.
         (_, Some(_)) => return Err(Error::Field { message: "delta", field: "whole" }),
     };
-    Ok((what, config::Delta { after: it.after, revision: it.revision, documents, whole }))
+    let after = Revision::new(it.after_era, it.after);
+    let revision = Revision::new(it.era, it.revision);
+    Ok((what, config::Delta { after, revision, documents, whole }))
 }
 
 fn mask(bytes: &[u8]) -> Result<Mask, Error> {
@@ -264,18 +276,19 @@
 /// The message that asks a peer for what it holds.
 pub fn pull(what: What, it: &config::Pull) -> wire::Pull {
     let parts = it.parts.as_ref().map_or_else(Vec::new, |it| it.hashes().to_vec());
-    wire::Pull { after: it.after, what: what as u32, parts }
+    wire::Pull { after: it.after.number, what: what as u32, parts, era: it.after.era }
 }
 
 /// Reads what a peer asks for.
 pub fn parse_pull(it: &wire::Pull) -> Result<(What, config::Pull), Error> {
     let what = what("pull", it.what)?;
+    let after = Revision::new(it.era, it.after);
     if it.parts.is_empty() {
-        return Ok((what, config::Pull { after: it.after, parts: None }));
+        return Ok((what, config::Pull { after, parts: None }));
     }
     let error = Error::Field { message: "pull", field: "parts" };
     let parts = Parts::parse(&it.parts).filter(|_| what == What::Instances).ok_or(error)?;
-    Ok((what, config::Pull { after: it.after, parts: Some(parts) }))
+    Ok((what, config::Pull { after, parts: Some(parts) }))
 }
 
 /// Reads which store a message is about.
@@ -284,11 +297,12 @@
 }
 
 fn parse_document(it: wire::Document) -> config::Document {
-    let accepted = (it.accepted_revision != 0)
-        .then_some(config::Version { revision: it.accepted_revision, body: it.accepted_body });
+    let revision = Revision::new(it.accepted_era, it.accepted_revision);
+    let accepted = (revision != Revision::default())
+        .then_some(config::Version { revision, body: it.accepted_body });
     config::Document {
         key: it.key,
-        newest: config::Version { revision: it.revision, body: it.body },
+        newest: config::Version { revision: Revision::new(it.era, it.revision), body: it.body },
         removed: it.removed,
         accepted,
     }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -354,6 +354,13 @@
     /// Whoever holds less of the instance list than this revision has to compare.
     #[prost(fixed64, tag = "6")]
     pub list_since: u64,
+    /// Eras of the three revisions.
+    #[prost(uint64, tag = "7")]
+    pub era: u64,
+    #[prost(uint64, tag = "8")]
+    pub list_era: u64,
+    #[prost(uint64, tag = "9")]
+    pub list_since_era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Pull {
@@ -366,6 +373,9 @@
     /// those that differ.
     #[prost(fixed64, repeated, tag = "3")]
     pub parts: ::prost::alloc::vec::Vec<u64>,
+    /// Era of `after`.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Delta {
@@ -392,6 +402,13 @@
     /// With `parts`: hash of what the receiver held when it asked.
     #[prost(fixed64, tag = "8")]
     pub asked: u64,
+    /// Eras of `after`, `revision` and `since`.
+    #[prost(uint64, tag = "9")]
+    pub after_era: u64,
+    #[prost(uint64, tag = "10")]
+    pub era: u64,
+    #[prost(uint64, tag = "11")]
+    pub since_era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Document {
@@ -408,6 +425,11 @@
     pub accepted_revision: u64,
     #[prost(string, tag = "6")]
     pub accepted_body: ::prost::alloc::string::String,
+    /// Eras of the two revisions.
+    #[prost(uint64, tag = "7")]
+    pub era: u64,
+    #[prost(uint64, tag = "8")]
+    pub accepted_era: u64,
 }
 /// One message of the expert-map switch between the agents of a group.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -512,6 +534,9 @@
     pub step: u32,
     #[prost(uint32, tag = "10")]
     pub sequence: u32,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "11")]
+    pub era: u64,
 }
 /// A map that the ranks of a group are to prepare.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/sablepass-wire/tests/wire.rs
+++ b/crates/sablepass-wire/tests/wire.rs
@@ -13,6 +13,7 @@
 use sablepass_core::once::Mark;
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
+use sablepass_core::revision::Revision;
 use sablepass_wire::frame::Codec;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
@@ -38,7 +39,8 @@
 #[test]
 fn verify_frames_survive_any_cut() {
     fn holds(data: Vec<u8>, cuts: Vec<u8>) -> bool {
-        let bodies = [chunk(data), Body::Pull(wire::Pull { after: 9, what: 1, parts: vec![] })];
+        let bodies =
+            [chunk(data), Body::Pull(wire::Pull { after: 9, what: 1, parts: vec![], era: 2 })];
         let bytes: Vec<u8> = bodies.iter().cloned().flat_map(encode).collect();
         let mut codec = Codec::open();
         let mut read = Vec::new();
@@ -110,19 +112,20 @@
 fn verify_deltas_survive() {
     let document = Document {
         key: "p/a".to_owned(),
-        newest: Version { revision: 4, body: "x".to_owned() },
+        newest: Version { revision: Revision::new(3, 4), body: "x".to_owned() },
         removed: false,
-        accepted: Some(Version { revision: 2, body: "y".to_owned() }),
+        accepted: Some(Version { revision: Revision::new(1, 9), body: "y".to_owned() }),
     };
     let parts = Some(Whole::Parts(Mask(1 << 127 | 5), 77));
     let wholes = [
         (What::Declarations, None),
-        (What::Declarations, Some(Whole::All(3))),
+        (What::Declarations, Some(Whole::All(Revision::new(3, 3)))),
         (What::Instances, parts),
     ];
     for (what, whole) in wholes {
         let documents = vec![document.clone()];
-        let delta = Delta { after: 1, revision: 4, documents, whole };
+        let delta =
+            Delta { after: Revision::new(2, 8), revision: Revision::new(3, 5), documents, whole };
         let Body::Delta(sent) = convert::delta(what, &delta) else {
             panic!("a delta makes a delta");
         };
@@ -135,7 +138,7 @@
     let mut parts = Parts::default();
     parts.toggle("i-1", "a line");
     for (what, parts) in [(What::Declarations, None), (What::Instances, Some(parts))] {
-        let pull = Pull { after: 3, parts };
+        let pull = Pull { after: Revision::new(4, 3), parts };
         let read = convert::parse_pull(&convert::pull(what, &pull)).expect("read");
         assert_eq!(read, (what, pull));
     }
@@ -145,10 +148,10 @@
 #[test]
 fn verify_comparisons_of_another_length_are_refused() {
     for length in [1, 127, 129, 10_000] {
-        let pull = wire::Pull { after: 1, what: 1, parts: vec![1; length] };
+        let pull = wire::Pull { after: 1, what: 1, parts: vec![1; length], era: 1 };
         assert!(convert::parse_pull(&pull).is_err(), "{length} hashes");
     }
-    let declarations = wire::Pull { after: 1, what: 0, parts: vec![1; 128] };
+    let declarations = wire::Pull { after: 1, what: 0, parts: vec![1; 128], era: 1 };
     assert!(convert::parse_pull(&declarations).is_err(), "declarations are not compared");
     for length in [1, 15, 17] {
         let parts = vec![1; length];
