Soak: the store is restored from copies, beside all other faults

Up to two restores a run: the store is away, comes back from a copy of 1.5 s or more before in its next era, and what operators and replicas wrote since is written again 0.4 s later; lines of replicas that are gone lapse.

The judge excuses less: a replica that was known to leave before the store was struck gets nothing more, also while the store lists it as ready again.

--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -39,6 +39,10 @@
 const STOPS: Duration = Duration::from_secs(10);
 /// Seconds in which limits are counted by a schedule.
 const TEN_SECONDS: f64 = 10.0;
+/// Age of the copy from which the store is restored, in milliseconds, and the time after
+/// which what it lost is written again.
+const COPY_AGE: u64 = 1_500;
+const WRITTEN_AGAIN: Duration = Duration::from_millis(400);
 /// Replicas that stay listed at least.
 const LEAST: usize = 2;
 
@@ -82,8 +86,13 @@
     pub(super) strikes: Vec<Strike>,
     /// Replicas that leave, and since when.
     pub(super) leaving: Vec<(usize, u64)>,
+    /// Those of them that are still listed.
+    draining: Vec<usize>,
     /// When each added route was declared, the first one first.
     pub(super) routes: Vec<u64>,
+    /// Copies of the store, the oldest first, with their times.
+    copies: Vec<(u64, keys::Copy)>,
+    era: u64,
     /// Entries that did not end in time after they were asked to stop.
     pub(super) stuck: Vec<usize>,
 }
@@ -103,14 +112,14 @@
             began: Vec::new(),
             strikes: Vec::new(),
             leaving: Vec::new(),
+            draining: Vec::new(),
             routes: Vec::new(),
+            copies: Vec::new(),
+            era: 1,
             stuck: Vec::new(),
         };
         fleet.site.configure(&fleet.configuration());
-        for rank in 0..RANKS {
-            let entry = fleet.group.entry_of(rank, "model");
-            fleet.site.store.put(&format!("servers/i-{rank}"), &entry);
-        }
+        fleet.list_ranks();
         (0..options.replicas).for_each(|_| fleet.add_replica());
         (0..options.entries).for_each(|_| fleet.add_entry());
         fleet.site.settle(options.replicas + RANKS);
@@ -122,6 +131,13 @@
         fleet
     }
 
+    fn list_ranks(&self) {
+        for rank in 0..RANKS {
+            let entry = self.group.entry_of(rank, "model");
+            self.site.store.put(&format!("servers/i-{rank}"), &entry);
+        }
+    }
+
     /// Changes the expert in demand all the time, so that maps change under every fault.
     fn shift_demand(&self) {
         let group = self.group.clone();
@@ -243,6 +259,7 @@
         turns.sort_unstable();
         let mut struck: Vec<Option<usize>> = vec![None; plan.len()];
         for (at, begins, number) in turns {
+            self.copies.push((clock::now(), self.site.store.copy()));
             let due = started + Duration::from_millis(at);
             std::thread::sleep(due.saturating_duration_since(Instant::now()));
             if begins {
@@ -303,6 +320,7 @@
                 let who = replica.filter(|_| self.ready.len() > LEAST)?;
                 self.site.list(&self.site.replicas[who], "draining");
                 self.leaving.push((who, clock::now()));
+                self.draining.push(who);
                 self.ready.retain(|it| *it != who);
                 Some(who)
             }
@@ -353,6 +371,12 @@
                 self.site.store.forget();
                 None
             }
+            Fault::StoreRestored => {
+                let writes = WRITTEN_AGAIN.as_millis() as u64;
+                self.strike(Struck::Store, &Planned { lasts: it.lasts + writes, ..*it });
+                self.site.store.set(keys::Mode::Down);
+                Some(0)
+            }
             Fault::RouteAdded => {
                 self.routes.push(clock::now());
                 self.site.configure(&self.configuration());
@@ -382,6 +406,7 @@
             }
             Fault::ReplicaLimits(_) => self.site.replicas[who].name_limit(None),
             Fault::ReplicaLeaves | Fault::ReplicaTells => {
+                self.draining.retain(|it| *it != who);
                 let id = self.site.replicas[who].id.clone();
                 self.site.store.remove(&format!("servers/{id}"));
             }
@@ -394,6 +419,7 @@
             }
             Fault::Link(_) => self.link(who, "pass"),
             Fault::StoreIs(_) => self.site.store.set(keys::Mode::Up),
+            Fault::StoreRestored => self.restore(),
             Fault::EntryReloaded
             | Fault::ReplicaAdded
             | Fault::StoreForgets
@@ -401,6 +427,28 @@
         }
     }
 
+    /// Restores the store from a copy. What it lost is written again a little later, and lines
+    /// of replicas that are gone lapse.
+    fn restore(&mut self) {
+        let old = |it: &&(u64, keys::Copy)| clock::now() >= it.0 + COPY_AGE;
+        let Some(copy) = self.copies.iter().rfind(old).or(self.copies.first()) else { return };
+        self.era += 1;
+        self.site.store.restore(&copy.1, self.era);
+        self.site.store.set(keys::Mode::Up);
+        std::thread::sleep(WRITTEN_AGAIN);
+        self.site.configure(&self.configuration());
+        self.list_ranks();
+        for (who, it) in self.site.replicas.iter().enumerate() {
+            if self.ready.contains(&who) {
+                self.site.list(it, "ready");
+            } else if self.draining.contains(&who) {
+                self.site.list(it, "draining");
+            } else if !self.site.replicas[who + 1..].iter().any(|later| later.id == it.id) {
+                self.site.store.remove(&format!("servers/{}", it.id));
+            }
+        }
+    }
+
     fn wait_for_end(&mut self, who: usize) {
         let until = Instant::now() + STOPS;
         while !self.site.entries[who].ended() {
--- a/crates/sablepass-stand/src/soak/judge.rs
+++ b/crates/sablepass-stand/src/soak/judge.rs
@@ -229,13 +229,19 @@
 }
 
 /// Whether a run began at a replica that had long said to be leaving, sent by an
-/// entry that could know.
+/// entry that could know. What it knew once it does not forget, whatever the store says.
 fn came_late(it: &Evidence, sample: &Sample, run: &Begun) -> bool {
     let leaving = it.leaving.iter().find(|left| left.0 == run.replica);
     leaving.is_some_and(|&(_, since)| {
         let known = run.at.saturating_sub(IN_FORCE);
+        let began = it.began[sample.entry];
+        let told = !it.struck(Struck::Store, since, run.at.min(since + IN_FORCE));
+        let started = since.max(began.saturating_sub(IN_FORCE));
+        let read =
+            began < since || !it.struck(Struck::Store, started, run.at.min(began + IN_FORCE));
         since < known
-            && !it.struck(Struck::Store, since, run.at)
+            && told
+            && read
             && !it.struck(Struck::Entry(sample.entry), since, run.at)
             && !it.struck(Struck::Replica(run.replica), since, run.at)
     })
--- a/crates/sablepass-stand/src/soak/schedule.rs
+++ b/crates/sablepass-stand/src/soak/schedule.rs
@@ -52,6 +52,9 @@
     StoreIs(keys::Mode),
     /// The store forgets its history.
     StoreForgets,
+    /// The store is away, and comes back from a copy after this; operators and replicas write
+    /// again what it lost.
+    StoreRestored,
     /// Another route is declared.
     RouteAdded,
 }
@@ -167,6 +170,10 @@
     Planned { lasts, ..plan(rng, length, |_| Fault::RouteAdded) }.with(Fault::ReplicaLimits(limit))
 }
 
+fn restore(_: &mut StdRng) -> Fault {
+    Fault::StoreRestored
+}
+
 fn plan(rng: &mut StdRng, length: u64, fault: fn(&mut StdRng) -> Fault) -> Planned {
     Planned {
         at: rng.random_range(0..length),
@@ -177,8 +184,8 @@
 }
 
 /// A schedule: four to twelve faults that overlap, up to four of targets' lives
-/// and up to four times that targets speak beside them, and up to two limits that they
-/// name, in the order of their times.
+/// and up to four times that targets speak beside them, up to two limits that they
+/// name, and up to two restores of the store, in the order of their times.
 pub fn draw(seed: u64, length: u64) -> Vec<Planned> {
     let mut rng = StdRng::seed_from_u64(seed);
     let count = rng.random_range(4..=12);
@@ -189,6 +196,8 @@
     list.extend((0..count).map(|_| plan(&mut rng, length, notice)));
     let count = rng.random_range(0..=2);
     list.extend((0..count).map(|_| limit(&mut rng, length)));
+    let count = rng.random_range(0..=2);
+    list.extend((0..count).map(|_| plan(&mut rng, length, restore)));
     list.sort_by_key(|it| it.at);
     list
 }
