Test: copies of a request under which two targets ended at one moment (red)

An entry logs 'suspect tried' when it sends on a request under which targets ended, with their number; no line told so before.

--- a/crates/sablepass-core/src/suspects.rs
+++ b/crates/sablepass-core/src/suspects.rs
@@ -217,6 +217,11 @@
         before.is_none()
     }
 
+    /// The deaths of targets under a request.
+    pub fn deaths_of(&self, it: Fingerprint) -> &[Death] {
+        self.seen.get(&it).map_or(&[], |seen| &seen.deaths)
+    }
+
     /// All that is remembered of requests under which targets ended.
     pub fn deaths(&self) -> impl Iterator<Item = (Fingerprint, &Death)> {
         self.seen.iter().flat_map(|(it, seen)| seen.deaths.iter().map(|death| (*it, death)))
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -253,6 +253,10 @@
             slog::error!(self.log, "sent over the part of a limit"; "id" => &open.run.label,
                 "target" => &choice.name);
         }
+        if !self.watch.suspects.is_empty() {
+            self.note_suspect(now, id);
+        }
+        let Some(open) = self.open.get_mut(&id) else { return };
         self.targets.sent(&choice.name);
         if attempt.number == 1 {
             open.started = now;
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -294,6 +294,17 @@
         true
     }
 
+    /// A line when a suspected request is sent on all the same.
+    pub(crate) fn note_suspect(&self, now: Millis, id: RequestId) {
+        let Some(open) = self.open.get(&id) else { return };
+        let it = open.fingerprint();
+        if self.watch.suspects.standing(now, it) == Standing::Suspect {
+            let ended = self.watch.suspects.deaths_of(it).len();
+            slog::warn!(self.log, "suspect tried"; "id" => &open.run.label, "fingerprint" => %it,
+                "ended" => ended, "attempt" => open.flight.attempt().number);
+        }
+    }
+
     /// Records that a target ran a request to its end.
     pub(crate) fn ran_whole(&mut self, id: RequestId) {
         let Some(it) = self.open.get(&id).map(crate::open::Open::fingerprint) else { return };
--- a/crates/sablepass-stand/tests/crashing.rs
+++ b/crates/sablepass-stand/tests/crashing.rs
@@ -162,3 +162,51 @@
         send(site, 0, "once", "innocent", "ends nothing").status == 200
     });
 }
+
+/// Longer than nobody tries what two targets ended under at one moment.
+const PAUSED: Duration = Duration::from_millis(30_500);
+
+/// Sends a request to two entries at once, so that two targets end under it at one moment,
+/// which does not prove that it was the cause.
+fn two_end_at_once() -> Site {
+    for attempt in 0..20 {
+        let site = site(3);
+        let copy = |entry: usize| {
+            let addr = site.http(entry);
+            let id = format!("pair-{attempt}-{entry}");
+            thread::spawn(move || ask("POST", "/once/x", &id, FATAL).send(&addr))
+        };
+        let copies: Vec<_> = (0..2).map(copy).collect();
+        copies.into_iter().for_each(|it| drop(it.join()));
+        if ended(&site) != 2 {
+            continue;
+        }
+        let known = |entry: usize| {
+            let status = site.status(entry);
+            let suspect = &status["suspects"][0];
+            let deaths = suspect["deaths"].as_array().map_or(0, Vec::len);
+            (deaths, suspect["held_until"].is_null())
+        };
+        wait_for("both ends are known", || (0..3).all(|it| known(it).0 == 2));
+        if known(0).1 {
+            return site;
+        }
+    }
+    panic!("no two targets ended at one moment");
+}
+
+/// Two ends of one moment prove nothing. What comes once nobody waits any longer is tried by
+/// one entry, not by each that a copy reaches.
+#[test]
+fn verify_copies_after_two_ends_at_once_end_one_more_target_at_most() {
+    let site = two_end_at_once();
+    thread::sleep(PAUSED);
+    let copy = |entry: usize| {
+        let addr = site.http(entry);
+        let id = format!("later-{entry}");
+        thread::spawn(move || ask("POST", "/once/x", &id, FATAL).send(&addr))
+    };
+    let copies: Vec<_> = (0..3).map(copy).collect();
+    copies.into_iter().for_each(|it| drop(it.join()));
+    assert!(ended(&site) <= MOST, "2, then {} targets ended", ended(&site));
+}
