One entry tries what several targets ended under at one moment

What callers saw: five targets of a service ended under copies of one request after two had (known failure 'copies at once').

Cause: two ends of one moment prove nothing, and nothing decided which entry tries the request next: each tried its own copy. The pause of 30 s after such ends put that off, it did not change it.

Ruled out: that an entry did not know of both ends; the test waits until all do.

Fix: once the pause is over one entry tries one copy, chosen by a hash over the names of all; the others refuse it at once as not run. A whole answer clears it everywhere, one more end proves it. The same holds once a request is no longer held back.

core/tests/suspects.rs asserted that anybody may try after the pause ('innocents may come again'). That is what the failure came from: it now holds for the entry that tries, and a second assertion says that others do not.

--- a/crates/sablepass-core/src/holders.rs
+++ b/crates/sablepass-core/src/holders.rs
@@ -101,6 +101,12 @@
         (before < holders).then(|| limit.part(holders))
     }
 
+    /// Whether this entry is the one of all that does something.
+    pub fn owns(&self, key: &str) -> bool {
+        let all = self.shared.iter().map(String::as_str).chain([self.me.as_str()]);
+        self.active && rendezvous::owner(key, all) == Some(self.me.as_str())
+    }
+
     /// The other entries that hold a limit.
     pub fn others(&self, it: Life<'_>, limit: Rate) -> Vec<&str> {
         let all = self.shared.iter().map(String::as_str).chain([self.me.as_str()]);
--- a/crates/sablepass-core/src/suspects.rs
+++ b/crates/sablepass-core/src/suspects.rs
@@ -29,6 +29,8 @@
 /// more death costs more than the request: longer than its callers wait, and short against
 /// the time between two such ends of an ordinary cause.
 const PAUSE: Millis = 30_000;
+/// After how long a caller is told to come again while a copy of its request is tried.
+const TRIAL: Millis = 2_000;
 /// How long a request is remembered after its last death or answer.
 const MEMORY: Millis = 2 * HOLD;
 /// Requests remembered: about 400 KB. A hall with 300 targets of twelve places
@@ -74,6 +76,17 @@
     Held(Millis),
 }
 
+/// Who asks whether a suspected request may be tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Trial {
+    /// The end of one target stops all that its service runs.
+    pub dear: bool,
+    /// Of all entries this is the one that tries the request.
+    pub owner: bool,
+    /// A copy of it runs from here.
+    pub busy: bool,
+}
+
 /// What a death, once recorded, changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -154,16 +167,24 @@
         self.seen.get(&it).map_or(Standing::Clear, |seen| seen.standing(now))
     }
 
-    /// Until when nobody tries a request that is suspected. After two deaths of one moment two
-    /// copies ran, and each of the next copies may end one more; after one death the request
-    /// is one of a dozen that its target held, and tried again unless `dear`: the end
-    /// of one target stops all that its service runs.
-    pub fn paused(&self, now: Millis, it: Fingerprint, dear: bool) -> Option<Millis> {
+    /// Until when a process does not try a request that is suspected. After one death the
+    /// request is one of a dozen that its target held, and tried again unless that is dear.
+    /// After several of one moment as many copies ran, and each further copy may end one
+    /// more target: once the pause is over one entry tries one of them.
+    pub fn paused(&self, now: Millis, it: Fingerprint, trial: Trial) -> Option<Millis> {
         let seen = self.seen.get(&it)?;
-        let few = if dear { 1 } else { 2 };
-        let until = seen.last() + PAUSE;
-        let paused = seen.deaths.len() >= few && now < until;
-        paused.then_some(until)
+        let last = seen.last();
+        let several = seen.deaths.len() >= 2;
+        if !several && !(trial.dear && seen.deaths.len() == 1) {
+            return None;
+        }
+        let held = if now < last + HOLD { last + HOLD } else { last + MEMORY };
+        match trial {
+            _ if now < last + PAUSE => Some(last + PAUSE),
+            Trial { owner: false, .. } if several && now < held => Some(held),
+            Trial { busy: true, .. } if several => Some(now + TRIAL),
+            _ => None,
+        }
     }
 
     /// Records that a target ended under a request. What a target has run to
--- a/crates/sablepass-core/tests/suspects.rs
+++ b/crates/sablepass-core/tests/suspects.rs
@@ -10,7 +10,7 @@
 use sablepass_core::id::{Incarnation, Millis, RequestId};
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
-use sablepass_core::suspects::{Change, Death, HOLD, Standing, Suspects};
+use sablepass_core::suspects::{Change, Death, HOLD, Standing, Suspects, Trial};
 
 const ASKED: Fingerprint = Fingerprint(7);
 
@@ -52,18 +52,44 @@
     assert_eq!(record(&mut suspects, death("c", 1_002, 1_202)), Change::Held);
 }
 
+/// The entry that tries a suspected request, with no copy of it under way.
+const OWNER: Trial = Trial { dear: false, owner: true, busy: false };
+const OTHER: Trial = Trial { owner: false, ..OWNER };
+const DEAR: Trial = Trial { dear: true, ..OTHER };
+
 /// Two copies at one moment prove nothing, and yet the next copies would end one target each.
 #[test]
 fn verify_nobody_tries_after_two_deaths_of_one_moment() {
     let mut suspects = Suspects::default();
     record(&mut suspects, death("a", 1_000, 1_200));
-    assert_eq!(suspects.paused(1_300, ASKED, false), None, "it is one of a dozen");
+    assert_eq!(suspects.paused(1_300, ASKED, OTHER), None, "it is one of a dozen");
     record(&mut suspects, death("b", 1_001, 1_201));
     assert_eq!(suspects.standing(1_300, ASKED), Standing::Suspect);
-    assert_eq!(suspects.paused(1_300, ASKED, false), Some(31_201));
-    assert_eq!(suspects.paused(31_201, ASKED, false), None, "innocents may come again");
+    for trial in [OWNER, OTHER] {
+        assert_eq!(suspects.paused(1_300, ASKED, trial), Some(31_201));
+    }
+    assert_eq!(suspects.paused(31_201, ASKED, OWNER), None, "innocents may come again");
     assert!(suspects.clear(1_400, ASKED));
-    assert_eq!(suspects.paused(1_400, ASKED, false), None, "it ran elsewhere");
+    for trial in [OWNER, OTHER] {
+        assert_eq!(suspects.paused(1_400, ASKED, trial), None, "it ran elsewhere");
+    }
+}
+
+/// What comes after the pause is tried once at a time over all entries, also when it is held
+/// back no more.
+#[test]
+fn verify_one_copy_is_tried_after_two_deaths_of_one_moment() {
+    let mut suspects = Suspects::default();
+    record(&mut suspects, death("a", 1_000, 1_200));
+    record(&mut suspects, death("b", 1_001, 1_201));
+    let held = 1_201 + HOLD;
+    assert_eq!(suspects.paused(31_201, ASKED, OTHER), Some(held));
+    let busy = Trial { busy: true, ..OWNER };
+    assert!(suspects.paused(31_201, ASKED, busy).is_some_and(|until| until > 31_201));
+    assert_eq!(suspects.paused(held, ASKED, OWNER), None);
+    assert!(suspects.paused(held, ASKED, OTHER).is_some_and(|until| until > held));
+    // The one that is tried proves it.
+    assert_eq!(record(&mut suspects, death("c", 31_300, 31_400)), Change::Held);
 }
 
 /// The end of one rank stops all that its group runs.
@@ -71,8 +97,8 @@
 fn verify_nobody_tries_after_one_death_that_stops_all() {
     let mut suspects = Suspects::default();
     record(&mut suspects, death("a", 1_000, 1_200));
-    assert_eq!(suspects.paused(1_300, ASKED, true), Some(31_200));
-    assert_eq!(suspects.paused(1_300, Fingerprint(8), true), None);
+    assert_eq!(suspects.paused(1_300, ASKED, DEAR), Some(31_200));
+    assert_eq!(suspects.paused(1_300, Fingerprint(8), DEAR), None);
 }
 
 /// Two entries each had a copy at the target that ended.
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -12,13 +12,14 @@
 use sablepass_core::flight::Event;
 use sablepass_core::id::{Millis, RequestId};
 use sablepass_core::reason::{Ignored, Refusal};
-use sablepass_core::suspects::{Change, Death, Standing, Suspects};
+use sablepass_core::suspects::{Change, Death, Standing, Suspects, Trial};
 use sablepass_edge::clock;
 use sablepass_edge::mesh::PeerKey;
 use sablepass_wire::generated as wire;
 use sablepass_wire::suspects::Told;
 use stakker::{CX, after, call};
 
+use crate::open::Open;
 use crate::router::Router;
 use crate::trace::Step;
 
@@ -268,19 +269,34 @@
     /// Says when the caller of a request that is held back may come again.
     /// Returns false for one that is not.
     fn set_comeback(&mut self, now: Millis, id: RequestId) -> bool {
-        let Some(open) = self.open.get_mut(&id) else { return false };
-        let dear = self.targets.stands_together(&open.served);
-        let until = match self.watch.suspects.standing(now, open.fingerprint()) {
+        let Some(open) = self.open.get(&id) else { return false };
+        let it = open.fingerprint();
+        let until = match self.watch.suspects.standing(now, it) {
             Standing::Held(until) => Some(until),
-            Standing::Suspect => self.watch.suspects.paused(now, open.fingerprint(), dear),
+            Standing::Suspect => self.watch.suspects.paused(now, it, self.trial(id, open)),
             Standing::Clear => None,
         };
-        if let Some(until) = until {
+        if let Some(until) = until
+            && let Some(open) = self.open.get_mut(&id)
+        {
             open.comeback = Some(until.saturating_sub(now));
         }
         until.is_some()
     }
 
+    fn trial(&self, id: RequestId, open: &Open) -> Trial {
+        let it = open.fingerprint();
+        let several = self.watch.suspects.deaths_of(it).len() >= 2;
+        let copy = |(other, copy): (&RequestId, &Open)| {
+            *other != id && copy.counted.is_some() && copy.fingerprint() == it
+        };
+        Trial {
+            dear: self.targets.stands_together(&open.served),
+            owner: several && self.targets.owns(&it.to_string()),
+            busy: several && self.open.iter().any(copy),
+        }
+    }
+
     /// Refuses a request that is held back. Whether it is.
     pub(crate) fn holds_back(&mut self, cx: CX![], now: Millis, id: RequestId) -> bool {
         if self.watch.suspects.is_empty() || !self.set_comeback(now, id) {
--- a/crates/sablepass-entry/src/targets/limits.rs
+++ b/crates/sablepass-entry/src/targets/limits.rs
@@ -127,6 +127,11 @@
         self.limit(life).map_or_else(Vec::new, |it| self.holders.others(life, it.rate()))
     }
 
+    /// Whether this entry is the one of all that does something.
+    pub fn owns(&self, key: &str) -> bool {
+        self.holders.owns(key)
+    }
+
     /// Places of a target, as many as a limit lets through.
     pub(super) fn places(&self, name: &str, capacity: f64) -> f64 {
         let limit = self.limit(self.life(name));
--- a/crates/sablepass-stand/tests/crashing.rs
+++ b/crates/sablepass-stand/tests/crashing.rs
@@ -210,3 +210,16 @@
     copies.into_iter().for_each(|it| drop(it.join()));
     assert!(ended(&site) <= MOST, "2, then {} targets ended", ended(&site));
 }
+
+/// What two targets ended under by chance is served again everywhere, once one entry has
+/// seen it run.
+#[test]
+fn verify_what_two_targets_ended_under_by_chance_is_served_again() {
+    let site = two_end_at_once();
+    site.replicas.iter().for_each(|it| it.end_on("something else"));
+    thread::sleep(PAUSED);
+    wait_for("all entries serve it", || {
+        (0..3).all(|entry| send(&site, entry, "once", "innocent", FATAL).status == 200)
+    });
+    assert_eq!(ended(&site), 2);
+}
