Count header fields of the store's answers that nobody reads

The era of the store was a field that nobody read, and nothing showed it. The counter and the line that targets' answers have now cover the store's: one place for both, sablepass-edge's unread.rs. Fields within bodies are not counted.

Tests: the stand-in names a field; it is counted and logged once.

--- a/crates/sablepass-core/src/suspects.rs
+++ b/crates/sablepass-core/src/suspects.rs
@@ -175,7 +175,8 @@
         let seen = self.seen.get(&it)?;
         let last = seen.last();
         let several = seen.deaths.len() >= 2;
-        if !several && !(trial.dear && seen.deaths.len() == 1) {
+        let suspected = several || trial.dear && seen.deaths.len() == 1;
+        if !suspected {
             return None;
         }
         let held = if now < last + HOLD { last + HOLD } else { last + MEMORY };
--- a/crates/sablepass-edge/src/lib.rs
+++ b/crates/sablepass-edge/src/lib.rs
@@ -25,3 +25,4 @@
 mod socket;
 pub mod spread;
 pub mod telemetry;
+pub mod unread;
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -123,6 +123,8 @@
     pub era: Option<u64>,
     /// Why the era that it named is not believed.
     pub doubt: Option<platform::Error>,
+    /// Header fields of the answer that nobody reads.
+    pub unread: Vec<String>,
     /// What it gave.
     pub result: Result<Batch, Error>,
 }
@@ -187,12 +189,15 @@
     fn heard(&mut self, _cx: CX![], result: Result<Answer, caller::Error>) {
         let Some(reading) = self.reading.take() else { return };
         let held = reading.order.after.era;
-        let (era, doubt) = match &result {
-            Ok(it) => self.era(held, &it.fields),
-            Err(_) => (None, None),
+        let none = HeaderMap::new();
+        let fields = result.as_ref().map_or(&none, |it| &it.fields);
+        let (era, doubt) = self.era(held, fields);
+        let unread = match self.form {
+            Form::Changes => Vec::new(),
+            Form::Keys => store::unread(fields).map(str::to_owned).collect(),
         };
         if let Some(result) = self.answered(reading, era.unwrap_or(held), result) {
-            self.report(era, doubt, result);
+            self.report(Read { what: self.what, era, doubt, unread, result });
         }
     }
 
@@ -291,15 +296,10 @@
         Batch { delta: Delta { after, revision, documents, whole }, problems }
     }
 
-    fn report(
-        &mut self,
-        era: Option<u64>,
-        doubt: Option<platform::Error>,
-        result: Result<Batch, Error>,
-    ) {
-        let outcome = if result.is_ok() { "ok" } else { "failed" };
+    fn report(&mut self, read: Read) {
+        let outcome = if read.result.is_ok() { "ok" } else { "failed" };
         self.metrics.reads.with_label_values(&[name(self.what), outcome]).inc();
-        self.owner.fwd(Read { what: self.what, era, doubt, result });
+        self.owner.fwd(read);
     }
 }
 
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -33,6 +33,7 @@
 use crate::reader::{self, Form, Order, Problem, Read, Reader};
 use crate::settings::Node;
 use crate::telemetry::Metrics;
+use crate::unread::Unread;
 
 /// Bytes of documents in one delta.
 const DELTA_SIZE: usize = 512 * 1024;
@@ -132,6 +133,7 @@
     era: Option<u64>,
     /// Whether the last answer named an era that is not believed.
     doubted: bool,
+    unread: Unread,
 }
 
 impl Spread {
@@ -169,6 +171,7 @@
             fresh: 0,
             era: None,
             doubted: false,
+            unread: Unread::default(),
         }
     }
 
@@ -360,6 +363,9 @@
         if let Some(e) = &read.doubt {
             self.report_doubt(what, e);
         }
+        for field in &read.unread {
+            self.unread.note(&self.log, &self.metrics, "platform", field);
+        }
         let batch = match read.result {
             Ok(it) => it,
             Err(e) => {
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -107,7 +107,9 @@
             self.targets.told(now, &target, load.running + load.waiting);
         }
         let status = head.status().as_u16();
-        self.note_unread(Life { name: &target, born }, head.headers());
+        for field in answer::unread(head.headers()) {
+            self.unread.note(&self.log, &self.metrics, &target, field);
+        }
         self.names_limit(now, carried, Life { name: &target, born }, meta.limit);
         if meta.rest != Rest::None || meta.proof != Proof::None {
             self.turned_away(now, carried, Life { name: &target, born }, status, &meta);
--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -28,7 +28,6 @@
 mod ticks;
 mod trace;
 mod turns;
-mod unread;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -23,6 +23,7 @@
 use sablepass_edge::mesh::Mesh;
 use sablepass_edge::server::{ExchangeKey, Part, Server};
 use sablepass_edge::telemetry::Metrics;
+use sablepass_edge::unread::Unread;
 use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
@@ -37,7 +38,6 @@
 use crate::targets::{self, Choice, Served, Targets, Via};
 use crate::trace::{Step, Traces};
 use crate::turns::Turns;
-use crate::unread::Unread;
 
 /// How long a request waits for a connection to the owner of its key.
 const OWNER_WAIT: Millis = 2_000;
--- a/crates/sablepass-stand/src/keys.rs
+++ b/crates/sablepass-stand/src/keys.rs
@@ -50,6 +50,8 @@
     forgotten: u64,
     /// Text of the field that names its era; none in answers of a store that has none.
     era: Option<String>,
+    /// A further field of its answers.
+    field: Option<&'static str>,
     /// Most items of a page, and what happens once the first page of a read is answered.
     page: usize,
     after_page: Option<(Copy, u64)>,
@@ -96,6 +98,7 @@
             items: BTreeMap::new(),
             forgotten: 0,
             era: Some("1".to_owned()),
+            field: None,
             page: 500,
             after_page: None,
             calls: 0,
@@ -184,6 +187,11 @@
         self.lock().era = text.map(str::to_owned);
     }
 
+    /// Adds a field of this name to its answers.
+    pub fn name_field(&self, name: &'static str) {
+        self.lock().field = Some(name);
+    }
+
     /// Calls taken so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -225,6 +233,10 @@
         if let Some(field) = era.and_then(|it| http::header("Store-Era", &it)) {
             response.add_header(field);
         }
+        let field = self.lock().field;
+        if let Some(field) = field.and_then(|it| http::header(it, "1")) {
+            response.add_header(field);
+        }
         // The asker may be gone.
         let _ = request.respond(response);
     }
--- a/crates/sablepass-stand/tests/restored.rs
+++ b/crates/sablepass-stand/tests/restored.rs
@@ -294,3 +294,20 @@
     (0..10).for_each(|_| site.list(&site.replicas[0], "ready"));
     wait_in_force(&site, 3);
 }
+
+/// What the store says with a field that nobody reads shows before it matters.
+#[test]
+fn verify_a_field_of_the_store_that_nobody_reads_is_counted() {
+    let site = site(1);
+    let count = |field: &str| {
+        let admin = site.entries[0].addr("admin");
+        metric(&admin, "sablepass_fields_unread_total", &format!("field=\"{field}\""))
+    };
+    site.store.name_field("Store-Mood");
+    site.configure(&with_route(2));
+    wait_for("it is counted", || count("store-mood") >= 1.0);
+    assert_eq!(count("store-era"), 0.0);
+    let said = |it: &Value| it["field"] == "store-mood" && it["target"] == "platform";
+    let lines = site.entries[0].log().into_iter().filter(said).count();
+    assert_eq!(lines, 1, "it is logged once");
+}
