Agents take bounds that an entry tells anew at the same revision

An entry that starts while the restored store lists an earlier configuration, and learns the newer one from its peers, tells agents both at one revision.

--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -195,7 +195,8 @@
         };
         let revision = Revision::new(it.era, it.revision);
         let known = self.bounds.get(&it.service);
-        if known.is_some_and(|known| known.0 >= revision) {
+        // An entry that learns better tells it anew at the revision that it holds.
+        if known.is_some_and(|known| known.0 > revision) {
             return;
         }
         if known.is_none_or(|known| known.1 != told) {
--- a/crates/sablepass-stand/tests/ranks.rs
+++ b/crates/sablepass-stand/tests/ranks.rs
@@ -10,6 +10,7 @@
 use sablepass_stand::process::Process;
 use sablepass_stand::ranks::{self, Group};
 use sablepass_stand::site::Site;
+use serde_json::Value;
 
 /// Ranks of the group.
 const RANKS: usize = 4;
@@ -239,3 +240,28 @@
     }
     fleet.check();
 }
+
+/// Configurations of a store that was restored from a copy have lower revisions than those
+/// that agents were told before.
+#[test]
+fn verify_agents_are_told_bounds_of_a_restored_store() {
+    let fleet = fleet(true);
+    let copy = fleet.site.store.copy();
+    for version in 3..6 {
+        fleet.site.configure(&Group::configuration(version));
+    }
+    wait_for("the last one is in force", || {
+        fleet.site.status(0)["documents"][0]["version"].as_u64() == Some(5)
+    });
+    fleet.site.store.restore(&copy, 2);
+    let mut next = Group::configuration(6);
+    next["services"][0]["engine"]["expert_mb"] = 20.0.into();
+    fleet.site.configure(&next);
+    for it in &fleet.agents {
+        let told = |line: &Value| line["event"] == "bounds of maps" && line["era"] == 2;
+        wait_for("an agent is told", || it.log().iter().any(told));
+    }
+    fleet.group.shift(5);
+    fleet.wait_for_spread(5);
+    fleet.check();
+}
