--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -43,6 +43,8 @@
 /// which what it lost is written again.
 const COPY_AGE: u64 = 1_500;
 const WRITTEN_AGAIN: Duration = Duration::from_millis(400);
+/// Time in which entries learn of a route before the store is struck.
+const KNOWN: Duration = Duration::from_millis(200);
 /// Replicas that stay listed at least.
 const LEAST: usize = 2;
 
@@ -372,15 +374,16 @@
                 None
             }
             Fault::StoreRestored => {
+                // Entries know a route that the copy has not.
+                self.add_route();
+                std::thread::sleep(KNOWN);
                 let writes = WRITTEN_AGAIN.as_millis() as u64;
                 self.strike(Struck::Store, &Planned { lasts: it.lasts + writes, ..*it });
                 self.site.store.set(keys::Mode::Down);
                 Some(0)
             }
             Fault::RouteAdded => {
-                self.routes.push(clock::now());
-                self.site.configure(&self.configuration());
-                self.board.routes.store(self.routes.len() as u64, Ordering::Relaxed);
+                self.add_route();
                 None
             }
         }
@@ -427,6 +430,12 @@
         }
     }
 
+    fn add_route(&mut self) {
+        self.routes.push(clock::now());
+        self.site.configure(&self.configuration());
+        self.board.routes.store(self.routes.len() as u64, Ordering::Relaxed);
+    }
+
     /// Restores the store from a copy. What it lost is written again a little later, and lines
     /// of replicas that are gone lapse.
     fn restore(&mut self) {
