Say what a proposed expert map answers, and how busy the group is

What maps cost where they earn nothing cannot be told from the logs: no line says why a map was proposed. 'map proposed' now has the cause (opened, shifted, drifted, idle) and the requests that the rank runs; the copies are counted by cause. No decision changes.

--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -130,6 +130,8 @@
     base: Option<Base>,
     /// How even maps turn out, beside rank 0.
     foresight: Foresight,
+    /// Demand has shifted since the map in force came.
+    outdated: bool,
     /// The map being prepared at the own rank.
     wanted: Option<Wanted>,
     ticks: u64,
@@ -175,6 +177,7 @@
             watch: Watch::default(),
             base: None,
             foresight: Foresight::default(),
+            outdated: false,
             wanted: None,
             ticks: 0,
             unanswered: None,
--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -60,6 +60,31 @@
     Refused,
 }
 
+/// What a change of map answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// The group has its first map, in which experts are dealt out in turn.
+    Opened,
+    /// Demand shifted since the map in force was made.
+    Shifted,
+    /// Demand drifted, or the map turned out less even than worked out.
+    Drifted,
+    /// Slots are empty, and the group has next to nothing to do.
+    Idle,
+}
+
+impl Cause {
+    /// The counter label.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Opened => "opened",
+            Self::Shifted => "shifted",
+            Self::Drifted => "drifted",
+            Self::Idle => "idle",
+        }
+    }
+}
+
 /// What keeps the planner from planning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Obstacle {
@@ -95,6 +120,7 @@
             slog::info!(self.log, "demand shifted"; "life" => self.watch.life(now),
                 "step" => self.group.as_ref().map(|it| it.reading.step));
             self.rest = None;
+            self.outdated = true;
             self.foresight.shifted();
         }
         self.weigh();
@@ -121,14 +147,25 @@
             return Vec::new();
         }
         if let Some(it) = self.decide(now) {
-            return self.propose(now, &it);
+            let cause = self.cause();
+            return self.propose(now, &it, cause);
         }
         match self.fill() {
-            Some(it) => self.propose(now, &it),
+            Some(it) => self.propose(now, &it, Cause::Idle),
             None => Vec::new(),
         }
     }
 
+    /// What a more even map answers.
+    fn cause(&self) -> Cause {
+        let first = self.group.as_ref().is_some_and(|it| it.reading.version == 0);
+        match (first, self.outdated) {
+            (true, _) => Cause::Opened,
+            (false, true) => Cause::Shifted,
+            (false, false) => Cause::Drifted,
+        }
+    }
+
     /// A map with fewer empty slots, while the group has next to nothing to do. No
     /// rank gets more new experts than the change says; most get fewer.
     fn fill(&self) -> Option<rebalance::Change> {
@@ -264,12 +301,14 @@
         Paces::new((0..size).map(|rank| if rank == 0 { mine } else { other(rank) }))
     }
 
-    fn propose(&mut self, now: Millis, change: &rebalance::Change) -> Vec<Do> {
+    fn propose(&mut self, now: Millis, change: &rebalance::Change, cause: Cause) -> Vec<Do> {
         let Some(group) = &self.group else { return Vec::new() };
         let version = self.highest.max(group.reading.version) + 1;
         slog::info!(self.log, "map proposed"; "version" => version, "epoch" => group.reading.epoch,
             "skew" => change.before, "expected" => change.after, "moves" => change.moves,
-            "copies" => change.copies, "saved" => change.saved, "paces" => ?self.paces());
+            "copies" => change.copies, "saved" => change.saved, "cause" => cause.label(),
+            "running" => self.running, "paces" => ?self.paces());
+        self.metrics.expert_copies.with_label_values(&[cause.label()]).inc_by(change.moves as u64);
         let Some(old) = &self.base else { return Vec::new() };
         let proposal = wire::Proposal {
             group: group.name.clone(),
@@ -303,6 +342,7 @@
         let all = group.reading.prepared == Some(version) && others + 1 == usize::from(group.size);
         if group.reading.version >= version {
             self.foresight.in_force(now, it.lag);
+            self.outdated = false;
             self.proposed = None;
             return Vec::new();
         }
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -56,6 +56,8 @@
     pub skew: Gauge,
     /// Decisions on expert maps, by outcome.
     pub plans: IntCounterVec,
+    /// Experts that ranks are to copy for proposed maps, by what the maps answer.
+    pub expert_copies: IntCounterVec,
     /// Items of the platform that could not be taken, by reason.
     pub bad_items: IntCounterVec,
     /// Times that this process woke: its machine was suspended, or it was stopped.
@@ -131,6 +133,12 @@
             map_version: gauge(r, "map_version", "Version of the expert map in force")?,
             skew: float_gauge(r, "skew", "Mean skew of the group over its layers")?,
             plans: counters(r, "plans_total", "Decisions on expert maps", &["outcome"])?,
+            expert_copies: counters(
+                r,
+                "expert_copies_total",
+                "Experts copied for proposed maps",
+                &["cause"],
+            )?,
             bad_items: counters(r, "bad_items_total", "Items not taken", &["reason"])?,
             sleeps: counter(r, "sleeps_total", "Times that the process woke")?,
             targets: gauges(r, "targets", "Targets by how they are known", &["state"])?,
