--- a/crates/sablepass-core/src/config.rs
+++ b/crates/sablepass-core/src/config.rs
@@ -16,19 +16,22 @@
 //! it is removed in the present one; an instance is dropped, and is back when
 //! it writes its line again.
 
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet};
-use std::rc::Rc;
+use std::collections::BTreeMap;
 
+use crate::config::documents::Rejected;
 use crate::config::parts::{Mask, Parts};
 use crate::config::removals::Removals;
-use crate::declaration::{self, Declarations};
+use crate::config::verdict::{Check, Verdict};
+use crate::declaration;
 use crate::reason::Ignored;
 use crate::rendezvous;
 use crate::revision::Revision;
 
+pub mod documents;
+mod list;
 pub mod parts;
 pub mod removals;
+pub mod verdict;
 
 /// One version of a document.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -59,52 +62,6 @@
     }
 }
 
-/// What became of a document, found once when it arrived.
-#[derive(Debug)]
-pub struct Verdict {
-    /// Revision in force, and what it declares.
-    pub force: Option<(Revision, Rc<Declarations>)>,
-    /// Why the newest version is refused.
-    pub refused: Option<declaration::Error>,
-}
-
-/// Reads and judges the text of a document, given its key.
-pub type Check = fn(&str, &str) -> declaration::Result<Declarations>;
-
-impl Verdict {
-    fn of(document: &Document, check: Check) -> Self {
-        if document.removed {
-            return Self { force: None, refused: None };
-        }
-        let check = |it: &Version| check(&document.key, &it.body);
-        match check(&document.newest) {
-            Ok(it) => {
-                let force = Some((document.newest.revision, Rc::new(it)));
-                Self { force, refused: None }
-            }
-            Err(e) => {
-                let accepted = document.accepted.as_ref();
-                let force = accepted.and_then(|it| Some((it.revision, Rc::new(check(it).ok()?))));
-                Self { force, refused: Some(e) }
-            }
-        }
-    }
-
-    /// Which of two verdicts on a document has the newer declarations in force, where their
-    /// operator numbered both.
-    fn numbered(&self, other: &Self) -> Option<Ordering> {
-        let number = |it: &Self| it.force.as_ref()?.1.version;
-        Some(number(self)?.cmp(&number(other)?))
-    }
-
-    /// Whether this one has newer declarations in force.
-    fn supersedes(&self, other: &Self) -> bool {
-        let revision = |it: &Self| it.force.as_ref().map(|it| it.0);
-        let numbered = self.numbered(other).unwrap_or(Ordering::Equal);
-        numbered.then(revision(self).cmp(&revision(other))).is_gt()
-    }
-}
-
 /// What a process tells its peers of what it holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Digest {
@@ -207,21 +164,6 @@
     rejected: Vec<Rejected>,
 }
 
-/// Versions not taken that are remembered until somebody asks for them.
-const MOST_REJECTED: usize = 64;
-
-/// A version of a document that is not taken: its operator's number is lower than that of
-/// the one in force.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Rejected {
-    /// The document.
-    pub key: String,
-    /// Revision of the version.
-    pub revision: Revision,
-    /// Its number.
-    pub version: Option<u64>,
-}
-
 impl Store {
     /// Opens an empty store of documents in this project's own form.
     pub fn open(what: What) -> Self {
@@ -400,126 +342,8 @@
         Ok(changed)
     }
 
-    /// Takes in what there is of some parts of the list. True if any line changed. A line that says the same keeps
-    /// its revision, and is told to no peer: whoever is behind this revision compares.
-    fn replace(&mut self, delta: Delta, whole: Whole) -> Result<bool, Ignored> {
-        let other = matches!(whole, Whole::Parts(_, of) if of != self.parts.hash());
-        if delta.revision < self.revision || other {
-            return Err(Ignored::OldRevision);
-        }
-        let newer = delta.revision > self.revision;
-        let mut changed = false;
-        for key in self.unnamed(&delta, whole.mask()) {
-            self.remove(&key);
-            if delta.revision.era == self.revision.era {
-                self.removals.record(&key, delta.revision);
-            }
-            changed = true;
-        }
-        for document in delta.documents {
-            let held = self.documents.get(&document.key);
-            let later = held.is_some_and(|it| it.newest.revision > delta.revision);
-            let older = held.is_some_and(|it| it.newest.revision >= document.newest.revision);
-            if later || self.holds(&document) || (older && !newer) {
-                continue;
-            }
-            if !self.admits(whole, &document) {
-                continue;
-            }
-            self.insert(document);
-            changed = true;
-        }
-        self.revision = delta.revision;
-        self.since = delta.revision;
-        // Whoever is told of these by comparison has no use for them.
-        self.documents.retain(|_, it| !it.removed || it.newest.revision > delta.revision);
-        Ok(changed)
-    }
-
-    /// Whether a line is to be taken. What a peer lists it has judged itself.
-    fn admits(&mut self, whole: Whole, line: &Document) -> bool {
-        let Version { revision, .. } = line.newest;
-        match whole {
-            Whole::All(_) => self.removals.admits_listed(&line.key, revision),
-            Whole::Parts(..) => self.removals.admits_written(&line.key, revision),
-        }
-    }
-
-    /// What is held of some parts, is not named and is not newer.
-    fn unnamed(&self, delta: &Delta, mask: Mask) -> Vec<String> {
-        let named: BTreeSet<&str> = delta.documents.iter().map(|it| it.key.as_str()).collect();
-        let gone = |it: &&Document| {
-            let there = !it.removed && it.newest.revision < delta.revision;
-            there && mask.has(&it.key) && !named.contains(it.key.as_str())
-        };
-        self.documents.values().filter(gone).map(|it| it.key.clone()).collect()
-    }
-
-    fn insert(&mut self, document: Document) {
-        self.remove(&document.key);
-        if !document.removed {
-            self.parts.toggle(&document.key, &document.newest.body);
-        }
-        self.documents.insert(document.key.clone(), document);
-    }
-
-    fn remove(&mut self, key: &str) {
-        if let Some(held) = self.documents.remove(key).filter(|it| !it.removed) {
-            self.parts.toggle(key, &held.newest.body);
-        }
-    }
-
-    /// Makes a delta out of everything that there is: what is held, is not
-    /// named and is not newer is removed. What was gone already may have been
-    /// back meanwhile, for those who hold more of its history: it is gone again.
-    /// Only a read of the present era shows that a document of that era is gone.
-    fn complete(&self, delta: &mut Delta) {
-        let Revision { era, .. } = delta.revision;
-        if era < self.revision.era {
-            return;
-        }
-        let named: BTreeSet<&String> = delta.documents.iter().map(|it| &it.key).collect();
-        let gone = |it: &&Document| {
-            let Version { revision, .. } = it.newest;
-            revision.era == era && revision < delta.revision && !named.contains(&it.key)
-        };
-        let removal = |it: &Document| Document {
-            key: it.key.clone(),
-            newest: Version { revision: delta.revision, body: String::new() },
-            removed: true,
-            accepted: None,
-        };
-        let removals: Vec<Document> = self.documents.values().filter(gone).map(removal).collect();
-        delta.documents.extend(removals);
-    }
-
-    /// Leaves out of a watch's answer the instances that say the same as what is
-    /// held: each target writes its line anew with every heartbeat, and a line
-    /// that is left out keeps its revision and is told to no peer. That is sound
-    /// only where *all* changes of a line since then say the same. Where one says
-    /// something else, as that a target left, the last one counts: it may be back
-    /// as it was, and a peer that learnt of its leaving learns of its return only
-    /// by a later revision. A read of everything, which does not show what was
-    /// in between, is not trimmed.
-    pub fn trim(&self, delta: &mut Delta) {
-        if self.what != What::Instances || delta.whole.is_some() {
-            return;
-        }
-        let other = |it: &&Document| !self.holds(it);
-        let mut last: BTreeMap<String, Revision> = BTreeMap::new();
-        for it in delta.documents.iter().filter(other) {
-            last.insert(it.key.clone(), Revision::default());
-        }
-        for it in &delta.documents {
-            if let Some(last) = last.get_mut(&it.key) {
-                *last = it.newest.revision.max(*last);
-            }
-        }
-        delta.documents.retain(|it| last.get(&it.key) == Some(&it.newest.revision));
-    }
-
     /// Whether what is held says the same.
-    fn holds(&self, it: &Document) -> bool {
+    pub(super) fn holds(&self, it: &Document) -> bool {
         let held = self.documents.get(&it.key);
         held.is_some_and(|held| held.removed == it.removed && held.newest.body == it.newest.body)
     }
@@ -531,93 +355,4 @@
             What::Instances => self.put_line(document),
         }
     }
-
-    fn put_line(&mut self, line: Document) -> bool {
-        let Version { revision, .. } = line.newest;
-        // Everything was read later than that.
-        let read = revision <= self.since;
-        let held = self.documents.get(&line.key).map(|it| it.newest.revision);
-        if read || held >= Some(revision) {
-            return false;
-        }
-        if line.removed {
-            self.removals.record(&line.key, revision);
-        } else if !self.removals.admits_written(&line.key, revision) {
-            return false;
-        }
-        self.insert(line);
-        true
-    }
-
-    fn put_document(&mut self, mut document: Document) -> bool {
-        let Version { revision, .. } = document.newest;
-        let held = self.documents.get(&document.key).map(|it| it.newest.revision);
-        let read = revision.era == self.since.era && revision <= self.since;
-        if held.is_none() && read {
-            // Everything was read later than that.
-            return false;
-        }
-        if held == Some(revision) {
-            return self.adopt(&document);
-        }
-        let verdict = self.judge(&mut document);
-        let known = self.verdicts.get(&document.key);
-        let newer = match known.and_then(|it| verdict.numbered(it)) {
-            Some(Ordering::Less) => {
-                let version = verdict.force.and_then(|it| it.1.version);
-                if self.rejected.len() < MOST_REJECTED {
-                    self.rejected.push(Rejected { key: document.key, revision, version });
-                }
-                return false;
-            }
-            Some(Ordering::Greater) => true,
-            Some(Ordering::Equal) | None => held < Some(revision),
-        };
-        if !newer {
-            return false;
-        }
-        let accepted = self.documents.get(&document.key).and_then(|it| it.accepted.as_ref());
-        // What is written again at another revision is no change.
-        let changed = !self.holds(&document) || accepted != document.accepted.as_ref();
-        self.verdicts.insert(document.key.clone(), verdict);
-        self.insert(document);
-        changed
-    }
-
-    /// Takes a peer's last accepted version of a document whose newest one is
-    /// held and refused, if that is newer than what is in force here.
-    fn adopt(&mut self, document: &Document) -> bool {
-        let Some(held) = self.documents.get(&document.key) else { return false };
-        if document.accepted.is_none() || document.accepted == held.accepted {
-            return false;
-        }
-        let adopted = Document { accepted: document.accepted.clone(), ..held.clone() };
-        let verdict = Verdict::of(&adopted, self.check);
-        let known = self.verdicts.get(&document.key);
-        if known.is_some_and(|it| !verdict.supersedes(it)) {
-            return false;
-        }
-        self.verdicts.insert(document.key.clone(), verdict);
-        self.documents.insert(document.key.clone(), adopted);
-        true
-    }
-
-    /// Judges a document that takes over from the one held. What that one had
-    /// in force stays so while the new one is refused.
-    fn judge(&self, document: &mut Document) -> Verdict {
-        let verdict = Verdict::of(document, self.check);
-        let (Some(older), Some(known)) =
-            (self.documents.get(&document.key), self.verdicts.get(&document.key))
-        else {
-            return verdict;
-        };
-        if verdict.refused.is_none() || !known.supersedes(&verdict) {
-            return verdict;
-        }
-        let force = known.force.as_ref().map(|it| it.0);
-        let newest = Some(&older.newest).filter(|it| Some(it.revision) == force);
-        document.accepted = newest.or(older.accepted.as_ref()).cloned();
-        let force = known.force.clone();
-        Verdict { force, refused: verdict.refused }
-    }
 }
--- a/crates/sablepass-core/tests/restored.rs
+++ b/crates/sablepass-core/tests/restored.rs
@@ -9,9 +9,8 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use sablepass_core::config::{
-    Check, Compare, Delta, Digest, Document, Pull, Store, Version, What, Whole,
-};
+use sablepass_core::config::verdict::Check;
+use sablepass_core::config::{Compare, Delta, Digest, Document, Pull, Store, Version, What, Whole};
 use sablepass_core::declaration::{self, Declarations};
 use sablepass_core::revision::Revision;
 
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -17,7 +17,8 @@
 use std::time::Duration;
 
 use sablepass_core::catalogue::Catalogue;
-use sablepass_core::config::{Check, Compare, Delta, Digest, Document, Store, Verdict, What};
+use sablepass_core::config::verdict::{Check, Verdict};
+use sablepass_core::config::{Compare, Delta, Digest, Document, Store, What};
 use sablepass_core::declaration;
 use sablepass_core::duty;
 use sablepass_core::id::Millis;
