--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -472,8 +472,9 @@
         let source = self.source(what);
         match e {
             reader::Error::History { .. } | reader::Error::Restored { .. } => {
-                source.whole = true;
-                source.next = now;
+                // Pages of two eras in turn must not become calls without a pause.
+                let again = std::mem::replace(&mut source.whole, true);
+                source.next = if again { source.retry_at(now) } else { now };
                 slog::info!(self.log, "platform to be read anew"; "what" => ?what, "error" => %e);
                 return;
             }
