--- a/crates/sablepass-stand/src/keys.rs
+++ b/crates/sablepass-stand/src/keys.rs
@@ -54,6 +54,8 @@
     field: Option<&'static str>,
     /// Most items of a page, and what happens once the first page of a read is answered.
     page: usize,
+    /// Each page of a read names another era.
+    flips: bool,
     after_page: Option<(Copy, u64)>,
     calls: u64,
 }
@@ -100,6 +102,7 @@
             era: Some("1".to_owned()),
             field: None,
             page: 500,
+            flips: false,
             after_page: None,
             calls: 0,
         };
@@ -182,6 +185,13 @@
         state.after_page = Some((copy.clone(), era));
     }
 
+    /// Answers reads by pages of so many items, each of which names another era.
+    pub fn flip(&self, items: usize) {
+        let mut state = self.lock();
+        state.page = items;
+        state.flips = true;
+    }
+
     /// Changes the field that names its era; none leaves it out.
     pub fn name_era(&self, text: Option<&str>) {
         self.lock().era = text.map(str::to_owned);
@@ -257,6 +267,10 @@
         items.truncate(state.page);
         let body = json!({ "items": items, "more": more, "at": state.revision });
         let reply = Reply { status: 200, body, era: state.era.clone() };
+        if state.flips {
+            let era = if state.era.as_deref() == Some("2") { "3" } else { "2" };
+            state.era = Some(era.to_owned());
+        }
         if more && let Some((copy, era)) = state.after_page.take() {
             state.restore(&copy, era);
             self.state.1.notify_all();
--- a/crates/sablepass-stand/tests/restored.rs
+++ b/crates/sablepass-stand/tests/restored.rs
@@ -311,3 +311,16 @@
     let lines = site.entries[0].log().into_iter().filter(said).count();
     assert_eq!(lines, 1, "it is logged once");
 }
+
+/// A store whose pages never are of one era is asked again and again, with pauses.
+#[test]
+fn verify_pages_of_changing_eras_are_not_asked_for_without_a_pause() {
+    let mut site = site(3);
+    site.store.flip(1);
+    site.add_entry("");
+    let before = site.store.calls();
+    thread::sleep(Duration::from_secs(2));
+    let calls = site.store.calls() - before;
+    // Two pages a try, ten tries a second at most, and the watches of the others.
+    assert!(calls < 100, "{calls} calls in two seconds");
+}
