Tests: agents' ports are not given to others while an agent is down

Known failure verify_agent_killed_while_maps_change: once, an agent that was started again at its port ended before it was ready ('EOF while parsing a value'); its standard error was not kept. Tests took a port that was free at that moment out of those that the kernel gives to whoever asks for any, at addresses that the tests of one program share; engines, admin interfaces and other groups ask for such ports all the time, also while the agent is down.

Shown: an agent whose port is taken ends with nothing on standard output, which is that message, and 'Address already in use' on standard error.

Ports now come from below the range that the kernel gives out; a test holds that.

--- a/crates/sablepass-stand/src/ranks.rs
+++ b/crates/sablepass-stand/src/ranks.rs
@@ -9,6 +9,7 @@
 //! `docs/design/0006-platform.md`.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -85,13 +86,15 @@
     free_port_at(&addresses)
 }
 
+/// Ports that the kernel gives to nobody who asks for any: a process that starts again at
+/// its port finds it free.
+const OWN_PORTS: RangeInclusive<u16> = 12_000..=32_000;
+
 /// A port that is free at all of these addresses.
 pub fn free_port_at(addresses: &[IpAddr]) -> u16 {
     loop {
-        let first = TcpListener::bind((addresses[0], 0)).expect("a port is free");
-        let port = first.local_addr().expect("it has an address").port();
-        let free = |it: &IpAddr| TcpListener::bind((*it, port)).is_ok();
-        if addresses[1..].iter().all(free) {
+        let port = rand::random_range(OWN_PORTS);
+        if addresses.iter().all(|it| TcpListener::bind((*it, port)).is_ok()) {
             return port;
         }
     }
--- a/crates/sablepass-stand/tests/ranks.rs
+++ b/crates/sablepass-stand/tests/ranks.rs
@@ -4,7 +4,7 @@
 //! Expert maps on the users' platform: real agents beside the ranks of a
 //! stand-in group. The judge is the group: no step begins on two maps.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 
 use sablepass_stand::client::{self, wait_for};
 use sablepass_stand::process::Process;
@@ -265,3 +265,18 @@
     fleet.wait_for_spread(5);
     fleet.check();
 }
+
+/// An agent that is started again at its port must find it free. Seen: it ended before it was
+/// ready, while others asked for any port at its address.
+#[test]
+fn verify_ports_of_agents_are_given_to_nobody_else() {
+    let port = ranks::free_port(RANKS);
+    let address = ranks::loopback(0);
+    let others: Vec<TcpListener> =
+        (0..500).map(|_| TcpListener::bind((address, 0)).expect("a port is free")).collect();
+    let taken = |it: &TcpListener| it.local_addr().expect("it has an address").port() == port;
+    assert!(!others.iter().any(taken), "port {port} was given to another");
+    let range = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range");
+    let first = range.ok().and_then(|it| it.split_whitespace().next()?.parse::<u16>().ok());
+    assert!(first.is_none_or(|first| port < first), "port {port} may be given to any");
+}
