A restored list that names a target's earlier life is not taken for a new one

Cause: the copy lists the life before; the entry took its start for that of a new life, since it differs, and forgot that the present one had asked for a rest. When the target wrote its line again the same happened once more.

Ruled out: that the target was reached by entries that were not told (entry 2 had its answer), and an overlapping fault (a second shedding strikes another).

Fix: within the time in which targets write their lines again, a line of an earlier start than the one known is none; the target counts as missing. After that it counts, since clocks may go back.

--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -70,6 +70,9 @@
         self.leaving = leaving.map(|(name, _)| name.clone()).collect();
         let mut lost = Lost::default();
         for (name, it) in instances.iter().filter(|(_, it)| it.role == Role::Target) {
+            if self.is_former(now, name, it) {
+                continue;
+            }
             if self.listed.get(name).is_some_and(|known| known.instance.born != it.born) {
                 // All that was known of it was of another life.
                 lost.reborn.push(name.clone());
@@ -89,8 +92,11 @@
             let listed = Listed { instance: it.clone(), missing: None, misdirected };
             self.listed.insert(name.clone(), listed);
         }
-        for (name, it) in &mut self.listed {
-            if !instances.contains_key(name) {
+        let is_there =
+            |name: &String| instances.get(name).is_some_and(|it| !self.is_former(now, name, it));
+        let missing: Vec<String> = self.listed.keys().filter(|it| !is_there(it)).cloned().collect();
+        for name in missing {
+            if let Some(it) = self.listed.get_mut(&name) {
                 it.missing.get_or_insert(now);
             }
         }
@@ -98,12 +104,24 @@
         lost
     }
 
+    /// Whether the list was restored from a copy a moment ago, so that targets have yet to
+    /// write their lines again.
+    fn is_restored(&self, now: Millis) -> bool {
+        now < self.restored + LAPSE_OF_MANY
+    }
+
+    /// Whether a line of a restored list tells of an earlier life of a target than the one
+    /// known. Later on it counts: the clock of a target that started anew may be behind.
+    fn is_former(&self, now: Millis, name: &str, line: &Instance) -> bool {
+        let known = self.listed.get(name).map_or(0, |it| it.instance.born);
+        self.is_restored(now) && line.born < known
+    }
+
     /// Drops targets that the list has not named for long enough.
     pub fn lapse(&mut self, now: Millis) -> Vec<String> {
         let missing = self.listed.values().filter(|it| it.missing.is_some()).count();
         let many = missing * 2 > self.listed.len() && missing > 1;
-        let restored = now < self.restored + LAPSE_OF_MANY;
-        let span = if many || restored { LAPSE_OF_MANY } else { LAPSE };
+        let span = if many || self.is_restored(now) { LAPSE_OF_MANY } else { LAPSE };
         let over = |it: &Listed| it.missing.is_some_and(|since| now >= since + span);
         let gone: Vec<String> =
             self.listed.iter().filter(|it| over(it.1)).map(|it| it.0.clone()).collect();
--- a/crates/sablepass-stand/tests/restored.rs
+++ b/crates/sablepass-stand/tests/restored.rs
@@ -9,6 +9,7 @@
 
 use sablepass_stand::client::{metric, wait_for};
 use sablepass_stand::keys::{Copy, Mode};
+use sablepass_stand::replica::Mode::{Good, Shed};
 use sablepass_stand::site::{self, KEY, Site, ask};
 use serde_json::{Value, json};
 
@@ -324,3 +325,34 @@
     // Two pages a try, ten tries a second at most, and the watches of the others.
     assert!(calls < 100, "{calls} calls in two seconds");
 }
+
+/// A copy lists the life that a target had before it started anew: what the present life
+/// asked for holds.
+#[test]
+fn verify_a_rest_outlasts_a_copy_that_lists_an_earlier_life() {
+    let mut site = Site::open(2);
+    site.add_entry("");
+    site.settle(2);
+    let copy = site.store.copy();
+    site.replicas[0].end();
+    let reborn = site.replicas[0].reborn();
+    site.list(&reborn, "ready");
+    site.settle(2);
+    reborn.set(Shed(5_000));
+    let send = |number: usize| {
+        ask("GET", "/safe/x", &format!("rest-{number}"), "").send(&site.http(0));
+    };
+    wait_for("it has asked for a rest", || {
+        send(0);
+        !reborn.arrivals().is_empty()
+    });
+    let told = reborn.arrivals().len();
+    reborn.set(Good);
+    site.store.restore(&copy, SECOND);
+    thread::sleep(Duration::from_millis(400));
+    site.list(&reborn, "ready");
+    let until = Instant::now() + Duration::from_secs(2);
+    (1..).take_while(|_| Instant::now() < until).for_each(send);
+    let sent = reborn.arrivals().len() - told;
+    assert!(sent <= 2, "{sent} requests reached it while it rests");
+}
