Test: a line about an unread field is waited for

The counter is raised at once, the line is written by the log's thread and read by a thread of the test: the test looked before it came. It now waits for the line, has another answer counted and a later line come, and then asks that there is one line: the check is as strict, and covers a second answer.

--- a/crates/sablepass-stand/tests/restored.rs
+++ b/crates/sablepass-stand/tests/restored.rs
@@ -309,8 +309,17 @@
     wait_for("it is counted", || count("store-mood") >= 1.0);
     assert_eq!(count("store-era"), 0.0);
     let said = |it: &Value| it["field"] == "store-mood" && it["target"] == "platform";
-    let lines = site.entries[0].log().into_iter().filter(said).count();
-    assert_eq!(lines, 1, "it is logged once");
+    let lines = || site.entries[0].log().into_iter().filter(said).count();
+    // Lines are written beside the counters.
+    wait_for("it is logged", || lines() > 0);
+    let before = count("store-mood");
+    site.configure(&with_route(3));
+    wait_for("it is counted again", || count("store-mood") > before);
+    wait_for("a later line is there", || {
+        let later = |it: &Value| it["versions"] == "op/config=3";
+        site.entries[0].log().iter().any(later)
+    });
+    assert_eq!(lines(), 1, "it is logged once");
 }
 
 /// A store whose pages never are of one era is asked again and again, with pauses.
