--- a/crates/sablepass-core/src/config/documents.rs
+++ b/crates/sablepass-core/src/config/documents.rs
@@ -15,7 +15,7 @@
 const MOST_REJECTED: usize = 64;
 
 /// A version of a document that is not taken: its operator's number is lower than that of
-/// the one in force.
+/// the one in force, or it is a copy of the line of an instance that left.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rejected {
     /// The document.
@@ -67,9 +67,7 @@
         let newer = match known.and_then(|it| verdict.numbered(it)) {
             Some(Ordering::Less) => {
                 let version = verdict.force.and_then(|it| it.1.version);
-                if self.rejected.len() < MOST_REJECTED {
-                    self.rejected.push(Rejected { key: document.key, revision, version });
-                }
+                self.reject(Rejected { key: document.key, revision, version });
                 return false;
             }
             Some(Ordering::Greater) => true,
@@ -86,6 +84,12 @@
         changed
     }
 
+    pub(super) fn reject(&mut self, it: Rejected) {
+        if self.rejected.len() < MOST_REJECTED {
+            self.rejected.push(it);
+        }
+    }
+
     /// Takes a peer's last accepted version of a document whose newest one is
     /// held and refused, if that is newer than what is in force here.
     fn adopt(&mut self, document: &Document) -> bool {
--- a/crates/sablepass-core/src/config/list.rs
+++ b/crates/sablepass-core/src/config/list.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::config::documents::Rejected;
 use crate::config::parts::Mask;
 use crate::config::{Delta, Document, Store, Version, What, Whole};
 use crate::reason::Ignored;
@@ -50,10 +51,14 @@
     /// Whether a line is to be taken. What a peer lists it has judged itself.
     fn admits(&mut self, whole: Whole, line: &Document) -> bool {
         let Version { revision, .. } = line.newest;
-        match whole {
+        let admits = match whole {
             Whole::All(_) => self.removals.admits_listed(&line.key, revision),
             Whole::Parts(..) => self.removals.admits_written(&line.key, revision),
+        };
+        if !admits {
+            self.reject(Rejected { key: line.key.clone(), revision, version: None });
         }
+        admits
     }
 
     /// What is held of some parts, is not named and is not newer.
@@ -116,6 +121,7 @@
         if line.removed {
             self.removals.record(&line.key, revision);
         } else if !self.removals.admits_written(&line.key, revision) {
+            self.reject(Rejected { key: line.key, revision, version: None });
             return false;
         }
         self.insert(line);
--- a/crates/sablepass-core/src/notices.rs
+++ b/crates/sablepass-core/src/notices.rs
@@ -30,8 +30,8 @@
     /// Since when it wants nothing, and until when.
     since: Millis,
     until: Millis,
-    /// It wants nothing any more.
-    leaves: bool,
+    /// Since when it wants nothing any more.
+    leaves: Option<Millis>,
     /// What it takes from all entries together, if it names a limit.
     limit: Option<Limit>,
     /// Since when the list does not name it.
@@ -87,9 +87,11 @@
     }
 
     /// Records that a target leaves. Whether that is new.
-    pub fn leave(&mut self, it: Life<'_>) -> bool {
-        let notice = self.open(it);
-        !std::mem::replace(&mut notice.leaves, true)
+    pub fn leave(&mut self, now: Millis, it: Life<'_>) -> bool {
+        let leaves = &mut self.open(it).leaves;
+        let begins = leaves.is_none();
+        leaves.get_or_insert(now);
+        begins
     }
 
     fn open(&mut self, it: Life<'_>) -> &mut Notice {
@@ -117,7 +119,12 @@
 
     /// Whether a target leaves.
     pub fn leaves(&self, it: Life<'_>) -> bool {
-        self.get(it).is_some_and(|it| it.leaves)
+        self.leaves_since(it).is_some()
+    }
+
+    /// Since when a target is known to leave, if it is.
+    pub fn leaves_since(&self, it: Life<'_>) -> Option<Millis> {
+        self.get(it)?.leaves
     }
 
     /// Records that the list names a target. True if that ends a rest: it is another life.
@@ -143,7 +150,7 @@
     pub fn sweep(&mut self, now: Millis) {
         self.notices.retain(|_, it| {
             let lapsed = it.unlisted.is_some_and(|since| now >= since.saturating_add(LAPSED));
-            !lapsed && (it.leaves || now < it.until || it.limit.is_some())
+            !lapsed && (it.leaves.is_some() || now < it.until || it.limit.is_some())
         });
     }
 
@@ -249,7 +256,7 @@
 
     /// The lives that said that they leave.
     pub fn leaving(&self) -> impl Iterator<Item = Life<'_>> {
-        let leaving = self.notices.iter().filter(|it| it.1.leaves);
+        let leaving = self.notices.iter().filter(|it| it.1.leaves.is_some());
         leaving.map(|(name, it)| Life { name, born: it.born })
     }
 
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -195,6 +195,8 @@
         ManyNotices = 10, "many-notices";
         /// A document whose own number is lower than that of the one in force.
         OlderVersion = 11, "older-version";
+        /// A line of an instance that left, as a restored service lists it again.
+        FormerLine = 12, "former-line";
     }
 }
 
--- a/crates/sablepass-core/tests/notices.rs
+++ b/crates/sablepass-core/tests/notices.rs
@@ -83,8 +83,8 @@
 #[test]
 fn verify_leaving_is_for_good_in_one_life() {
     let mut notices = Notices::default();
-    assert!(notices.leave(FIRST), "it is new");
-    assert!(!notices.leave(FIRST), "it was known");
+    assert!(notices.leave(1, FIRST), "it is new");
+    assert!(!notices.leave(2, FIRST), "it was known");
     notices.rest(1_000, FIRST, 1);
     notices.listed(1_000, FIRST);
     notices.sweep(900_000);
@@ -105,7 +105,7 @@
         let names: Vec<String> = (0..5_000).map(|it| format!("i-{round}-{it}")).collect();
         for name in &names {
             let life = Life { name, born: 0 };
-            notices.leave(life);
+            notices.leave(1, life);
             notices.rest(now, life, u64::MAX);
             notices.unlisted(now + 1, name);
         }
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -416,15 +416,20 @@
         None
     }
 
-    /// A line and a count for documents whose operator's number is too low.
+    /// A line and a count for documents whose operator's number is too low, and for lines of
+    /// instances that left.
     fn report_rejected(&mut self, what: What) {
+        let (text, reason) = match what {
+            What::Declarations => ("older version not taken", Ignored::OlderVersion),
+            What::Instances => ("line of an instance that left not taken", Ignored::FormerLine),
+        };
         for it in self.source(what).store.take_rejected() {
             if self.is_reported(what, &it.key, it.revision) {
                 continue;
             }
-            slog::warn!(self.log, "older version not taken"; "key" => &it.key,
-                "version" => it.version, "era" => it.revision.era, "revision" => it.revision.number);
-            self.metrics.ignored(Ignored::OlderVersion);
+            slog::warn!(self.log, "{}", text; "key" => &it.key, "version" => it.version,
+                "era" => it.revision.era, "revision" => it.revision.number);
+            self.metrics.ignored(reason);
         }
     }
 
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -69,6 +69,8 @@
     pub deaths: IntCounterVec,
     /// Requests sent to targets that rested: none, unless this program has a fault.
     pub sent_to_resting: IntCounter,
+    /// Requests sent to targets that were known to leave: a fault of this process.
+    pub sent_to_leaving: IntCounter,
     /// Targets that said with an answer that they leave, seen here or told by others.
     pub left: IntCounterVec,
     /// Requests that targets did not take, by what they asked for.
@@ -148,6 +150,12 @@
                 "sent_to_resting_total",
                 "Requests sent to targets that rested: a fault",
             )?,
+
+            sent_to_leaving: counter(
+                r,
+                "sent_to_leaving_total",
+                "Requests sent to targets that were known to leave: a fault",
+            )?,
             left: counters(
                 r,
                 "targets_left_total",
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -102,7 +102,7 @@
         if meta.leaving && self.target_leaves(now, Life { name: &target, born }, Source::Seen) {
             self.tell_leaving(Life { name: &target, born });
         }
-        self.check_rest(now, carried, Life { name: &target, born });
+        self.check_wishes(now, carried, Life { name: &target, born });
         if let Some(load) = meta.load {
             self.targets.told(now, &target, load.running + load.waiting);
         }
--- a/crates/sablepass-entry/src/notices.rs
+++ b/crates/sablepass-entry/src/notices.rs
@@ -140,10 +140,16 @@
         self.metrics.limits.with_label_values(&["own"]).set(own);
     }
 
-    /// Counts an answer to a request that was sent while its target rested. There is none:
-    /// whoever sees this count grow has found a fault of the entry.
-    pub(crate) fn check_rest(&self, now: Millis, carried: Carried, it: Life<'_>) {
+    /// Counts an answer to a request that was sent while its target rested, or after it was
+    /// known to leave. There is none: whoever sees these counts grow has found a fault of the
+    /// entry.
+    pub(crate) fn check_wishes(&self, now: Millis, carried: Carried, it: Life<'_>) {
         let Some(open) = self.open.get(&carried.request) else { return };
+        if self.targets.left_before(it, open.sent) {
+            self.metrics.sent_to_leaving.inc();
+            slog::error!(self.log, "sent to a target that leaves"; "id" => &open.run.label,
+                "target" => it.name, "born" => it.born, "sent" => open.sent);
+        }
         if self.targets.rested_before(now, it, open.sent) {
             self.metrics.sent_to_resting.inc();
             slog::error!(self.log, "sent to a target that rests"; "id" => &open.run.label,
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -9,6 +9,7 @@
 use sablepass_core::flight::Event;
 use sablepass_core::id::{AttemptId, RequestId};
 use sablepass_core::reason::{Ignored, Refusal};
+use sablepass_core::revision::Revision;
 use sablepass_edge::instance::Role;
 use sablepass_edge::mesh::{self, Introduction, PeerKey};
 use sablepass_edge::{clock, server};
@@ -18,6 +19,7 @@
 
 use crate::open::Open;
 use crate::router::Router;
+use crate::targets::listing::Changes;
 
 impl Router {
     /// Takes an event of the mesh.
@@ -35,17 +37,13 @@
                 self.tell_bounds();
             }
             mesh::Event::Instances(instances, revision) => {
-                let lost = self.targets.list(clock::now(), &instances, revision.era);
-                for target in &lost.reborn {
-                    slog::info!(self.log, "target started anew"; "target" => target,
-                        "born" => self.targets.born(target));
+                let changes = self.targets.list(clock::now(), &instances, revision.era);
+                self.report_listing(&changes, revision);
+                for target in &changes.reborn {
                     self.pool.leave(target);
                     self.target_gone(cx, target);
                 }
-                for target in &lost.rested {
-                    slog::info!(self.log, "rest ends"; "target" => target, "why" => "new life");
-                }
-                self.forget(cx, &lost.gone);
+                self.forget(cx, &changes.gone);
                 self.want(cx);
             }
             mesh::Event::Entries(names) => {
@@ -55,6 +53,32 @@
         }
     }
 
+    /// A line for each target that a new list speaks of in another way than the one before.
+    fn report_listing(&self, changes: &Changes, revision: Revision) {
+        let said = [
+            ("target listed", &changes.found),
+            ("target missing", &changes.missing),
+            ("target started anew", &changes.reborn),
+        ];
+        for (text, targets) in said {
+            for target in targets {
+                let line = self.targets.line(target);
+                slog::info!(self.log, "{}", text; "target" => target, "line" => line.number,
+                    "born" => self.targets.born(target), "era" => revision.era,
+                    "revision" => revision.number);
+            }
+        }
+        for target in &changes.leaving {
+            self.metrics.left.with_label_values(&["listed"]).inc();
+            slog::info!(self.log, "target leaves"; "target" => target,
+                "born" => self.targets.born(target), "source" => "listed",
+                "era" => revision.era, "revision" => revision.number);
+        }
+        for target in &changes.rested {
+            slog::info!(self.log, "rest ends"; "target" => target, "why" => "new life");
+        }
+    }
+
     /// Counts the entries anew, and shares the retries among as many.
     pub(crate) fn count_entries(&mut self) {
         self.targets.count_entries(clock::now());
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -38,7 +38,7 @@
 
 mod groups;
 mod limits;
-mod listing;
+pub(crate) mod listing;
 mod notices;
 mod shares;
 mod watch;
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -25,15 +25,21 @@
 /// some: they are back within about two seconds.
 const LAPSE_OF_MANY: Millis = 3_000;
 
-/// Targets of which a new list says that a life of theirs is over.
+/// What a new list changes.
 #[derive(Debug, Default)]
-pub struct Lost {
+pub struct Changes {
     /// Those that are gone for good.
     pub gone: Vec<String>,
     /// Those that started anew under their name.
     pub reborn: Vec<String>,
     /// Those of them whose last life still wanted to rest.
     pub rested: Vec<String>,
+    /// Those that an earlier list did not name.
+    pub found: Vec<String>,
+    /// Those that the list names no more, or not in their present life.
+    pub missing: Vec<String>,
+    /// Those that it says are leaving, and that nobody said so of before.
+    pub leaving: Vec<String>,
 }
 
 impl Targets {
@@ -42,6 +48,11 @@
         self.listed.get(name).map_or(0, |it| it.instance.born)
     }
 
+    /// Revision of a target's line in the list.
+    pub fn line(&self, name: &str) -> Revision {
+        self.listed.get(name).map_or_else(Revision::default, |it| it.instance.revision)
+    }
+
     /// Where a listed target takes requests in its present life.
     pub fn destination<'a>(&self, target: &'a str) -> Option<Destination<'a>> {
         let it = &self.listed.get(target)?.instance;
@@ -56,11 +67,17 @@
     }
 
     /// Takes a new instance list.
-    pub fn list(&mut self, now: Millis, instances: &BTreeMap<String, Instance>, era: u64) -> Lost {
+    pub fn list(
+        &mut self,
+        now: Millis,
+        instances: &BTreeMap<String, Instance>,
+        era: u64,
+    ) -> Changes {
         let before = std::mem::replace(&mut self.era, era);
         if before > 0 && before < era {
             self.restored = now;
         }
+        let first = self.learning.is_none();
         if !instances.is_empty() {
             self.learning.get_or_insert(now);
         }
@@ -68,40 +85,43 @@
         self.listed_entries = entries;
         let leaving = instances.iter().filter(|(_, it)| it.leaving);
         self.leaving = leaving.map(|(name, _)| name.clone()).collect();
-        let mut lost = Lost::default();
+        let mut changes = Changes::default();
         for (name, it) in instances.iter().filter(|(_, it)| it.role == Role::Target) {
             if self.is_former(now, name, it) {
                 continue;
             }
             if self.listed.get(name).is_some_and(|known| known.instance.born != it.born) {
                 // All that was known of it was of another life.
-                lost.reborn.push(name.clone());
+                changes.reborn.push(name.clone());
                 self.listed.remove(name);
                 self.members.unlisted(name);
             }
             let life = Life { name, born: it.born };
             if self.notices.listed(now, life) {
-                lost.rested.push(name.clone());
+                changes.rested.push(name.clone());
             }
-            if it.leaving {
-                // Also if its entry lapses and an older one is read.
-                self.notices.leave(life);
+            // Also if its entry lapses and an older one is read.
+            if it.leaving && self.notices.leave(now, life) {
+                changes.leaving.push(name.clone());
             }
             self.members.listed(now, name, it.leaving);
             let misdirected = self.listed.get(name).is_some_and(|it| it.misdirected);
             let listed = Listed { instance: it.clone(), missing: None, misdirected };
-            self.listed.insert(name.clone(), listed);
+            if self.listed.insert(name.clone(), listed).is_none() && !first {
+                changes.found.push(name.clone());
+            }
         }
         let is_there =
             |name: &String| instances.get(name).is_some_and(|it| !self.is_former(now, name, it));
         let missing: Vec<String> = self.listed.keys().filter(|it| !is_there(it)).cloned().collect();
         for name in missing {
-            if let Some(it) = self.listed.get_mut(&name) {
-                it.missing.get_or_insert(now);
+            if let Some(it) = self.listed.get_mut(&name).filter(|it| it.missing.is_none()) {
+                it.missing = Some(now);
+                changes.missing.push(name);
             }
         }
-        lost.gone = self.lapse(now);
-        lost
+        changes.gone = self.lapse(now);
+        changes
     }
 
     /// Whether the list was restored from a copy a moment ago, so that targets have yet to
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -23,7 +23,7 @@
 
     /// Records that a target leaves. Whether that is new.
     pub fn said_it_leaves(&mut self, now: Millis, it: Life<'_>) -> bool {
-        let begins = !self.is_past(it) && self.notices.leave(it);
+        let begins = !self.is_past(it) && self.notices.leave(now, it);
         self.note_listing(now, it.name);
         begins
     }
@@ -64,6 +64,11 @@
         self.notices.rests_since(now, it).is_some_and(|since| sent > since)
     }
 
+    /// Whether a target was known to leave before a request was sent there.
+    pub fn left_before(&self, it: Life<'_>, sent: Millis) -> bool {
+        self.notices.leaves_since(it).is_some_and(|since| sent > since)
+    }
+
     /// Targets that rest.
     pub fn resting(&self, now: Millis) -> usize {
         self.notices.resting(now)
