--- a/crates/sablepass-stand/src/site.rs
+++ b/crates/sablepass-stand/src/site.rs
@@ -24,6 +24,27 @@
 
 static SITES: AtomicUsize = AtomicUsize::new(0);
 
+/// How often entries read the store and tell each other what they hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Pace {
+    /// So often that tests wait for little.
+    #[default]
+    Quick,
+    /// As on the users' platform.
+    Platform,
+}
+
+impl Pace {
+    fn settings(self) -> &'static str {
+        match self {
+            Self::Quick => "list_every = 20\ndigest_every = 100\npatience = 200\nwatch = 1000\n",
+            Self::Platform => {
+                "list_every = 400\npatience = 700\nwatch = 2000\nwatch_rest = 10000\n"
+            }
+        }
+    }
+}
+
 /// The site. Its entries end when it is dropped.
 #[derive(Debug)]
 pub struct Site {
@@ -33,6 +54,8 @@
     pub replicas: Vec<Replica>,
     /// Entries and agents in the order they were added.
     pub entries: Vec<Process>,
+    /// How often entries that are started from now on read and tell.
+    pub pace: Pace,
     /// Entries started, for their names.
     started: usize,
     dir: PathBuf,
@@ -49,6 +72,7 @@
             store: Store::spawn(),
             replicas: Vec::new(),
             entries: Vec::new(),
+            pace: Pace::default(),
             started: 0,
             dir,
         };
@@ -92,9 +116,9 @@
         let text = format!(
             "http = \"127.0.0.1:0\"\ndialect = \"routes\"\npolicy = \"even\"\nretry_slack = 90\n{more}\n\
              [node]\nname = {name:?}\nhall = \"ba-1\"\nlisten = \"127.0.0.1:0\"\n\
-             admin = \"127.0.0.1:0\"\nplatform = \"http://{}\"\nform = \"keys\"\nseeds = {seeds:?}\n\
-             list_every = 20\ndigest_every = 100\npatience = 200\nwatch = 1000\n",
-            self.store.addr
+             admin = \"127.0.0.1:0\"\nplatform = \"http://{}\"\nform = \"keys\"\nseeds = {seeds:?}\n{}",
+            self.store.addr,
+            self.pace.settings()
         );
         let path = self.dir.join(format!("{name}.toml"));
         std::fs::write(&path, text).expect("settings can be written");
--- /dev/null
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -0,0 +1,276 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! Targets leave while something else goes wrong. Entries send them nothing more, within
+//! the time that the users' platform allows.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use sablepass_core::rendezvous;
+use sablepass_edge::clock;
+use sablepass_stand::client::{metric, wait_for};
+use sablepass_stand::replica::Replica;
+use sablepass_stand::site::{Pace, Site, ask};
+
+const ENTRIES: usize = 5;
+/// Entries that all others know from the start.
+const SEEDS: usize = 3;
+/// Entries that read the list of targets; the others learn from them.
+const READERS: usize = 2;
+/// Milliseconds after which nothing more may reach a target that leaves.
+const DRAINS: u64 = 2_000;
+/// Time between two writes of a target's line.
+const BEAT: Duration = Duration::from_millis(300);
+/// Era of the store after it was restored.
+const SECOND: u64 = 2;
+
+/// How a target leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    /// Its line says so.
+    Draining,
+    /// Its line is removed.
+    Removed,
+}
+
+/// A site whose targets write their lines time after time, with callers at all entries.
+struct Running {
+    site: Site,
+    /// Targets that write their lines.
+    writers: Arc<Mutex<Vec<Replica>>>,
+    over: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Running {
+    fn start(targets: usize) -> Self {
+        let mut site = Site::open(targets);
+        site.pace = Pace::Platform;
+        for _ in 0..ENTRIES {
+            site.add_entry_at("", SEEDS);
+        }
+        site.settle(targets);
+        let writers = Arc::new(Mutex::new(site.replicas.clone()));
+        let mut it = Self { site, writers, over: Arc::default(), threads: Vec::new() };
+        it.write_lines();
+        (0..ENTRIES).for_each(|entry| it.call(entry));
+        thread::sleep(Duration::from_secs(1));
+        it
+    }
+
+    fn write_lines(&mut self) {
+        let (store, writers, over) =
+            (self.site.store.clone(), self.writers.clone(), self.over.clone());
+        self.threads.push(thread::spawn(move || {
+            while !over.load(Ordering::Relaxed) {
+                for it in writers.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+                    store.put(&format!("servers/{}", it.id), &it.entry("ready"));
+                }
+                thread::sleep(BEAT);
+            }
+        }));
+    }
+
+    /// Has a caller send requests to an entry, named after it.
+    fn call(&mut self, entry: usize) {
+        let (addr, over) = (self.site.http(entry), self.over.clone());
+        self.threads.push(thread::spawn(move || {
+            let mut number = 0;
+            while !over.load(Ordering::Relaxed) {
+                ask("GET", "/safe/x", &format!("{entry}-{number}"), "").send(&addr);
+                number += 1;
+                thread::sleep(Duration::from_millis(10));
+            }
+        }));
+    }
+
+    /// Has a target leave, and write nothing more. When that was.
+    fn leave(&self, it: &Replica, way: Way) -> u64 {
+        let mut writers = self.writers.lock().unwrap_or_else(PoisonError::into_inner);
+        writers.retain(|other| other.id != it.id);
+        match way {
+            Way::Draining => self.site.list(it, "draining"),
+            Way::Removed => {
+                self.site.store.remove(&format!("servers/{}", it.id));
+            }
+        }
+        clock::now()
+    }
+
+    fn end(mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        self.threads.drain(..).for_each(|it| it.join().expect("a thread ends"));
+    }
+}
+
+/// Requests that reached a target too late, by the entry that sent them. An entry that did
+/// not run all the time had no more time than the others since it does.
+fn late(it: &Replica, left: u64, runs: (usize, u64)) -> HashMap<usize, usize> {
+    let mut late = HashMap::new();
+    for arrival in it.arrivals() {
+        let (entry, _) = arrival.id.split_once('-').expect("a name");
+        let entry: usize = entry.parse().expect("a number");
+        let since = if entry == runs.0 { left.max(runs.1) } else { left };
+        if arrival.at > since + DRAINS {
+            *late.entry(entry).or_default() += 1;
+        }
+    }
+    late
+}
+
+fn none() -> HashMap<usize, usize> {
+    HashMap::new()
+}
+
+/// Has an entry send requests until a target's answer has said that it leaves.
+fn tell(site: &Site, entry: usize, leaving: &Replica) {
+    leaving.leave();
+    let told = || leaving.arrivals().iter().any(|it| it.leaves.is_some());
+    wait_for("it has told", || {
+        ask("GET", "/safe/x", &format!("{entry}-told"), "").send(&site.http(entry));
+        told()
+    });
+}
+
+#[test]
+fn verify_a_target_that_leaves_gets_nothing_more() {
+    for way in [Way::Draining, Way::Removed] {
+        let running = Running::start(3);
+        let leaving = running.site.replicas[0].clone();
+        let left = running.leave(&leaving, way);
+        thread::sleep(Duration::from_secs(4));
+        assert_eq!(late(&leaving, left, (0, 0)), none(), "{way:?}");
+        running.end();
+    }
+}
+
+/// The others learn of it without those that read the list.
+#[test]
+fn verify_a_target_that_leaves_as_the_readers_stand_still_gets_nothing_more() {
+    let names: Vec<String> = (1..=ENTRIES).map(|it| format!("entry-{it}")).collect();
+    let ranked = rendezvous::rank("", names.iter().map(String::as_str));
+    let number = |name: &str| names.iter().position(|it| it == name).expect("an entry");
+    let readers: Vec<usize> = ranked.into_iter().take(READERS).map(number).collect();
+    for way in [Way::Draining, Way::Removed] {
+        let running = Running::start(3);
+        let leaving = running.site.replicas[0].clone();
+        readers.iter().for_each(|it| running.site.entries[*it].pause());
+        let left = running.leave(&leaving, way);
+        thread::sleep(Duration::from_secs(4));
+        let late = late(&leaving, left, (0, 0));
+        readers.iter().for_each(|it| running.site.entries[*it].wake());
+        assert_eq!(late, none(), "{way:?}");
+        running.end();
+    }
+}
+
+/// The store's copy lists a target that had left, and an entry that starts has seen nothing
+/// else.
+#[test]
+fn verify_an_entry_that_starts_beside_a_restore_uses_nothing_that_left() {
+    for way in [Way::Draining, Way::Removed] {
+        let mut running = Running::start(3);
+        let copy = running.site.store.copy();
+        let leaving = running.site.replicas[0].clone();
+        let left = running.leave(&leaving, way);
+        thread::sleep(Duration::from_millis(1_500));
+        running.site.store.restore(&copy, SECOND);
+        let fresh = running.site.add_entry_at("", SEEDS);
+        let started = clock::now();
+        let status = || running.site.status(fresh)["revision"].as_u64();
+        wait_for("it has a configuration", || status() > Some(0));
+        running.call(fresh);
+        thread::sleep(Duration::from_secs(4));
+        assert_eq!(late(&leaving, left, (fresh, started)), none(), "{way:?}");
+        running.end();
+    }
+}
+
+/// The same for an entry that stood still while the target left: it neither uses the target
+/// nor has the others use it again.
+#[test]
+fn verify_an_entry_that_wakes_beside_a_restore_brings_back_nothing_that_left() {
+    for way in [Way::Draining, Way::Removed] {
+        let running = Running::start(3);
+        let copy = running.site.store.copy();
+        let leaving = running.site.replicas[0].clone();
+        let sleeper = ENTRIES - 1;
+        running.site.entries[sleeper].pause();
+        let left = running.leave(&leaving, way);
+        thread::sleep(Duration::from_millis(1_500));
+        running.site.store.restore(&copy, SECOND);
+        thread::sleep(Duration::from_millis(700));
+        running.site.entries[sleeper].wake();
+        let woke = clock::now();
+        thread::sleep(Duration::from_secs(4));
+        assert_eq!(late(&leaving, left, (sleeper, woke)), none(), "{way:?}");
+        running.end();
+    }
+}
+
+/// A target is missing since before the restore, and another one, which the copy lacks, since
+/// then.
+#[test]
+fn verify_a_restore_gives_no_more_time_to_what_had_left_before() {
+    let running = Running::start(4);
+    let [leaving, lost] = [0, 1].map(|it| running.site.replicas[it].clone());
+    running.leave(&lost, Way::Removed);
+    let copy = running.site.store.copy();
+    running.site.list(&lost, "ready");
+    thread::sleep(Duration::from_secs(1));
+    let left = running.leave(&leaving, Way::Removed);
+    thread::sleep(Duration::from_millis(700));
+    running.site.store.restore(&copy, SECOND);
+    thread::sleep(Duration::from_secs(4));
+    assert_eq!(late(&leaving, left, (0, 0)), none());
+    running.end();
+}
+
+/// A line that lacks the target's start, as another writer may leave one, tells of no other
+/// life of the target.
+#[test]
+fn verify_a_line_without_a_start_takes_no_word_back() {
+    let mut site = Site::open(2);
+    site.pace = Pace::Platform;
+    site.add_entry("");
+    site.settle(2);
+    let leaving = site.replicas[0].clone();
+    tell(&site, 0, &leaving);
+    let told = clock::now();
+    thread::sleep(Duration::from_millis(DRAINS));
+    let mut line: serde_json::Value = serde_json::from_str(&leaving.entry("ready")).expect("JSON");
+    line.as_object_mut().expect("an object").remove("born");
+    site.store.put(&format!("servers/{}", leaving.id), &line.to_string());
+    thread::sleep(Duration::from_secs(1));
+    site.list(&leaving, "ready");
+    let until = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < until {
+        ask("GET", "/safe/x", "0-after", "").send(&site.http(0));
+    }
+    assert_eq!(late(&leaving, told, (0, 0)), none());
+}
+
+/// Entries that are no seeds are connected to the seeds only.
+#[test]
+fn verify_all_entries_are_told_of_a_target_that_leaves() {
+    let mut site = Site::open(2);
+    site.pace = Pace::Platform;
+    for _ in 0..ENTRIES {
+        site.add_entry_at("", SEEDS);
+    }
+    site.settle(2);
+    wait_for("all know of each other", || {
+        (0..ENTRIES).all(|it| site.status(it)["entries"].as_u64() == Some(ENTRIES as u64))
+    });
+    tell(&site, ENTRIES - 1, &site.replicas[0]);
+    thread::sleep(Duration::from_secs(1));
+    let knows = |entry: &usize| {
+        metric(&site.entries[*entry].addr("admin"), "sablepass_targets_left_total", "") == 1.0
+    };
+    let unaware: Vec<usize> = (0..ENTRIES).filter(|it| !knows(it)).collect();
+    assert!(unaware.is_empty(), "entries {unaware:?} were not told");
+}
