--- a/crates/sablepass-core/src/config.rs
+++ b/crates/sablepass-core/src/config.rs
@@ -28,7 +28,7 @@
 use crate::revision::Revision;
 
 pub mod documents;
-mod list;
+pub mod list;
 pub mod parts;
 pub mod removals;
 pub mod verdict;
@@ -247,7 +247,7 @@
     }
 
     /// What to ask for: what changed since, or all that differs.
-    fn pull(&self, all: bool) -> Pull {
+    pub fn pull(&self, all: bool) -> Pull {
         match (self.what, all) {
             (_, false) => Pull { after: self.revision, parts: None },
             (What::Declarations, true) => Pull::default(),
--- a/crates/sablepass-core/src/config/list.rs
+++ b/crates/sablepass-core/src/config/list.rs
@@ -11,6 +11,17 @@
 use crate::reason::Ignored;
 use crate::revision::Revision;
 
+/// What became of a removal that a peer told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It was known, or the instance has written its line since.
+    Known,
+    /// It was not known.
+    New,
+    /// The instance was still listed, and is not any more.
+    Listed,
+}
+
 impl Store {
     /// Takes in what there is of some parts of the list. True if any line changed. A line that says the same keeps
     /// its revision, and is told to no peer: whoever is behind this revision compares.
@@ -20,6 +31,9 @@
             return Err(Ignored::OldRevision);
         }
         let newer = delta.revision > self.revision;
+        if delta.revision.era > self.revision.era {
+            self.removals.begin(delta.revision);
+        }
         let mut changed = false;
         for key in self.unnamed(&delta, whole.mask()) {
             self.remove(&key);
@@ -29,13 +43,20 @@
             changed = true;
         }
         for document in delta.documents {
+            let same = self.holds(&document);
+            let held = self.documents.get_mut(&document.key);
+            if same && let Some(held) = held {
+                // Only a line of the present era can be told from a copy of one that left.
+                held.newest.revision = held.newest.revision.max(document.newest.revision);
+                continue;
+            }
             let held = self.documents.get(&document.key);
             let later = held.is_some_and(|it| it.newest.revision > delta.revision);
             let older = held.is_some_and(|it| it.newest.revision >= document.newest.revision);
-            if later || self.holds(&document) || (older && !newer) {
+            if later || (older && !newer) {
                 continue;
             }
-            if !self.admits(whole, &document) {
+            if !self.admits(&document) {
                 continue;
             }
             self.insert(document);
@@ -48,19 +69,47 @@
         Ok(changed)
     }
 
-    /// Whether a line is to be taken. What a peer lists it has judged itself.
-    fn admits(&mut self, whole: Whole, line: &Document) -> bool {
+    /// Whether a line is to be taken.
+    fn admits(&mut self, line: &Document) -> bool {
         let Version { revision, .. } = line.newest;
-        let admits = match whole {
-            Whole::All(_) => self.removals.admits_listed(&line.key, revision),
-            Whole::Parts(..) => self.removals.admits_written(&line.key, revision),
-        };
+        let admits = self.removals.admits(&line.key, revision);
         if !admits {
             self.reject(Rejected { key: line.key.clone(), revision, version: None });
         }
         admits
     }
 
+    /// Takes what a peer tells of an instance that was removed.
+    pub fn take_removal(&mut self, key: &str, at: Revision) -> Taken {
+        let held = self.documents.get(key).filter(|it| !it.removed);
+        let Some(line) = held.map(|it| it.newest.revision) else {
+            let new = self.removals.record(key, at);
+            return if new { Taken::New } else { Taken::Known };
+        };
+        if line >= at && !self.removals.is_copy(line, at) {
+            return Taken::Known;
+        }
+        self.remove(key);
+        self.removals.record(key, at);
+        Taken::Listed
+    }
+
+    /// The removals that are remembered, with their revisions.
+    pub fn removals(&self) -> impl Iterator<Item = (&str, Revision)> {
+        self.removals.iter()
+    }
+
+    /// Takes how early in an era a peer knows the list to have been read. True if lines that
+    /// were taken for copies may be none.
+    pub fn hear_beginning(&mut self, read: Revision) -> bool {
+        self.removals.begin(read) && self.removals.iter().next().is_some()
+    }
+
+    /// The earliest revision of the present era at which anybody is known to have read.
+    pub fn beginning(&self) -> Revision {
+        self.removals.began()
+    }
+
     /// What is held of some parts, is not named and is not newer.
     fn unnamed(&self, delta: &Delta, mask: Mask) -> Vec<String> {
         let named: BTreeSet<&str> = delta.documents.iter().map(|it| it.key.as_str()).collect();
@@ -120,8 +169,7 @@
         }
         if line.removed {
             self.removals.record(&line.key, revision);
-        } else if !self.removals.admits_written(&line.key, revision) {
-            self.reject(Rejected { key: line.key, revision, version: None });
+        } else if !self.admits(&line) {
             return false;
         }
         self.insert(line);
--- a/crates/sablepass-core/tests/restored.rs
+++ b/crates/sablepass-core/tests/restored.rs
@@ -32,6 +32,8 @@
     Read,
     /// Documents are ordered by revision alone.
     Number,
+    /// Processes do not tell each other of removals.
+    Removals,
 }
 
 const MUTATIONS: [Mutation; 5] =
@@ -171,6 +173,8 @@
 
     /// The deltas by which one process answers another.
     fn pull(&mut self, from: usize, to: usize) -> Vec<Delta> {
+        let began = self.processes[from].store.beginning();
+        self.processes[to].store.hear_beginning(began);
         let mut digest: Digest = self.processes[from].store.digest();
         if self.mutation == Mutation::Digest {
             digest.revision = plain(digest.revision);
@@ -207,6 +211,24 @@
                     self.take(to, delta);
                 }
             }
+            (0..PROCESSES).for_each(|it| self.tell_removals(it));
+        }
+    }
+
+    /// Has a process tell all others what it knows of removals.
+    fn tell_removals(&mut self, from: usize) {
+        if self.mutation == Mutation::Removals {
+            return;
+        }
+        let teller = &self.processes[from].store;
+        let began = teller.beginning();
+        let told: Vec<(String, Revision)> =
+            teller.removals().map(|(key, at)| (key.to_owned(), at)).collect();
+        for to in &mut self.processes {
+            to.store.hear_beginning(began);
+            for (key, at) in &told {
+                to.store.take_removal(key, *at);
+            }
         }
     }
 }
@@ -339,6 +361,7 @@
                 }
             }
         }
+        fleet.tell_removals(a);
     }
     // Live instances write again, and the lines of others lapse.
     live.iter().for_each(|it| platform.write(it, Some("ready".to_owned())));
@@ -402,6 +425,88 @@
     assert_eq!(lists(&fleet), PROCESSES, "some do not list what is back");
 }
 
+/// How many of some processes list an instance that left before the service was restored, where
+/// some of them did not see it leave: they start, or hear nothing until then.
+fn listing_what_left(seed: u64, mutation: Mutation) -> usize {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut platform = Platform::open();
+    let mut fleet = reading(&mut platform, 3);
+    fleet.mutation = mutation;
+    let copy = platform.clone();
+    platform.write("i-0001", None);
+    // One at least sees it leave, and one at least does not.
+    let aware = rng.random_range(1..PROCESSES);
+    for at in 0..aware {
+        let delta = fleet.answer(at, &platform).expect("changes");
+        fleet.take(at, delta);
+    }
+    if rng.random_bool(0.5) {
+        fleet.restart(PROCESSES - 1);
+    }
+    platform.restore(&copy);
+    let mut version = 0;
+    for at in (0..rng.random_range(0..6)).chain(0..PROCESSES).chain(0..PROCESSES) {
+        // No two processes read at one revision.
+        version += 1;
+        platform.write("i-0000", Some(format!("{version:<180}")));
+        let at = at % PROCESSES;
+        if let Some(delta) = fleet.answer(at, &platform) {
+            fleet.take(at, delta);
+        }
+        let (from, to) = (rng.random_range(0..PROCESSES), rng.random_range(0..PROCESSES));
+        for delta in fleet.pull(from, to) {
+            fleet.take(to, delta);
+        }
+        fleet.tell_removals(at);
+    }
+    let lists = |it: &&Process| listed(&it.store).contains(&"i-0001".to_owned());
+    fleet.processes.iter().filter(lists).count()
+}
+
+#[test]
+fn verify_processes_that_did_not_see_an_instance_leave_are_told() {
+    let wrong: Vec<u64> =
+        (0..SEEDS).filter(|seed| listing_what_left(*seed, Mutation::None) > 0).collect();
+    assert!(wrong.is_empty(), "{} of {SEEDS}, the first: {:?}", wrong.len(), wrong.first());
+    let untold = (0..SEEDS).filter(|it| listing_what_left(*it, Mutation::Removals) > 0).count();
+    assert!(untold > 0, "it is not needed to tell them");
+    println!("untold: {untold} of {SEEDS}");
+}
+
+/// A process that slept through a restore remembers a removal that the others have forgotten,
+/// since the instance has written its line again.
+#[test]
+fn verify_an_old_removal_takes_no_instance_from_the_list_that_is_back() {
+    let mut platform = Platform::open();
+    let mut fleet = reading(&mut platform, 3);
+    let copy = platform.clone();
+    platform.write("i-0001", None);
+    fleet.settle(PROCESSES, &platform);
+    platform.restore(&copy);
+    let awake = PROCESSES - 1;
+    for round in 0..3 {
+        for at in 0..awake {
+            if let Some(delta) = fleet.answer(at, &platform) {
+                fleet.take(at, delta);
+            }
+        }
+        if round == 1 {
+            platform.write("i-0001", Some(format!("{:<180}", 1)));
+        }
+    }
+    let lists = |fleet: &Fleet, at: usize| listed(&fleet.processes[at].store).len() == 3;
+    assert!((0..awake).all(|at| lists(&fleet, at)), "it is back");
+    while !fleet.processes[awake].whole {
+        fleet.answer(awake, &platform);
+    }
+    let delta = fleet.answer(awake, &platform).expect("a read of everything");
+    fleet.take(awake, delta);
+    fleet.tell_removals(awake);
+    assert!((0..awake).all(|at| lists(&fleet, at)), "an old removal took it from the list");
+    fleet.settle(0, &platform);
+    assert!(lists(&fleet, awake), "who slept does not list it");
+}
+
 /// What is told after a restore does not grow with the list, nor with the restores.
 #[test]
 fn verify_a_restore_in_which_nothing_changed_tells_no_lines() {
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -330,11 +330,12 @@
             Body::Digest(it) => self.digest(now, key, &it),
             Body::Pull(it) => self.pull(key, &it),
             Body::Delta(it) => self.delta(cx, it),
+            Body::Removals(it) if peer.entry().is_some() => self.removals(cx, &it),
             Body::Entries(it) if peer.entry().is_some() => {
                 peer.entries = it.names;
                 self.meet();
             }
-            Body::Entries(_) => self.metrics.ignored(Ignored::BadFrame),
+            Body::Entries(_) | Body::Removals(_) => self.metrics.ignored(Ignored::BadFrame),
             other if peer.introduction.is_some() => self.owner.fwd(Event::Message(key, other)),
             _ => self.metrics.ignored(Ignored::BadFrame),
         }
@@ -367,6 +368,7 @@
         peer.spread |= it.spread;
         peer.introduction = Some(introduction.clone());
         call!([peer.link], send(digest));
+        self.tell_all_removals(key);
         self.owner.fwd(Event::Up(key, introduction));
         self.count_links();
         self.met = true;
--- a/crates/sablepass-edge/src/mesh/held.rs
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -12,6 +12,7 @@
 use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
+use sablepass_wire::removals::{self, Removal};
 use stakker::{CX, call};
 
 use crate::clock;
@@ -52,6 +53,7 @@
             Ok((what, delta)) => {
                 let changed = self.spread.merge(what, delta);
                 self.changed(cx, changed);
+                self.tell_removals();
             }
             Err(_) => self.metrics.ignored(Ignored::BadFrame),
         }
@@ -60,6 +62,40 @@
     pub(super) fn read(&mut self, cx: CX![], read: reader::Read) {
         let changed = self.spread.read(clock::now(), read);
         self.changed(cx, changed);
+        self.tell_removals();
+    }
+
+    pub(super) fn removals(&mut self, cx: CX![], it: &wire::Removals) {
+        match removals::parse(it) {
+            Ok(told) => {
+                let changed = self.spread.take_removals(&told);
+                self.changed(cx, changed);
+                self.tell_removals();
+            }
+            Err(_) => self.metrics.ignored(Ignored::BadFrame),
+        }
+    }
+
+    /// Tells entries which removals they may not know.
+    pub(super) fn tell_removals(&mut self) {
+        let untold = self.spread.take_untold();
+        if untold.is_empty() {
+            return;
+        }
+        let untold: Vec<Removal<'_>> = untold.iter().map(|(key, at)| (key.as_str(), *at)).collect();
+        let body = removals::body(&untold);
+        for peer in self.peers.values().filter(|it| it.entry().is_some()) {
+            call!([peer.link], send(body.clone()));
+        }
+    }
+
+    /// Tells an entry that connects all removals.
+    pub(super) fn tell_all_removals(&self, key: PeerKey) {
+        let all = self.spread.removals();
+        let peer = self.peers.get(&key).filter(|it| it.entry().is_some());
+        if let Some(peer) = peer.filter(|_| !all.is_empty()) {
+            call!([peer.link], send(removals::body(&all)));
+        }
     }
 
     fn changed(&mut self, cx: CX![], changed: Option<What>) {
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use sablepass_core::catalogue::Catalogue;
+use sablepass_core::config::list::Taken;
 use sablepass_core::config::verdict::{Check, Verdict};
 use sablepass_core::config::{Compare, Delta, Digest, Document, Store, What};
 use sablepass_core::declaration;
@@ -27,6 +28,7 @@
 use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
+use sablepass_wire::removals::Removal;
 use slog::Logger;
 use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
 
@@ -134,6 +136,10 @@
     era: Option<u64>,
     /// Whether the last answer named an era that is not believed.
     doubted: bool,
+    /// Removals of which other entries have to be told.
+    untold: BTreeMap<String, Revision>,
+    /// Era in which all removals were told.
+    told_in: u64,
     unread: Unread,
 }
 
@@ -172,6 +178,8 @@
             fresh: 0,
             era: None,
             doubted: false,
+            untold: BTreeMap::new(),
+            told_in: 0,
             unread: Unread::default(),
         }
     }
@@ -265,6 +273,8 @@
             era: declarations.revision.era,
             list_era: instances.revision.era,
             list_since_era: instances.since.era,
+            list_began: self.list.store.beginning().number,
+            list_began_era: self.list.store.beginning().era,
         }
     }
 
@@ -283,6 +293,10 @@
         };
         let theirs = [(What::Declarations, declarations), (What::Instances, instances)];
         let mut pulls = Vec::new();
+        let began = Revision::new(it.list_began_era, it.list_began);
+        if self.list.store.hear_beginning(began) {
+            pulls.push(convert::pull(What::Instances, &self.list.store.pull(true)));
+        }
         for (what, digest) in theirs {
             if !self.is_held(what) {
                 continue;
@@ -336,6 +350,44 @@
         }
     }
 
+    /// Takes what a peer tells of removals. Returns what changed.
+    pub fn take_removals(&mut self, told: &[Removal<'_>]) -> Option<What> {
+        let mut changed = false;
+        for &(key, at) in told {
+            let taken = self.list.store.take_removal(key, at);
+            if taken == Taken::Known {
+                continue;
+            }
+            self.untold.insert(key.to_owned(), at);
+            if taken == Taken::Listed {
+                slog::warn!(self.log, "instance listed that left before"; "key" => key,
+                    "era" => at.era, "revision" => at.number);
+                self.metrics.ignored(Ignored::FormerLine);
+                changed = true;
+            }
+        }
+        changed.then(|| {
+            self.note(What::Instances);
+            What::Instances
+        })
+    }
+
+    /// The removals that are remembered, for a peer that may not know them.
+    pub fn removals(&self) -> Vec<Removal<'_>> {
+        self.list.store.removals().collect()
+    }
+
+    /// The removals that other entries have to be told of: those that were told here as news,
+    /// and all once the list is of a later era.
+    pub fn take_untold(&mut self) -> BTreeMap<String, Revision> {
+        let era = self.list.store.revision().era;
+        if std::mem::replace(&mut self.told_in, era) != era {
+            let all = self.list.store.removals().map(|(key, at)| (key.to_owned(), at));
+            self.untold.extend(all);
+        }
+        std::mem::take(&mut self.untold)
+    }
+
     fn note(&mut self, what: What) {
         if what == What::Instances {
             self.instances = Rc::new(self.parse_instances());
--- a/crates/sablepass-wire/src/frame.rs
+++ b/crates/sablepass-wire/src/frame.rs
@@ -109,5 +109,6 @@
         Body::Notices(_) => "notices",
         Body::TurnAsk(_) => "turn-ask",
         Body::TurnAnswer(_) => "turn-answer",
+        Body::Removals(_) => "removals",
     }
 }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -61,6 +61,8 @@
         TurnAsk(super::TurnAsk),
         #[prost(message, tag = "25")]
         TurnAnswer(super::TurnAnswer),
+        #[prost(message, tag = "26")]
+        Removals(super::Removals),
     }
 }
 /// First frame in each direction of a connection.
@@ -287,6 +289,22 @@
     #[prost(message, repeated, tag = "2")]
     pub limits: ::prost::alloc::vec::Vec<Limit>,
 }
+/// Instances that were removed from the list, and that a restored service may list again.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Removals {
+    #[prost(message, repeated, tag = "1")]
+    pub removals: ::prost::alloc::vec::Vec<Removal>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Removal {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    /// Revision of the removal.
+    #[prost(fixed64, tag = "2")]
+    pub revision: u64,
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
+}
 /// What a target takes from all entries together, for this life.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Limit {
@@ -361,6 +379,11 @@
     pub list_era: u64,
     #[prost(uint64, tag = "9")]
     pub list_since_era: u64,
+    /// The earliest revision of the latest era at which anybody is known to have read the list.
+    #[prost(fixed64, tag = "10")]
+    pub list_began: u64,
+    #[prost(uint64, tag = "11")]
+    pub list_began_era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Pull {
--- a/crates/sablepass-wire/src/lib.rs
+++ b/crates/sablepass-wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod convert;
 pub mod frame;
 pub mod notices;
+pub mod removals;
 pub mod suspects;
 pub mod turns;
 
--- a/crates/sablepass-wire/tests/wire.rs
+++ b/crates/sablepass-wire/tests/wire.rs
@@ -17,7 +17,7 @@
 use sablepass_wire::frame::Codec;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
-use sablepass_wire::{convert, frame, notices, turns};
+use sablepass_wire::{convert, frame, notices, removals, turns};
 
 const ATTEMPT: AttemptId = AttemptId { request: RequestId(77), number: 3 };
 
@@ -254,3 +254,12 @@
         assert_eq!(convert::report(&told).is_ok(), taken, "{entries} entries");
     }
 }
+
+#[test]
+fn verify_removals_survive_the_wire() {
+    let told = [("i-1", Revision::new(1, 129)), ("i-2", Revision::new(2, 7))];
+    let Body::Removals(it) = removals::body(&told) else { panic!("removals") };
+    assert_eq!(removals::parse(&it).expect("valid"), told);
+    let nameless = wire::Removals { removals: vec![wire::Removal::default()] };
+    assert!(removals::parse(&nameless).is_err());
+}
