--- a/crates/sablepass-entry/src/notices.rs
+++ b/crates/sablepass-entry/src/notices.rs
@@ -197,11 +197,16 @@
             return;
         };
         let now = clock::now();
+        let mut news = Vec::new();
         for it in told.leaving {
-            if self.keeps_word(it) {
-                self.target_leaves(now, it, Source::Told);
+            if self.keeps_word(it) && self.target_leaves(now, it, Source::Told) {
+                news.push(it);
             }
         }
+        if !news.is_empty() {
+            // Entries that know each other by seeds are connected to those only.
+            self.tell(&Told { leaving: news, ..Told::default() });
+        }
         for (it, rate) in told.limits {
             if !self.keeps_word(it) {
                 continue;
