--- a/crates/sablepass-entry/src/notices.rs
+++ b/crates/sablepass-entry/src/notices.rs
@@ -181,6 +181,12 @@
         }
     }
 
+    /// Tells all entries which targets leave, and their limits, as one that did not run
+    /// meanwhile cannot learn it from the list any more.
+    pub(crate) fn repeat_notices(&self) {
+        self.watch.entries().for_each(|it| self.tell_all_notices(it));
+    }
+
     /// Tells an entry that connects which targets leave, and their limits.
     pub(crate) fn tell_all_notices(&self, peer: PeerKey) {
         let limits = self.targets.limits().map(|(it, limit)| (it, Some(limit.rate())));
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -39,6 +39,9 @@
             mesh::Event::Instances(instances, revision) => {
                 let changes = self.targets.list(clock::now(), &instances, revision.era);
                 self.report_listing(&changes, revision);
+                if changes.restored {
+                    self.repeat_notices();
+                }
                 for target in &changes.reborn {
                     self.pool.leave(target);
                     self.target_gone(cx, target);
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -34,6 +34,8 @@
     pub reborn: Vec<String>,
     /// Those of them whose last life still wanted to rest.
     pub rested: Vec<String>,
+    /// The list was restored from a copy.
+    pub restored: bool,
     /// Those that an earlier list did not name.
     pub found: Vec<String>,
     /// Those that the list names no more, or not in their present life.
@@ -74,8 +76,10 @@
         era: u64,
     ) -> Changes {
         let before = std::mem::replace(&mut self.era, era);
+        let mut changes = Changes::default();
         if before > 0 && before < era {
             self.restored = now;
+            changes.restored = true;
         }
         let first = self.learning.is_none();
         if !instances.is_empty() {
@@ -85,7 +89,6 @@
         self.listed_entries = entries;
         let leaving = instances.iter().filter(|(_, it)| it.leaving);
         self.leaving = leaving.map(|(name, _)| name.clone()).collect();
-        let mut changes = Changes::default();
         for (name, it) in instances.iter().filter(|(_, it)| it.role == Role::Target) {
             if self.is_former(now, name, it) {
                 continue;
