--- a/crates/sablepass-agent/src/keeper.rs
+++ b/crates/sablepass-agent/src/keeper.rs
@@ -153,8 +153,8 @@
                 self.declare_group(&it);
             }
             mesh::Event::Entries(_) => {}
-            mesh::Event::Instances(it, _) => {
-                let me = it.get(&self.settings.node.name);
+            mesh::Event::Instances(it) => {
+                let me = it.instances.get(&self.settings.node.name);
                 if me.is_some_and(|it| it.leaving) {
                     self.leave("instance list");
                 }
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -174,8 +174,8 @@
                 let list = self.ranks.message(clock::now(), peer, body);
                 self.carry_out(list.unwrap_or_default());
             }
-            mesh::Event::Instances(it, _) => {
-                self.instances = it;
+            mesh::Event::Instances(it) => {
+                self.instances = it.instances;
                 self.meet_group();
             }
             // Entries tell what is needed of the configuration.
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod membership;
 pub mod notices;
 pub mod once;
+pub mod outage;
 pub mod outcome;
 pub mod pass;
 pub mod reason;
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -114,11 +114,22 @@
     /// A new configuration is in force here.
     Config(Rc<Catalogue>),
     /// The instance list changed.
-    Instances(Rc<BTreeMap<String, Instance>>, Revision),
+    Instances(Listing),
     /// Names of the entries that there are, without this process.
     Entries(Vec<String>),
 }
 
+/// The instance list.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    /// The instances, by name.
+    pub instances: Rc<BTreeMap<String, Instance>>,
+    /// Its revision.
+    pub revision: Revision,
+    /// When its service last came back; 0 if it never was away.
+    pub back: Millis,
+}
+
 /// Who this process is.
 #[derive(Clone, Debug)]
 pub struct Identity {
--- a/crates/sablepass-edge/src/mesh/held.rs
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -16,7 +16,7 @@
 use stakker::{CX, call};
 
 use crate::clock;
-use crate::mesh::{Event, Mesh, Peer, PeerKey};
+use crate::mesh::{Event, Listing, Mesh, Peer, PeerKey};
 use crate::reader;
 
 impl Mesh {
@@ -106,8 +106,12 @@
                 self.owner.fwd(Event::Config(Rc::new(catalogue)));
             }
             Some(What::Instances) => {
-                let instances = self.spread.instances().clone();
-                self.owner.fwd(Event::Instances(instances, self.spread.list_revision()));
+                let listing = Listing {
+                    instances: self.spread.instances().clone(),
+                    revision: self.spread.list_revision(),
+                    back: self.spread.back(),
+                };
+                self.owner.fwd(Event::Instances(listing));
                 self.place(cx);
             }
         }
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -23,6 +23,7 @@
 use sablepass_core::declaration;
 use sablepass_core::duty;
 use sablepass_core::id::Millis;
+use sablepass_core::outage::Outages;
 use sablepass_core::reason::Ignored;
 use sablepass_core::revision::Revision;
 use sablepass_wire::convert;
@@ -33,7 +34,7 @@
 use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
 
 use crate::instance::{Instance, Role};
-use crate::reader::{self, Form, Order, Problem, Read, Reader};
+use crate::reader::{self, Batch, Form, Order, Problem, Read, Reader};
 use crate::settings::Node;
 use crate::telemetry::Metrics;
 use crate::unread::Unread;
@@ -53,6 +54,10 @@
 /// does not become a burst of calls.
 const WATCH_PACE: Millis = 50;
 
+/// Time beyond the wait of a call after which its answer is late: the service, which answers
+/// in milliseconds, was away meanwhile.
+const LATE: Millis = 500;
+
 /// Items that cannot be taken whose last line is remembered, so that the next
 /// read of everything does not repeat it.
 const MOST_BAD: usize = 1_024;
@@ -63,6 +68,8 @@
     reader: ActorOwn<Reader>,
     /// When the call that is under way was ordered.
     ordered: Option<Millis>,
+    /// When the last call is answered by a service that is well.
+    due: Millis,
     /// Whether the last call succeeded and was not stale.
     good: bool,
     /// Calls that failed in a row.
@@ -84,6 +91,7 @@
             store,
             reader,
             ordered: None,
+            due: 0,
             good: false,
             failures: 0,
             whole,
@@ -96,6 +104,7 @@
     fn order(&mut self, now: Millis, wait: Duration) {
         self.ordered = Some(now);
         let wait = if self.whole { Duration::ZERO } else { wait };
+        self.due = now + wait.as_millis() as Millis;
         let order = Order { after: self.store.revision(), wait, whole: self.whole };
         call!([self.reader], order(order));
     }
@@ -132,6 +141,8 @@
     started: Millis,
     /// When the service that readers share the reading of last answered anybody.
     fresh: Millis,
+    /// When the service of the instance list was away.
+    outages: Outages,
     /// Era of the platform's service, as its last answer names it.
     era: Option<u64>,
     /// Whether the last answer named an era that is not believed.
@@ -176,6 +187,7 @@
             entries: Vec::new(),
             started: now,
             fresh: 0,
+            outages: Outages::open(node.watch),
             era: None,
             doubted: false,
             untold: BTreeMap::new(),
@@ -226,6 +238,11 @@
         catalogue
     }
 
+    /// When the service of the instance list last came back; 0 if it never was away.
+    pub fn back(&self) -> Millis {
+        self.outages.back()
+    }
+
     /// The instances listed, by name.
     pub fn instances(&self) -> &Rc<BTreeMap<String, Instance>> {
         &self.instances
@@ -281,6 +298,9 @@
     /// What to ask a peer for, given what it holds.
     pub fn compare(&mut self, now: Millis, it: &wire::Digest) -> Vec<wire::Pull> {
         self.fresh = self.fresh.max(now.saturating_sub(Millis::from(it.age)));
+        if self.shared() == What::Instances {
+            self.outages.answered(self.fresh);
+        }
         let declarations = Digest {
             revision: Revision::new(it.era, it.revision),
             hash: it.hash,
@@ -412,7 +432,10 @@
     pub fn read(&mut self, now: Millis, read: Read) -> Option<What> {
         let what = read.what;
         let ordered = self.source(what).ordered.take().unwrap_or(now);
-        self.note_era(read.era);
+        self.note_era(now, read.era);
+        if what == What::Instances {
+            self.note_outage(now, &read.result);
+        }
         if let Some(e) = &read.doubt {
             self.report_doubt(what, e);
         }
@@ -494,14 +517,32 @@
         slog::warn!(self.log, "era not believed"; "what" => ?what, "error" => %e);
     }
 
+    /// Records whether the service of the instance list answered a call, and in time.
+    fn note_outage(&mut self, now: Millis, result: &Result<Batch, reader::Error>) {
+        let due = now.min(self.list.due);
+        match result {
+            Ok(_) | Err(reader::Error::History { .. } | reader::Error::Restored { .. }) => {
+                if now > due + LATE {
+                    self.outages.failed(due);
+                }
+                self.outages.answered(now);
+            }
+            Err(_) => self.outages.failed(due),
+        }
+    }
+
     /// A line when the service names another era.
-    fn note_era(&mut self, era: Option<u64>) {
-        let Some(now) = era else { return };
+    fn note_era(&mut self, now: Millis, era: Option<u64>) {
+        let Some(named) = era else { return };
         self.doubted = false;
-        let before = self.era.replace(now);
-        if before != era {
-            slog::info!(self.log, "platform era"; "before" => before, "now" => now);
-            self.metrics.era.set(i64::try_from(now).unwrap_or(i64::MAX));
+        let before = self.era.replace(named);
+        if before == era {
+            return;
+        }
+        slog::info!(self.log, "platform era"; "before" => before, "now" => named);
+        self.metrics.era.set(i64::try_from(named).unwrap_or(i64::MAX));
+        if before.is_some() {
+            self.outages.restored(now);
         }
     }
 
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -68,10 +68,11 @@
                 self.event(cx, id, attempt, Event::Chunk { offset, data });
             }
             client::Event::End { reusable, rest } => {
+                let now = clock::now();
                 let carried = self.pool.carried(key).copied();
-                let leaves = self.pool.target(key).is_some_and(|it| self.targets.has_left(it));
+                let leaves = self.pool.target(key).is_some_and(|it| self.targets.has_left(now, it));
                 if reusable && !leaves {
-                    self.pool.rest(clock::now(), key, rest);
+                    self.pool.rest(now, key, rest);
                 } else {
                     self.pool.close(key);
                 }
@@ -167,7 +168,7 @@
             self.pool.send_waiting(key);
             return;
         }
-        if self.pool.target(key).is_some_and(|it| self.targets.has_left(it)) {
+        if self.pool.target(key).is_some_and(|it| self.targets.has_left(now, it)) {
             self.pool.close(key);
         } else {
             self.pool.take_back(key);
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -36,9 +36,9 @@
                 self.want(cx);
                 self.tell_bounds();
             }
-            mesh::Event::Instances(instances, revision) => {
-                let changes = self.targets.list(clock::now(), &instances, revision.era);
-                self.report_listing(&changes, revision);
+            mesh::Event::Instances(it) => {
+                let changes = self.targets.list(clock::now(), &it);
+                self.report_listing(&changes, it.revision);
                 if changes.restored {
                     self.repeat_notices();
                 }
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -147,7 +147,7 @@
     pub(crate) fn broke_off(&mut self, cx: CX![], id: RequestId, target: &str) {
         let now = clock::now();
         let Some(open) = self.open.get(&id) else { return };
-        if self.targets.is_leaving(target) {
+        if self.targets.is_leaving(now, target) {
             // Its end is planned.
             return;
         }
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -71,12 +71,21 @@
     Direct(SocketAddr, Millis),
 }
 
+/// A target that the list names no more.
+#[derive(Clone, Copy, Debug)]
+struct Missing {
+    /// Since when.
+    since: Millis,
+    /// From when on it counts as gone, and gets no work.
+    gone: Millis,
+}
+
 /// A target of the instance list.
 #[derive(Clone, Debug)]
 struct Listed {
     instance: Instance,
-    /// Since when the list names it no more.
-    missing: Option<Millis>,
+    /// Set while the list names it no more.
+    missing: Option<Missing>,
     /// Another one answered at its address.
     misdirected: bool,
 }
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -4,7 +4,7 @@
 //! The list of targets: which are there, which have left, and which address is
 //! whose.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use sablepass_core::balance;
@@ -12,18 +12,16 @@
 use sablepass_core::id::{Life, Millis};
 use sablepass_core::revision::Revision;
 use sablepass_edge::instance::{Instance, Role};
+use sablepass_edge::mesh::Listing;
 
 use crate::pool::Destination;
-use crate::targets::{Listed, Targets};
+use crate::targets::{Listed, Missing, Targets};
 
-/// How long a target is still used that the list names no more. Entries of
-/// live targets that lapse in an outage are back soon after its end; one that
-/// ended refuses connections. Less than the time in which new work must stop.
-const LAPSE: Millis = 1_200;
-/// The same while most targets of the list are missing at once, as after an
-/// outage of the list's service, and after it was restored from a copy that lacks
-/// some: they are back within about two seconds.
-const LAPSE_OF_MANY: Millis = 3_000;
+/// Time from the return of the list's service in which targets that it names no more may have
+/// lapsed while it was away: those that live are back within about two seconds.
+const RETURN: Millis = 3_000;
+/// How long a target is remembered that the list names no more, for what it still runs.
+const KEEP: Millis = 1_200;
 
 /// What a new list changes.
 #[derive(Debug, Default)]
@@ -61,26 +59,30 @@
         Some(Destination { target, born: it.born, addr: it.addr })
     }
 
+    /// Whether the list names a target no more, and not because it lapsed.
+    pub(super) fn is_gone(&self, now: Millis, name: &str) -> bool {
+        let missing = self.listed.get(name).and_then(|it| it.missing);
+        missing.is_some_and(|it| now >= it.gone)
+    }
+
     /// Whether a target is leaving.
-    pub fn is_leaving(&self, name: &str) -> bool {
+    pub fn is_leaving(&self, now: Millis, name: &str) -> bool {
         let member = self.members.get(name);
-        let said = self.notices.leaves(self.life(name));
+        let said = self.has_left(now, self.life(name));
         said || member.is_some_and(|it| it.leaving) || self.leaving.iter().any(|it| it == name)
     }
 
     /// Takes a new instance list.
-    pub fn list(
-        &mut self,
-        now: Millis,
-        instances: &BTreeMap<String, Instance>,
-        era: u64,
-    ) -> Changes {
+    pub fn list(&mut self, now: Millis, list: &Listing) -> Changes {
+        let Listing { instances, revision, back } = list;
+        let era = revision.era;
         let before = std::mem::replace(&mut self.era, era);
         let mut changes = Changes::default();
         if before > 0 && before < era {
             self.restored = now;
             changes.restored = true;
         }
+        let back = self.restored.max(*back);
         let first = self.learning.is_none();
         if !instances.is_empty() {
             self.learning.get_or_insert(now);
@@ -119,7 +121,7 @@
         let missing: Vec<String> = self.listed.keys().filter(|it| !is_there(it)).cloned().collect();
         for name in missing {
             if let Some(it) = self.listed.get_mut(&name).filter(|it| it.missing.is_none()) {
-                it.missing = Some(now);
+                it.missing = Some(Missing { since: now, gone: now.max(back + RETURN) });
                 changes.missing.push(name);
             }
         }
@@ -130,7 +132,7 @@
     /// Whether the list was restored from a copy a moment ago, so that targets have yet to
     /// write their lines again.
     fn is_restored(&self, now: Millis) -> bool {
-        now < self.restored + LAPSE_OF_MANY
+        now < self.restored + RETURN
     }
 
     /// Whether a line of a restored list tells of an earlier life of a target than the one
@@ -142,10 +144,8 @@
 
     /// Drops targets that the list has not named for long enough.
     pub fn lapse(&mut self, now: Millis) -> Vec<String> {
-        let missing = self.listed.values().filter(|it| it.missing.is_some()).count();
-        let many = missing * 2 > self.listed.len() && missing > 1;
-        let span = if many || self.is_restored(now) { LAPSE_OF_MANY } else { LAPSE };
-        let over = |it: &Listed| it.missing.is_some_and(|since| now >= since + span);
+        let over =
+            |it: &Listed| it.missing.is_some_and(|it| now >= it.gone && now >= it.since + KEEP);
         let gone: Vec<String> =
             self.listed.iter().filter(|it| over(it.1)).map(|it| it.0.clone()).collect();
         for name in &gone {
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -44,9 +44,9 @@
         }
     }
 
-    /// Whether a request may go to a target, by what that said of itself.
+    /// Whether a request may go to a target, by what that said of itself and by the list.
     pub fn takes(&self, now: Millis, it: Life<'_>) -> bool {
-        !self.notices.leaves(it) && self.notices.rests(now, it).is_none()
+        !self.has_left(now, it) && self.notices.rests(now, it).is_none()
     }
 
     /// The lives of targets that said that they leave.
@@ -54,9 +54,9 @@
         self.notices.leaving()
     }
 
-    /// Whether a life of a target said that it leaves.
-    pub fn has_left(&self, it: Life<'_>) -> bool {
-        self.notices.leaves(it)
+    /// Whether a life of a target said that it leaves, or its line was removed.
+    pub fn has_left(&self, now: Millis, it: Life<'_>) -> bool {
+        self.notices.leaves(it) || self.is_gone(now, it.name)
     }
 
     /// Whether a target had asked for a rest, that goes on, before a request was sent there.
@@ -89,7 +89,7 @@
         if !names.iter().any(asked) || names.iter().any(|it| self.open_for(now, it)) {
             return None;
         }
-        let there = names.iter().filter(|it| !self.notices.leaves(self.life(it)));
+        let there = names.iter().filter(|it| !self.has_left(now, self.life(it)));
         there.filter_map(|it| Some(self.returns(now, it)?.max(rests(it).unwrap_or(0)))).min()
     }
 }
