--- a/crates/sablepass-core/src/notices.rs
+++ b/crates/sablepass-core/src/notices.rs
@@ -23,6 +23,10 @@
 /// largest fleet has.
 const MOST: usize = 16_384;
 
+/// By how much the clocks of two machines may differ. A target that said that it leaves, and
+/// starts anew at once, must not be taken for the life that said so.
+const SKEW: Millis = 5_000;
+
 /// What one life of a target said.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Notice {
@@ -127,10 +131,20 @@
         self.get(it)?.leaves
     }
 
+    /// When the life began of which anything is kept; 0 if nothing is.
+    pub fn born(&self, name: &str) -> Millis {
+        self.notices.get(name).map_or(0, |it| it.born)
+    }
+
     /// Records that the list names a target. True if that ends a rest: it is another life.
     pub fn listed(&mut self, now: Millis, it: Life<'_>) -> bool {
         let Some(notice) = self.notices.get_mut(it.name) else { return false };
         notice.unlisted = None;
+        let well_after = |since: Millis| since >= it.born.saturating_add(SKEW);
+        if notice.born < it.born && notice.leaves.is_some_and(well_after) {
+            // The list learns late of the life that said so.
+            *notice = Notice { born: it.born, leaves: notice.leaves, ..Notice::default() };
+        }
         let other = notice.born != it.born;
         let ends = other && now < notice.until;
         if other {
--- a/crates/sablepass-core/tests/notices.rs
+++ b/crates/sablepass-core/tests/notices.rs
@@ -94,6 +94,19 @@
     assert!(notices.is_empty());
 }
 
+/// The list may name a life long after it began: what a target said meanwhile, this life said.
+#[test]
+fn verify_a_word_outlasts_a_list_that_learns_late_of_its_life() {
+    for (said, leaves) in [(60_000, true), (NEXT.born + 1_000, false), (NEXT.born - 50, false)] {
+        let mut notices = Notices::default();
+        notices.leave(said, FIRST);
+        notices.listed(said + 10, NEXT);
+        assert_eq!(notices.leaves(NEXT), leaves, "said at {said}");
+        notices.listed(said + 20, FIRST);
+        assert!(!notices.leaves(FIRST), "a life that is over");
+    }
+}
+
 /// A fleet that is replaced time and again leaves nothing behind.
 #[test]
 fn verify_what_is_listed_no_more_is_forgotten() {
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -126,6 +126,8 @@
     pub instances: Rc<BTreeMap<String, Instance>>,
     /// Its revision.
     pub revision: Revision,
+    /// The earliest revision of its era at which anybody read it: later lines are no copies.
+    pub began: Revision,
     /// When its service last came back; 0 if it never was away.
     pub back: Millis,
 }
--- a/crates/sablepass-edge/src/mesh/held.rs
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -109,6 +109,7 @@
                 let listing = Listing {
                     instances: self.spread.instances().clone(),
                     revision: self.spread.list_revision(),
+                    began: self.spread.list_beginning(),
                     back: self.spread.back(),
                 };
                 self.owner.fwd(Event::Instances(listing));
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -223,6 +223,11 @@
         self.list.store.revision()
     }
 
+    /// The earliest revision of the list's era at which anybody is known to have read it.
+    pub fn list_beginning(&self) -> Revision {
+        self.list.store.beginning()
+    }
+
     /// Time since the service that readers share the reading of last answered
     /// anybody, as far as this process can have heard of it.
     pub fn age(&self, now: Millis) -> Millis {
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -74,7 +74,7 @@
 
     /// Takes a new instance list.
     pub fn list(&mut self, now: Millis, list: &Listing) -> Changes {
-        let Listing { instances, revision, back } = list;
+        let Listing { instances, revision, began, back } = list;
         let era = revision.era;
         let before = std::mem::replace(&mut self.era, era);
         let mut changes = Changes::default();
@@ -92,7 +92,7 @@
         let leaving = instances.iter().filter(|(_, it)| it.leaving);
         self.leaving = leaving.map(|(name, _)| name.clone()).collect();
         for (name, it) in instances.iter().filter(|(_, it)| it.role == Role::Target) {
-            if self.is_former(now, name, it) {
+            if self.is_former(name, it, *began) {
                 continue;
             }
             if self.listed.get(name).is_some_and(|known| known.instance.born != it.born) {
@@ -117,7 +117,7 @@
             }
         }
         let is_there =
-            |name: &String| instances.get(name).is_some_and(|it| !self.is_former(now, name, it));
+            |name: &String| instances.get(name).is_some_and(|it| !self.is_former(name, it, *began));
         let missing: Vec<String> = self.listed.keys().filter(|it| !is_there(it)).cloned().collect();
         for name in missing {
             if let Some(it) = self.listed.get_mut(&name).filter(|it| it.missing.is_none()) {
@@ -129,17 +129,13 @@
         changes
     }
 
-    /// Whether the list was restored from a copy a moment ago, so that targets have yet to
-    /// write their lines again.
-    fn is_restored(&self, now: Millis) -> bool {
-        now < self.restored + RETURN
-    }
-
-    /// Whether a line of a restored list tells of an earlier life of a target than the one
-    /// known. Later on it counts: the clock of a target that started anew may be behind.
-    fn is_former(&self, now: Millis, name: &str, line: &Instance) -> bool {
-        let known = self.listed.get(name).map_or(0, |it| it.instance.born);
-        self.is_restored(now) && line.born < known
+    /// Whether a line tells of an earlier life of a target than the one known, as a copy from
+    /// which the list was restored may. A line that was written later counts: the clock of a
+    /// target that started anew may be behind.
+    fn is_former(&self, name: &str, line: &Instance, began: Revision) -> bool {
+        let listed = self.listed.get(name).map_or(0, |it| it.instance.born);
+        let known = listed.max(self.notices.born(name));
+        line.born < known && line.revision <= began
     }
 
     /// Drops targets that the list has not named for long enough.
