--- a/crates/sablepass-stand/tests/common/mod.rs
+++ b/crates/sablepass-stand/tests/common/mod.rs
@@ -5,6 +5,8 @@
 
 #![allow(dead_code, reason = "each test program uses a part")]
 
+pub mod running;
+
 use std::thread;
 use std::time::{Duration, Instant};
 
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -4,10 +4,10 @@
 //! Targets leave while something else goes wrong. Entries send them nothing more, within
 //! the time that the users' platform allows.
 
+mod common;
+
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use sablepass_core::rendezvous;
@@ -16,111 +16,10 @@
 use sablepass_stand::replica::Replica;
 use sablepass_stand::site::{Pace, Site, ask};
 
-const ENTRIES: usize = 5;
-/// Entries that all others know from the start.
-const SEEDS: usize = 3;
+use crate::common::running::{DRAINS, ENTRIES, Running, SECOND, SEEDS, Way, late};
+
 /// Entries that read the list of targets; the others learn from them.
 const READERS: usize = 2;
-/// Milliseconds after which nothing more may reach a target that leaves.
-const DRAINS: u64 = 2_000;
-/// Time between two writes of a target's line.
-const BEAT: Duration = Duration::from_millis(300);
-/// Era of the store after it was restored.
-const SECOND: u64 = 2;
-
-/// How a target leaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Way {
-    /// Its line says so.
-    Draining,
-    /// Its line is removed.
-    Removed,
-}
-
-/// A site whose targets write their lines time after time, with callers at all entries.
-struct Running {
-    site: Site,
-    /// Targets that write their lines.
-    writers: Arc<Mutex<Vec<Replica>>>,
-    over: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl Running {
-    fn start(targets: usize) -> Self {
-        let mut site = Site::open(targets);
-        site.pace = Pace::Platform;
-        for _ in 0..ENTRIES {
-            site.add_entry_at("", SEEDS);
-        }
-        site.settle(targets);
-        let writers = Arc::new(Mutex::new(site.replicas.clone()));
-        let mut it = Self { site, writers, over: Arc::default(), threads: Vec::new() };
-        it.write_lines();
-        (0..ENTRIES).for_each(|entry| it.call(entry));
-        thread::sleep(Duration::from_secs(1));
-        it
-    }
-
-    fn write_lines(&mut self) {
-        let (store, writers, over) =
-            (self.site.store.clone(), self.writers.clone(), self.over.clone());
-        self.threads.push(thread::spawn(move || {
-            while !over.load(Ordering::Relaxed) {
-                for it in writers.lock().unwrap_or_else(PoisonError::into_inner).iter() {
-                    store.put(&format!("servers/{}", it.id), &it.entry("ready"));
-                }
-                thread::sleep(BEAT);
-            }
-        }));
-    }
-
-    /// Has a caller send requests to an entry, named after it.
-    fn call(&mut self, entry: usize) {
-        let (addr, over) = (self.site.http(entry), self.over.clone());
-        self.threads.push(thread::spawn(move || {
-            let mut number = 0;
-            while !over.load(Ordering::Relaxed) {
-                ask("GET", "/safe/x", &format!("{entry}-{number}"), "").send(&addr);
-                number += 1;
-                thread::sleep(Duration::from_millis(10));
-            }
-        }));
-    }
-
-    /// Has a target leave, and write nothing more. When that was.
-    fn leave(&self, it: &Replica, way: Way) -> u64 {
-        let mut writers = self.writers.lock().unwrap_or_else(PoisonError::into_inner);
-        writers.retain(|other| other.id != it.id);
-        match way {
-            Way::Draining => self.site.list(it, "draining"),
-            Way::Removed => {
-                self.site.store.remove(&format!("servers/{}", it.id));
-            }
-        }
-        clock::now()
-    }
-
-    fn end(mut self) {
-        self.over.store(true, Ordering::Relaxed);
-        self.threads.drain(..).for_each(|it| it.join().expect("a thread ends"));
-    }
-}
-
-/// Requests that reached a target too late, by the entry that sent them. An entry that did
-/// not run all the time had no more time than the others since it does.
-fn late(it: &Replica, left: u64, runs: (usize, u64)) -> HashMap<usize, usize> {
-    let mut late = HashMap::new();
-    for arrival in it.arrivals() {
-        let (entry, _) = arrival.id.split_once('-').expect("a name");
-        let entry: usize = entry.parse().expect("a number");
-        let since = if entry == runs.0 { left.max(runs.1) } else { left };
-        if arrival.at > since + DRAINS {
-            *late.entry(entry).or_default() += 1;
-        }
-    }
-    late
-}
 
 fn none() -> HashMap<usize, usize> {
     HashMap::new()
