--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -58,6 +58,7 @@
 
     /// A line for each target that a new list speaks of in another way than the one before.
     fn report_listing(&self, changes: &Changes, revision: Revision) {
+        let now = clock::now();
         let said = [
             ("target listed", &changes.found),
             ("target missing", &changes.missing),
@@ -68,7 +69,7 @@
                 let line = self.targets.line(target);
                 slog::info!(self.log, "{}", text; "target" => target, "line" => line.number,
                     "born" => self.targets.born(target), "era" => revision.era,
-                    "revision" => revision.number);
+                    "revision" => revision.number, "used_for" => self.targets.used_for(now, target));
             }
         }
         for target in &changes.leaving {
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -65,6 +65,12 @@
         missing.is_some_and(|it| now >= it.gone)
     }
 
+    /// How much longer a target gets work that the list names no more; none if it names it.
+    pub fn used_for(&self, now: Millis, name: &str) -> Option<Millis> {
+        let missing = self.listed.get(name)?.missing?;
+        Some(missing.gone.saturating_sub(now))
+    }
+
     /// Whether a target is leaving.
     pub fn is_leaving(&self, now: Millis, name: &str) -> bool {
         let member = self.members.get(name);
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -66,7 +66,9 @@
 
     /// Whether a target was known to leave before a request was sent there.
     pub fn left_before(&self, it: Life<'_>, sent: Millis) -> bool {
-        self.notices.leaves_since(it).is_some_and(|since| sent > since)
+        let gone = self.listed.get(it.name).and_then(|it| it.missing).map(|it| it.gone);
+        let since = self.notices.leaves_since(it).into_iter().chain(gone).min();
+        since.is_some_and(|since| sent > since)
     }
 
     /// Targets that rest.
--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -43,6 +43,8 @@
 /// which what it lost is written again.
 const COPY_AGE: u64 = 1_500;
 const WRITTEN_AGAIN: Duration = Duration::from_millis(400);
+/// Time after a restore in which a line stays that nobody writes.
+const LEASE: Duration = Duration::from_secs(2);
 /// Time in which entries learn of a route before the store is struck.
 const KNOWN: Duration = Duration::from_millis(200);
 /// Replicas that stay listed at least.
@@ -340,6 +342,13 @@
                 self.ready.retain(|it| *it != who);
                 Some(who)
             }
+            Fault::ReplicaVanishes => {
+                let who = replica.filter(|_| self.ready.len() > LEAST)?;
+                self.ready.retain(|it| *it != who);
+                self.site.store.remove(&format!("servers/{}", self.site.replicas[who].id));
+                self.leaving.push((who, clock::now()));
+                None
+            }
             Fault::ReplicaAdded => {
                 self.add_replica();
                 None
@@ -425,6 +434,7 @@
             Fault::StoreRestored => self.restore(),
             Fault::EntryReloaded
             | Fault::ReplicaAdded
+            | Fault::ReplicaVanishes
             | Fault::StoreForgets
             | Fault::RouteAdded => {}
         }
@@ -453,7 +463,7 @@
             } else if self.draining.contains(&who) {
                 self.site.list(it, "draining");
             } else if !self.site.replicas[who + 1..].iter().any(|later| later.id == it.id) {
-                self.site.store.remove(&format!("servers/{}", it.id));
+                lapse(self.site.store.clone(), format!("servers/{}", it.id));
             }
         }
     }
@@ -488,6 +498,14 @@
     }
 }
 
+/// Removes a line that nobody writes any more, once its lease is over.
+fn lapse(store: keys::Store, key: String) {
+    std::thread::spawn(move || {
+        std::thread::sleep(LEASE);
+        store.remove(&key);
+    });
+}
+
 /// Ends a replica's proxy with it, so that its address refuses connections as the
 /// replica's own does.
 fn end_with(replica: Replica, proxy: u32) {
--- a/crates/sablepass-stand/src/soak/schedule.rs
+++ b/crates/sablepass-stand/src/soak/schedule.rs
@@ -38,6 +38,8 @@
     /// A replica says in its answers that it leaves while it is listed as ready, and goes for
     /// good after this.
     ReplicaTells,
+    /// A replica's line is removed, and it serves on.
+    ReplicaVanishes,
     /// Another replica is listed.
     ReplicaAdded,
     /// A replica's process ends, and starts again under its id after this.
@@ -174,6 +176,10 @@
     Fault::StoreRestored
 }
 
+fn vanish(_: &mut StdRng) -> Fault {
+    Fault::ReplicaVanishes
+}
+
 fn plan(rng: &mut StdRng, length: u64, fault: fn(&mut StdRng) -> Fault) -> Planned {
     Planned {
         at: rng.random_range(0..length),
@@ -185,7 +191,8 @@
 
 /// A schedule: four to twelve faults that overlap, up to four of targets' lives
 /// and up to four times that targets speak beside them, up to two limits that they
-/// name, and up to two restores of the store, in the order of their times.
+/// name, up to two restores of the store, and up to two targets that leave without a word, in
+/// the order of their times.
 pub fn draw(seed: u64, length: u64) -> Vec<Planned> {
     let mut rng = StdRng::seed_from_u64(seed);
     let count = rng.random_range(4..=12);
@@ -198,6 +205,8 @@
     list.extend((0..count).map(|_| limit(&mut rng, length)));
     let count = rng.random_range(0..=2);
     list.extend((0..count).map(|_| plan(&mut rng, length, restore)));
+    let count = rng.random_range(0..=2);
+    list.extend((0..count).map(|_| plan(&mut rng, length, vanish)));
     list.sort_by_key(|it| it.at);
     list
 }
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -223,3 +223,27 @@
     thread::sleep(Duration::from_secs(1));
     assert_eq!(late_within_a_second(&site, &leaving, told), none());
 }
+
+/// Nothing is sent to a target that leaves, also where there is no other: callers are told at
+/// once, and not that they had better not come back.
+#[test]
+fn verify_requests_are_refused_at_once_where_all_targets_left() {
+    let mut site = Site::open(2);
+    site.pace = Pace::Platform;
+    site.add_entry("");
+    site.settle(2);
+    let [told, removed] = [0, 1].map(|it| site.replicas[it].clone());
+    tell(&site, 0, &told);
+    let left = clock::now();
+    site.store.remove(&format!("servers/{}", removed.id));
+    thread::sleep(Duration::from_millis(DRAINS));
+    for _ in 0..20 {
+        let asked = Instant::now();
+        let answer = ask("GET", "/safe/x", "0-after", "").send(&site.http(0));
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(asked.elapsed() < Duration::from_millis(100), "{:?}", asked.elapsed());
+    }
+    for it in [&told, &removed] {
+        assert_eq!(late(it, left, (0, 0)), none());
+    }
+}
