--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -144,8 +144,6 @@
     metrics: Arc<Metrics>,
     caller: ActorOwn<Caller>,
     reading: Option<Reading>,
-    /// Replicas say when they started: a line that does not was not written by one.
-    dated: bool,
 }
 
 impl Reader {
@@ -161,7 +159,7 @@
         let caller = actor_new!(cx, Caller, ret_nop!());
         let answers = fwd_to!([cx], heard() as (Result<Answer, caller::Error>));
         call!([caller], Caller::init(addr, ANSWER_LIMIT, answers));
-        Some(Self { what, form, owner, metrics, caller, reading: None, dated: false })
+        Some(Self { what, form, owner, metrics, caller, reading: None })
     }
 
     /// Makes a read. One that is still under way is given up.
@@ -274,14 +272,14 @@
         Some(Ok(self.batch(true, order.after.min(revision), revision, items)))
     }
 
-    fn watched(&mut self, order: Order, body: &[u8]) -> Result<Batch, Error> {
+    fn watched(&self, order: Order, body: &[u8]) -> Result<Batch, Error> {
         let it = store::changes(body).context(PlatformSnafu)?;
         let revision = Revision::new(order.after.era, it.revision);
         Ok(self.batch(false, order.after, revision, it.changes))
     }
 
     fn batch(
-        &mut self,
+        &self,
         whole: bool,
         after: Revision,
         revision: Revision,
@@ -289,9 +287,8 @@
     ) -> Batch {
         let mut documents = Vec::new();
         let mut problems = Vec::new();
-        self.dated = self.dated || self.what == What::Instances && changes.iter().any(is_dated);
         for it in changes {
-            let (it, problem) = self.document(revision.era, it);
+            let (it, problem) = document(self.what, revision.era, it);
             documents.push(it);
             problems.extend(problem);
         }
@@ -299,39 +296,6 @@
         Batch { delta: Delta { after, revision, documents, whole }, problems }
     }
 
-    /// A store item as a document. Replicas become lines of the instance list; an
-    /// entry that cannot be taken names none, as if it were gone, after a watch as
-    /// after a read of everything. A declaration that cannot be read is one that is
-    /// refused: the last accepted one stays in force.
-    fn document(&self, era: u64, it: store::Change) -> (Document, Option<Problem>) {
-        let what = self.what;
-        let (key, revision) = (it.key, Revision::new(era, it.revision));
-        let body = it.value.and_then(|value| match (what, value) {
-            (What::Instances, Some(text)) => {
-                let replica = replica::decode(&key, &text)?;
-                if self.dated && replica.born == 0 {
-                    return Err(platform::Error::Undated { id: replica.id });
-                }
-                Ok(Some(line(replica).text()))
-            }
-            (_, value) => Ok(value),
-        });
-        let name = match what {
-            What::Instances => key.trim_start_matches(replica::PREFIX).to_owned(),
-            What::Declarations => key.clone(),
-        };
-        let (body, problem) = match body {
-            Ok(it) => (it, None),
-            Err(error) => {
-                let refused = (what == What::Declarations).then(String::new);
-                (refused, Some(Problem { key, revision, error }))
-            }
-        };
-        let removed = body.is_none();
-        let newest = Version { revision, body: body.unwrap_or_default() };
-        (Document { key: name, newest, removed, accepted: None }, problem)
-    }
-
     fn report(&mut self, read: Read) {
         let outcome = if read.result.is_ok() { "ok" } else { "failed" };
         self.metrics.reads.with_label_values(&[name(self.what), outcome]).inc();
@@ -364,10 +328,30 @@
     pub error: platform::Error,
 }
 
-/// Whether a store item is the entry of a replica that says when it started.
-fn is_dated(it: &store::Change) -> bool {
-    let Ok(Some(text)) = &it.value else { return false };
-    replica::decode(&it.key, text).is_ok_and(|it| it.born > 0)
+/// A store item as a document. Replicas become lines of the instance list; an
+/// entry that cannot be taken names none, as if it were gone, after a watch as
+/// after a read of everything. A declaration that cannot be read is one that is
+/// refused: the last accepted one stays in force.
+fn document(what: What, era: u64, it: store::Change) -> (Document, Option<Problem>) {
+    let (key, revision) = (it.key, Revision::new(era, it.revision));
+    let body = it.value.and_then(|value| match (what, value) {
+        (What::Instances, Some(text)) => Ok(Some(line(replica::decode(&key, &text)?).text())),
+        (_, value) => Ok(value),
+    });
+    let name = match what {
+        What::Instances => key.trim_start_matches(replica::PREFIX).to_owned(),
+        What::Declarations => key.clone(),
+    };
+    let (body, problem) = match body {
+        Ok(it) => (it, None),
+        Err(error) => {
+            let refused = (what == What::Declarations).then(String::new);
+            (refused, Some(Problem { key, revision, error }))
+        }
+    };
+    let removed = body.is_none();
+    let newest = Version { revision, body: body.unwrap_or_default() };
+    (Document { key: name, newest, removed, accepted: None }, problem)
 }
 
 fn line(it: replica::Replica) -> Instance {
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -135,13 +135,14 @@
         changes
     }
 
-    /// Whether a line tells of an earlier life of a target than the one known, as a copy from
-    /// which the list was restored may. A line that was written later counts: the clock of a
-    /// target that started anew may be behind.
+    /// Whether a line does not tell of a target's present life: it tells of an earlier one than
+    /// the one known, as a copy from which the list was restored may, or of none, as one that
+    /// another writer left. A line that was written later counts: the clock of a target that
+    /// started anew may be behind.
     fn is_former(&self, name: &str, line: &Instance, began: Revision) -> bool {
         let listed = self.listed.get(name).map_or(0, |it| it.instance.born);
         let known = listed.max(self.notices.born(name));
-        line.born < known && line.revision <= began
+        line.born < known && (line.born == 0 || line.revision <= began)
     }
 
     /// Drops targets that the list has not named for long enough.
