--- a/crates/sablepass-edge/src/mesh/held.rs
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -16,6 +16,7 @@
 use stakker::{CX, call};
 
 use crate::clock;
+use crate::instance::Role;
 use crate::mesh::{Event, Listing, Mesh, Peer, PeerKey};
 use crate::reader;
 
@@ -76,10 +77,11 @@
         }
     }
 
-    /// Tells entries which removals they may not know.
-    pub(super) fn tell_removals(&mut self) {
+    /// Tells entries which removals they may not know. Only entries take lines from the
+    /// service, so only they can take a copy for a live one.
+    fn tell_removals(&mut self) {
         let untold = self.spread.take_untold();
-        if untold.is_empty() {
+        if untold.is_empty() || self.role != Role::Entry {
             return;
         }
         let untold: Vec<Removal<'_>> = untold.iter().map(|(key, at)| (key.as_str(), *at)).collect();
@@ -92,8 +94,10 @@
     /// Tells an entry that connects all removals.
     pub(super) fn tell_all_removals(&self, key: PeerKey) {
         let all = self.spread.removals();
-        let peer = self.peers.get(&key).filter(|it| it.entry().is_some());
-        if let Some(peer) = peer.filter(|_| !all.is_empty()) {
+        if all.is_empty() || self.role != Role::Entry {
+            return;
+        }
+        if let Some(peer) = self.peers.get(&key).filter(|it| it.entry().is_some()) {
             call!([peer.link], send(removals::body(&all)));
         }
     }
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -17,7 +17,6 @@
 use std::time::Duration;
 
 use sablepass_core::catalogue::Catalogue;
-use sablepass_core::config::list::Taken;
 use sablepass_core::config::verdict::{Check, Verdict};
 use sablepass_core::config::{Compare, Delta, Digest, Document, Store, What};
 use sablepass_core::declaration;
@@ -29,7 +28,6 @@
 use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
 use sablepass_wire::generated::frame::Body;
-use sablepass_wire::removals::Removal;
 use slog::Logger;
 use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
 
@@ -39,6 +37,9 @@
 use crate::telemetry::Metrics;
 use crate::unread::Unread;
 
+mod removals;
+mod report;
+
 /// Bytes of documents in one delta.
 const DELTA_SIZE: usize = 512 * 1024;
 /// Time beyond its wait after which an outstanding watch no longer counts as good.
@@ -375,44 +376,6 @@
         }
     }
 
-    /// Takes what a peer tells of removals. Returns what changed.
-    pub fn take_removals(&mut self, told: &[Removal<'_>]) -> Option<What> {
-        let mut changed = false;
-        for &(key, at) in told {
-            let taken = self.list.store.take_removal(key, at);
-            if taken == Taken::Known {
-                continue;
-            }
-            self.untold.insert(key.to_owned(), at);
-            if taken == Taken::Listed {
-                slog::warn!(self.log, "instance listed that left before"; "key" => key,
-                    "era" => at.era, "revision" => at.number);
-                self.metrics.ignored(Ignored::FormerLine);
-                changed = true;
-            }
-        }
-        changed.then(|| {
-            self.note(What::Instances);
-            What::Instances
-        })
-    }
-
-    /// The removals that are remembered, for a peer that may not know them.
-    pub fn removals(&self) -> Vec<Removal<'_>> {
-        self.list.store.removals().collect()
-    }
-
-    /// The removals that other entries have to be told of: those that were told here as news,
-    /// and all once the list is of a later era.
-    pub fn take_untold(&mut self) -> BTreeMap<String, Revision> {
-        let era = self.list.store.revision().era;
-        if std::mem::replace(&mut self.told_in, era) != era {
-            let all = self.list.store.removals().map(|(key, at)| (key.to_owned(), at));
-            self.untold.extend(all);
-        }
-        std::mem::take(&mut self.untold)
-    }
-
     fn note(&mut self, what: What) {
         if what == What::Instances {
             self.instances = Rc::new(self.parse_instances());
@@ -496,32 +459,6 @@
         None
     }
 
-    /// A line and a count for documents whose operator's number is too low, and for lines of
-    /// instances that left.
-    fn report_rejected(&mut self, what: What) {
-        let (text, reason) = match what {
-            What::Declarations => ("older version not taken", Ignored::OlderVersion),
-            What::Instances => ("line of an instance that left not taken", Ignored::FormerLine),
-        };
-        for it in self.source(what).store.take_rejected() {
-            if self.is_reported(what, &it.key, it.revision) {
-                continue;
-            }
-            slog::warn!(self.log, "{}", text; "key" => &it.key, "version" => it.version,
-                "era" => it.revision.era, "revision" => it.revision.number);
-            self.metrics.ignored(reason);
-        }
-    }
-
-    /// A count for each answer whose era is not believed, and a line for the first in a row.
-    fn report_doubt(&mut self, what: What, e: &sablepass_platform::Error) {
-        self.metrics.bad_items.with_label_values(&[e.label()]).inc();
-        if std::mem::replace(&mut self.doubted, true) {
-            return;
-        }
-        slog::warn!(self.log, "era not believed"; "what" => ?what, "error" => %e);
-    }
-
     /// Records whether the service of the instance list answered a call, and in time.
     fn note_outage(&mut self, now: Millis, result: &Result<Batch, reader::Error>) {
         let due = now.min(self.list.due);
@@ -551,26 +488,6 @@
         }
     }
 
-    /// Whether a version that cannot be taken is known as such.
-    fn is_reported(&mut self, what: What, key: &str, revision: Revision) -> bool {
-        let bad = &mut self.source(what).bad;
-        if bad.len() >= MOST_BAD && !bad.contains_key(key) {
-            bad.clear();
-        }
-        bad.insert(key.to_owned(), revision) == Some(revision)
-    }
-
-    /// A line and a count for each change that cannot be taken, not for each read.
-    fn report_problem(&mut self, what: What, it: &Problem) {
-        if self.is_reported(what, &it.key, it.revision) {
-            return;
-        }
-        slog::warn!(self.log, "item not taken"; "what" => ?what, "key" => &it.key,
-            "era" => it.revision.era, "revision" => it.revision.number, "reason" => it.error.label(), "error" => %it.error);
-        self.metrics.ignored(Ignored::BadDocument);
-        self.metrics.bad_items.with_label_values(&[it.error.label()]).inc();
-    }
-
     fn failed(&mut self, now: Millis, what: What, e: &reader::Error) {
         let source = self.source(what);
         match e {
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -150,7 +150,6 @@
                 "sent_to_resting_total",
                 "Requests sent to targets that rested: a fault",
             )?,
-
             sent_to_leaving: counter(
                 r,
                 "sent_to_leaving_total",
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -7,12 +7,15 @@
 mod common;
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use sablepass_core::rendezvous;
 use sablepass_edge::clock;
-use sablepass_stand::client::{metric, wait_for};
+use sablepass_stand::client::{control, metric, wait_for};
+use sablepass_stand::process::Process;
+use sablepass_stand::ranks;
 use sablepass_stand::replica::Replica;
 use sablepass_stand::site::{Pace, Site, ask};
 
@@ -247,3 +250,27 @@
         assert_eq!(late(it, left, (0, 0)), none());
     }
 }
+
+/// Agents hold the list as well, and tell entries nothing of what left.
+#[test]
+fn verify_agents_tell_entries_nothing_of_removals() {
+    let mut site = Site::open(3);
+    site.add_entry("");
+    site.settle(3);
+    let machine = ranks::machine();
+    let at = SocketAddr::new(machine, ranks::free_port_at(&[machine]));
+    let agent = site.add_agent(at, site.replicas[1].addr);
+    let knows = |agent: &Process| {
+        let status = control(&agent.addr("admin"), "GET", "/status", "");
+        status["instances"].as_u64()
+    };
+    wait_for("the agent has the list", || knows(&agent) == Some(3));
+    let copy = site.store.copy();
+    site.store.remove(&format!("servers/{}", site.replicas[0].id));
+    wait_for("the agent knows who left", || knows(&agent) == Some(2));
+    site.store.restore(&copy, SECOND);
+    site.list(&site.replicas[1], "ready");
+    thread::sleep(Duration::from_secs(2));
+    let bad = metric(&site.entries[0].addr("admin"), "sablepass_ignored_total", "bad-frame");
+    assert_eq!(bad, 0.0);
+}
