--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -32,7 +32,7 @@
 use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
 
 use crate::instance::{Instance, Role};
-use crate::reader::{self, Batch, Form, Order, Problem, Read, Reader};
+use crate::reader::{self, Batch, Form, Order, Read, Reader};
 use crate::settings::Node;
 use crate::telemetry::Metrics;
 use crate::unread::Unread;
