--- a/crates/sablepass-core/src/notices.rs
+++ b/crates/sablepass-core/src/notices.rs
@@ -23,8 +23,8 @@
 /// largest fleet has.
 const MOST: usize = 16_384;
 
-/// By how much the clocks of two machines may differ. A target that said that it leaves, and
-/// starts anew at once, must not be taken for the life that said so.
+/// By how much the clocks of two machines may differ: what a target said just before it
+/// started anew is not taken for a word of its next life.
 const SKEW: Millis = 5_000;
 
 /// What one life of a target said.
@@ -43,6 +43,20 @@
 }
 
 impl Notice {
+    /// Whether it says anything that still holds.
+    fn holds(&self, now: Millis) -> bool {
+        self.leaves.is_some() || now < self.until || self.limit.is_some()
+    }
+
+    /// What of it was said by the life that began at `born`: all that was said well after that.
+    fn said_by(&self, born: Millis) -> Self {
+        let own = |since: Millis| since >= born.saturating_add(SKEW);
+        let (since, until) = if own(self.since) { (self.since, self.until) } else { (0, 0) };
+        let leaves = self.leaves.filter(|it| own(*it));
+        let limit = self.limit.filter(|it| own(it.since()));
+        Self { born, since, until, leaves, limit, unlisted: None }
+    }
+
     /// Changes the limit, if there is one.
     fn change(
         &mut self,
@@ -140,17 +154,19 @@
     pub fn listed(&mut self, now: Millis, it: Life<'_>) -> bool {
         let Some(notice) = self.notices.get_mut(it.name) else { return false };
         notice.unlisted = None;
-        let well_after = |since: Millis| since >= it.born.saturating_add(SKEW);
-        if notice.born < it.born && notice.leaves.is_some_and(well_after) {
-            // The list learns late of the life that said so.
-            *notice = Notice { born: it.born, leaves: notice.leaves, ..Notice::default() };
+        if notice.born == it.born {
+            return false;
         }
-        let other = notice.born != it.born;
-        let ends = other && now < notice.until;
-        if other {
+        let rested = now < notice.until;
+        // The list may learn late of the life that said it.
+        let own = if notice.born < it.born { notice.said_by(it.born) } else { Notice::default() };
+        let rests = now < own.until;
+        if own.holds(now) {
+            *notice = own;
+        } else {
             self.notices.remove(it.name);
         }
-        ends
+        rested && !rests
     }
 
     /// Records that the list names a target no more.
@@ -164,7 +180,7 @@
     pub fn sweep(&mut self, now: Millis) {
         self.notices.retain(|_, it| {
             let lapsed = it.unlisted.is_some_and(|since| now >= since.saturating_add(LAPSED));
-            !lapsed && (it.leaves.is_some() || now < it.until || it.limit.is_some())
+            !lapsed && it.holds(now)
         });
     }
 
--- a/crates/sablepass-core/tests/notices.rs
+++ b/crates/sablepass-core/tests/notices.rs
@@ -4,7 +4,9 @@
 //! What targets said of themselves binds until its end, whatever else is heard.
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
+use sablepass_core::holders::Holders;
 use sablepass_core::id::Life;
+use sablepass_core::limits::Rate;
 use sablepass_core::notices::Notices;
 
 const FIRST: Life<'static> = Life { name: "i-1", born: 100 };
@@ -107,6 +109,24 @@
     }
 }
 
+/// What it wants of entries besides is judged word by word.
+#[test]
+fn verify_each_word_outlasts_a_list_that_learns_late_of_its_life() {
+    let holders = Holders::open("entry-1");
+    let rate = Rate::new(2.0).expect("a rate");
+    let (early, late) = (NEXT.born + 10, 60_000);
+    for (rests, limited) in [(early, late), (late, early), (late, late), (early, early)] {
+        let mut notices = Notices::default();
+        notices.rest(rests, FIRST, 200_000);
+        notices.told(limited, FIRST, Some(rate), &holders);
+        let ends = notices.listed(late + 10, NEXT);
+        let case = format!("rest at {rests}, limit at {limited}");
+        assert_eq!(notices.rests(late + 10, NEXT).is_some(), rests == late, "{case}");
+        assert_eq!(notices.limited(NEXT).is_some(), limited == late, "{case}");
+        assert_eq!(ends, rests == early, "{case}");
+    }
+}
+
 /// A fleet that is replaced time and again leaves nothing behind.
 #[test]
 fn verify_what_is_listed_no_more_is_forgotten() {
