--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -14,6 +14,7 @@
 use sablepass_core::rendezvous;
 use sablepass_edge::clock;
 use sablepass_stand::client::{control, metric, wait_for};
+use sablepass_stand::keys::Mode;
 use sablepass_stand::process::Process;
 use sablepass_stand::ranks;
 use sablepass_stand::replica::Replica;
@@ -274,3 +275,33 @@
     let bad = metric(&site.entries[0].addr("admin"), "sablepass_ignored_total", "bad-frame");
     assert_eq!(bad, 0.0);
 }
+
+/// Lines of targets that live lapse while the store is away, or are not in its copy, and are
+/// back within two seconds of its return.
+#[test]
+fn verify_a_target_that_lapsed_while_the_store_was_away_is_used_meanwhile() {
+    for (mode, restored) in [(Mode::Down, false), (Mode::Silent, false), (Mode::Down, true)] {
+        let running = Running::start(3);
+        let store = &running.site.store;
+        let lapsed = running.site.replicas[0].clone();
+        store.set(mode);
+        thread::sleep(Duration::from_millis(1_500));
+        running.leave(&lapsed, Way::Removed);
+        let copy = store.copy();
+        thread::sleep(Duration::from_millis(1_500));
+        if restored {
+            store.restore(&copy, SECOND);
+        }
+        store.set(Mode::Up);
+        let back = clock::now();
+        thread::sleep(Duration::from_millis(1_900));
+        running.site.list(&lapsed, "ready");
+        thread::sleep(Duration::from_secs(2));
+        let end = clock::now();
+        running.end();
+        let arrivals = lapsed.arrivals().into_iter().map(|it| it.at).filter(|it| *it >= back);
+        let times: Vec<u64> = [back].into_iter().chain(arrivals).chain([end]).collect();
+        let longest = times.windows(2).map(|it| it[1] - it[0]).max().expect("two times");
+        assert!(longest < 1_000, "{mode:?}, restored: {restored}: nothing for {longest} ms");
+    }
+}
