--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -23,7 +23,7 @@
 /// How long a target is remembered that the list names no more, for what it still runs.
 const KEEP: Millis = 1_200;
 
-/// What a new list changes.
+/// What a new list says of targets that the one before did not.
 #[derive(Debug, Default)]
 pub struct Changes {
     /// Those that are gone for good.
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -305,3 +305,30 @@
         assert!(longest < 1_000, "{mode:?}, restored: {restored}: nothing for {longest} ms");
     }
 }
+
+/// An entry remembers a removal that the others have forgotten, since the target has written
+/// its line again after the restore: how early the others read tells it from the copy's.
+#[test]
+fn verify_an_entry_that_wakes_beside_a_restore_uses_a_target_that_is_back() {
+    let running = Running::start(3);
+    let copy = running.site.store.copy();
+    let back = running.site.replicas[0].clone();
+    let sleeper = ENTRIES - 1;
+    running.leave(&back, Way::Removed);
+    thread::sleep(Duration::from_secs(1));
+    running.site.entries[sleeper].pause();
+    running.site.store.restore(&copy, SECOND);
+    thread::sleep(Duration::from_secs(1));
+    running.site.list(&back, "ready");
+    thread::sleep(Duration::from_secs(1));
+    running.site.entries[sleeper].wake();
+    let woke = clock::now();
+    let sent = || {
+        let arrivals = back.arrivals();
+        let own = arrivals.iter().filter(|it| it.at > woke);
+        own.filter(|it| it.id.starts_with(&format!("{sleeper}-"))).count()
+    };
+    thread::sleep(Duration::from_secs(3));
+    assert!(sent() > 0, "it does not use the target");
+    running.end();
+}
