--- a/crates/sablepass-stand/src/keys.rs
+++ b/crates/sablepass-stand/src/keys.rs
@@ -159,6 +159,11 @@
         self.state.1.notify_all();
     }
 
+    /// Revision at which a key was last written or removed.
+    pub fn written(&self, key: &str) -> Option<u64> {
+        self.lock().items.get(key).map(|it| it.revision)
+    }
+
     /// Its revision, which every change raises.
     pub fn revision(&self) -> u64 {
         self.lock().revision
--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -498,11 +498,15 @@
     }
 }
 
-/// Removes a line that nobody writes any more, once its lease is over.
+/// Removes a line once its lease is over, unless it is written meanwhile: a replica may start
+/// anew under its id.
 fn lapse(store: keys::Store, key: String) {
+    let written = store.written(&key);
     std::thread::spawn(move || {
         std::thread::sleep(LEASE);
-        store.remove(&key);
+        if store.written(&key) == written {
+            store.remove(&key);
+        }
     });
 }
 
