Log and count outages that an entry concludes, and leaving lines that are overwritten

An entry uses a target whose line is missing for some seconds more if it believes that the list's service was unavailable. Nothing told how it came to believe so, nor whether a line that marks a target as leaving was overwritten before anyone read it, so the logs could not distinguish the hypotheses of the incident.

'instance list outage ended' has the evidence, the last answer before and the first one after; sablepass_list_outages_total counts them.

--- a/crates/sablepass-core/src/outage.rs
+++ b/crates/sablepass-core/src/outage.rs
@@ -14,6 +14,39 @@
 /// expires within it.
 const MIN_OUTAGE: Millis = 500;
 
+/// Observation from which an outage is concluded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// Calls of this process failed or were answered late.
+    FailedCalls,
+    /// No process is known to have received an answer.
+    NoAnswers,
+    /// The service was restored from a backup.
+    Restore,
+}
+
+impl Evidence {
+    /// Label in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::FailedCalls => "failed-calls",
+            Self::NoAnswers => "no-answers",
+            Self::Restore => "restore",
+        }
+    }
+}
+
+/// An outage that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outage {
+    /// Observation from which the outage is concluded.
+    pub evidence: Evidence,
+    /// Time of the first failure or of the last answer before the outage.
+    pub since: Millis,
+    /// Time of the first answer after the outage.
+    pub until: Millis,
+}
+
 /// Outage state of a service.
 #[derive(Debug)]
 pub struct Outages {
@@ -39,22 +72,27 @@
         self.failed_since.get_or_insert(due);
     }
 
-    /// Records that the service answered a call of any process.
-    pub fn answered(&mut self, at: Millis) {
+    /// Records that the service answered a call of any process. Returns the outage that this ends.
+    pub fn answered(&mut self, at: Millis) -> Option<Outage> {
         if at <= self.answered || self.failed_since.is_some_and(|since| at <= since) {
-            return;
-        }
-        let failed = self.failed_since.take().is_some_and(|since| at > since + MIN_OUTAGE);
-        let silent = self.answered > 0 && at > self.answered + self.max_idle + MIN_OUTAGE;
-        if failed || silent {
-            self.recovered_at = at;
+            return None;
         }
-        self.answered = at;
+        let failed = self.failed_since.take().filter(|since| at > since + MIN_OUTAGE);
+        let last = std::mem::replace(&mut self.answered, at);
+        let silent = last > 0 && at > last + self.max_idle + MIN_OUTAGE;
+        let (evidence, since) = match failed {
+            Some(since) => (Evidence::FailedCalls, since),
+            None if silent => (Evidence::NoAnswers, last),
+            None => return None,
+        };
+        self.recovered_at = at;
+        Some(Outage { evidence, since, until: at })
     }
 
     /// Records that the service was restored from a backup.
-    pub fn restored(&mut self, now: Millis) {
+    pub fn restored(&mut self, now: Millis) -> Outage {
         self.recovered_at = now;
+        Outage { evidence: Evidence::Restore, since: now, until: now }
     }
 
     /// End of the last outage or restore; 0 if there was none.
--- a/crates/sablepass-core/tests/outage.rs
+++ b/crates/sablepass-core/tests/outage.rs
@@ -11,7 +11,9 @@
 
 fn healthy(until: u64) -> Outages {
     let mut outages = Outages::open(MAX_IDLE);
-    (1_000..=until).step_by(1_900).for_each(|at| outages.answered(at));
+    for at in (1_000..=until).step_by(1_900) {
+        outages.answered(at);
+    }
     assert_eq!(
         outages.recovered_at(),
         0,
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -313,7 +313,8 @@
     pub fn compare(&mut self, now: Millis, peer: &wire::Digest) -> Vec<wire::Pull> {
         self.last_answer = self.last_answer.max(now.saturating_sub(Millis::from(peer.age)));
         if self.shared_service() == StoreKind::Instances {
-            self.outages.answered(self.last_answer);
+            let outage = self.outages.answered(self.last_answer);
+            self.report_outage(outage);
         }
         let declarations = Digest {
             revision: Revision::new(peer.era, peer.revision),
@@ -441,6 +442,9 @@
         source.failures = 0;
         source.next_call = now.max(started + interval);
         let mut delta = batch.delta;
+        if kind == StoreKind::Instances {
+            self.report_overwritten(&delta);
+        }
         let source = self.source(kind);
         source.full_read &= delta.whole.is_none();
         source.store.trim(&mut delta);
@@ -479,7 +483,8 @@
                 if now > due + LATE_ANSWER {
                     self.outages.failed(due);
                 }
-                self.outages.answered(now);
+                let outage = self.outages.answered(now);
+                self.report_outage(outage);
             }
             Err(_) => self.outages.failed(due),
         }
@@ -497,7 +502,8 @@
         slog::info!(self.log, "platform era changed"; "before" => before, "now" => named);
         self.metrics.era.set(i64::try_from(named).unwrap_or(i64::MAX));
         if before.is_some() {
-            self.outages.restored(now);
+            let outage = self.outages.restored(now);
+            self.report_outage(Some(outage));
         }
     }
 
--- a/crates/sablepass-edge/src/spread/report.rs
+++ b/crates/sablepass-edge/src/spread/report.rs
@@ -1,13 +1,15 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! Logs and counts items and eras of the platform that are rejected: once for each change of an
-//! item, not for each read.
+//! Logs and counts what processes conclude from reads of the platform: outages, and items and eras
+//! that are rejected. An item is reported once for each of its changes, not for each read.
 
-use sablepass_core::config::StoreKind;
+use sablepass_core::config::{Delta, Document, StoreKind};
+use sablepass_core::outage::Outage;
 use sablepass_core::reason::Ignored;
 use sablepass_core::revision::Revision;
 
+use crate::instance::Instance;
 use crate::reader::Problem;
 use crate::spread::{MAX_REJECTED_ITEMS, Replication};
 
@@ -33,6 +35,34 @@
         }
     }
 
+    /// Logs and counts an outage of the instance list's service that has ended.
+    pub(super) fn report_outage(&self, outage: Option<Outage>) {
+        let Some(outage) = outage else { return };
+        let evidence = outage.evidence.label();
+        self.metrics.list_outages.with_label_values(&[evidence]).inc();
+        slog::info!(self.log, "instance list outage ended"; "evidence" => evidence,
+            "since" => outage.since, "until" => outage.until);
+    }
+
+    /// Logs lines that mark an instance as leaving and are overwritten within the same answer, so
+    /// that the list never shows them.
+    pub(super) fn report_overwritten(&self, delta: &Delta) {
+        let is_leaving =
+            |it: &Document| Instance::parse(&it.newest.body).is_ok_and(|line| line.leaving);
+        for it in delta.documents.iter().filter(|it| is_leaving(it)) {
+            let overwrites = |other: &&Document| {
+                other.key == it.key
+                    && other.newest.revision > it.newest.revision
+                    && !other.removed
+                    && !is_leaving(other)
+            };
+            if let Some(later) = delta.documents.iter().find(overwrites) {
+                slog::warn!(self.log, "line of a leaving instance overwritten"; "key" => &it.key,
+                    "revision" => it.newest.revision.number, "by" => later.newest.revision.number);
+            }
+        }
+    }
+
     /// Counts each answer with an implausible era, and logs the first one in a row.
     pub(super) fn report_rejected_era(&mut self, kind: StoreKind, e: &sablepass_platform::Error) {
         self.metrics.bad_items.with_label_values(&[e.label()]).inc();
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -60,6 +60,8 @@
     pub expert_copies: IntCounterVec,
     /// Items of the platform that were rejected, by reason.
     pub bad_items: IntCounterVec,
+    /// Outages of the instance list's service that have ended, by the evidence for them.
+    pub list_outages: IntCounterVec,
     /// Suspensions of this process: its machine was suspended, or the process was stopped.
     pub sleeps: IntCounter,
     /// Targets by state: listed, connected to their agent, and usable now.
@@ -146,6 +148,12 @@
                 &["cause"],
             )?,
             bad_items: counters(r, "bad_items_total", "Items not taken", &["reason"])?,
+            list_outages: counters(
+                r,
+                "list_outages_total",
+                "Outages of the instance list's service that ended",
+                &["evidence"],
+            )?,
             sleeps: counter(r, "sleeps_total", "Times that the process woke")?,
             targets: gauges(r, "targets", "Targets by how they are known", &["state"])?,
             deaths: counters(r, "deaths_total", "Targets that ended under a request", &["source"])?,
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -41,6 +41,8 @@
     pub missing: Vec<String>,
     /// Targets that the list marks as leaving and that were not known to leave before.
     pub leaving: Vec<String>,
+    /// Targets that the list marked as leaving and now marks as ready, in the same incarnation.
+    pub contradicted: Vec<String>,
 }
 
 impl Targets {
@@ -105,6 +107,10 @@
             if self.is_outdated(name, instance, *first_read) {
                 continue;
             }
+            let known = self.listed.get(name).map(|it| &it.instance);
+            if known.is_some_and(|it| it.leaving && !instance.leaving && it.born == instance.born) {
+                changes.contradicted.push(name.clone());
+            }
             if self.listed.get(name).is_some_and(|known| known.instance.born != instance.born) {
                 // Everything known about the target belongs to another incarnation.
                 changes.restarted.push(name.clone());
