--- a/crates/sablepass-stand/tests/common/running.rs
+++ b/crates/sablepass-stand/tests/common/running.rs
@@ -52,6 +52,22 @@
 impl Running {
     /// Starts a site with this many targets and a caller at each entry.
     pub fn start(targets: usize) -> Self {
+        let mut running = Self::open(targets);
+        running.renew_entries();
+        running.call_all();
+        running
+    }
+
+    /// Like [`start`](Self::start), but targets do not renew their entries, so that the store
+    /// reports no changes other than those of the test. On the platform, a renewal that changes only
+    /// the liveness counter is no change.
+    pub fn start_quiet(targets: usize) -> Self {
+        let mut running = Self::open(targets);
+        running.call_all();
+        running
+    }
+
+    fn open(targets: usize) -> Self {
         let mut site = Site::open(targets);
         site.pace = Pace::Platform;
         for _ in 0..ENTRIES {
@@ -59,11 +75,12 @@
         }
         site.settle(targets);
         let writers = Arc::new(Mutex::new(site.replicas.clone()));
-        let mut running = Self { site, writers, stopped: Arc::default(), threads: Vec::new() };
-        running.renew_entries();
-        (0..ENTRIES).for_each(|entry| running.call(entry));
+        Self { site, writers, stopped: Arc::default(), threads: Vec::new() }
+    }
+
+    fn call_all(&mut self) {
+        (0..ENTRIES).for_each(|entry| self.call(entry));
         thread::sleep(Duration::from_secs(1));
-        running
     }
 
     fn renew_entries(&mut self) {
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -52,6 +52,45 @@
     }
 }
 
+/// Guards against entries that take the time between two reports of a quiet list for an outage
+/// of the store, and go on using a target whose line was removed.
+#[test]
+fn verify_a_target_removed_from_a_quiet_list_gets_no_late_requests() {
+    let removals = 8;
+    let running = Running::start_quiet(removals + 1);
+    let leaving = running.site.replicas[..removals].to_vec();
+    let mut left_at = Vec::new();
+    for (number, target) in leaving.iter().enumerate() {
+        // Reads and digests have intervals of whole seconds: removals come at varied phases.
+        thread::sleep(Duration::from_millis(3_000 + 137 * number as u64));
+        left_at.push(running.leave(target, Way::Removed));
+    }
+    thread::sleep(Duration::from_secs(4));
+    let late: Vec<_> =
+        leaving.iter().zip(left_at).map(|(target, at)| late(target, at, (0, 0))).collect();
+    running.end();
+    assert_eq!(late, vec![no_late_requests(); removals]);
+}
+
+/// Guards against an entry that takes its own suspension for an outage of the store, although
+/// its peers have read the store all the while, and goes on using a target whose line was removed.
+#[test]
+fn verify_an_entry_that_was_suspended_uses_no_target_removed_since() {
+    let running = Running::start_quiet(3);
+    let leaving = running.site.replicas[0].clone();
+    let suspended = ENTRIES - 1;
+    running.site.entries[suspended].pause();
+    thread::sleep(Duration::from_secs(4));
+    running.site.entries[suspended].resume();
+    let resumed_at = clock::now();
+    thread::sleep(Duration::from_millis(500));
+    let left_at = running.leave(&leaving, Way::Removed);
+    thread::sleep(Duration::from_secs(4));
+    let late = late(&leaving, left_at, (suspended, resumed_at));
+    running.end();
+    assert_eq!(late, no_late_requests());
+}
+
 /// The entries that read the instance list are paused; the others must learn of the leaving
 /// target without them.
 #[test]
