Entries exchange the periods in which the list's service answered any of them

What callers saw: requests reached a target up to 2.5 s after its line was removed, and failed there once it had ended.

Cause: a target whose line is missing after an outage of the store is used for three more seconds, since the line may have expired. Each process concluded such outages by itself, from the time between two answers that it knew of. A process that was suspended or lost contact took its own silence for one.

Change: core/outage.rs keeps the period in which the service has answered without a gap; digests carry it, and periods that touch are united. Only a gap that no process's answers cover is an outage, if it is longer than two seconds: no line expires in less. A peer's period that covers a gap withdraws the outage, and the use of missing targets with it. A period belongs to an era, so a restore still begins a new one, for all processes at the same time.

--- a/crates/sablepass-core/src/outage.rs
+++ b/crates/sablepass-core/src/outage.rs
@@ -1,18 +1,21 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! Detects outages of a service that all processes read, from this process's own calls and from
-//! what peers report of theirs.
+//! Tracks since when a service that all processes read has been available.
 //!
-//! An item that a healthy service stops listing was removed. An item missing after an outage may
+//! An item that an available service stops listing was removed. An item missing after an outage may
 //! merely have expired during the outage, and may be written again soon.
+//!
+//! A process that receives no answer cannot tell an outage from its own suspension or loss of
+//! contact, and one that makes no calls hears of only some answers. So processes exchange the
+//! periods in which the service answered any of them, and only a gap that none of these periods
+//! covers counts as an outage.
 
 use crate::id::Millis;
 
-/// Shortest failure that counts as an outage. A call that fails and succeeds when retried within
-/// this time was merely interrupted, as by a connection that is closed while in use; no item
-/// expires within it.
-const MIN_OUTAGE: Millis = 500;
+/// Longest time without an answer that is no outage. Instances renew their items about every second
+/// and expire after three missed renewals, so no item expires in a shorter outage.
+const MAX_GAP: Millis = 2_000;
 
 /// Observation from which an outage is concluded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,62 +44,110 @@
 pub struct Outage {
     /// Observation from which the outage is concluded.
     pub evidence: Evidence,
-    /// Time of the first failure or of the last answer before the outage.
+    /// Time of the last answer before the outage.
     pub since: Millis,
     /// Time of the first answer after the outage.
     pub until: Millis,
 }
 
-/// Outage state of a service.
-#[derive(Debug)]
-pub struct Outages {
-    /// Longest time between two answers of a healthy service.
-    max_idle: Millis,
-    /// Time of the last answer to any process; 0 before the first answer.
-    answered: Millis,
-    /// Start of the current outage.
-    failed_since: Option<Millis>,
-    /// End of the last outage or restore; 0 if there was none.
-    recovered_at: Millis,
+/// What an observation changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing, or the current period became longer.
+    None,
+    /// An outage has ended.
+    Ended(Outage),
+    /// There was no outage before the current period: another process received answers meanwhile.
+    Disproved,
+}
+
+/// A period in which a service answered without an outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Period {
+    /// Era of the service.
+    pub era: u64,
+    /// Time of the first answer.
+    pub since: Millis,
+    /// Time of the last answer.
+    pub until: Millis,
 }
 
-impl Outages {
-    /// Creates the state without an outage. A healthy service answers at least one process every
-    /// `max_idle` milliseconds.
-    pub fn open(max_idle: Millis) -> Self {
-        Self { max_idle, answered: 0, failed_since: None, recovered_at: 0 }
+impl Period {
+    /// Whether two periods are parts of a longer one.
+    fn touches(&self, other: &Self) -> bool {
+        self.since <= other.until.saturating_add(MAX_GAP)
+            && other.since <= self.until.saturating_add(MAX_GAP)
     }
+}
+
+/// The latest period in which a service was available.
+#[derive(Debug, Default)]
+pub struct Availability {
+    period: Option<Period>,
+    /// Time of the first answer to this process, unless a peer had reported one before. Nothing was
+    /// listed earlier that could have expired.
+    first: Option<Millis>,
+    /// Time of the last failure, if no call has succeeded since.
+    failed_at: Option<Millis>,
+}
 
-    /// Records a failed call whose answer was due at `due`.
+impl Availability {
+    /// Records that a call of this process failed; its answer was due at `due`.
     pub fn failed(&mut self, due: Millis) {
-        self.failed_since.get_or_insert(due);
+        self.failed_at = Some(due);
     }
 
-    /// Records that the service answered a call of any process. Returns the outage that this ends.
-    pub fn answered(&mut self, at: Millis) -> Option<Outage> {
-        if at <= self.answered || self.failed_since.is_some_and(|since| at <= since) {
-            return None;
+    /// Records the answer to a call of this process, which the service answered when it was due.
+    pub fn answered(&mut self, era: u64, started: Millis, at: Millis) -> Change {
+        let during = Period { era, since: started.max(at.saturating_sub(MAX_GAP)), until: at };
+        let continues = self.period.is_some_and(|it| it.era == era && it.touches(&during));
+        // After an outage, the call may have been waiting for the service to return.
+        let answer = Period { era, since: at, until: at };
+        if self.period.is_none() {
+            self.first = Some(at);
+        }
+        let change = self.observed(if continues { during } else { answer });
+        self.failed_at = None;
+        change
+    }
+
+    /// Records a period that this process or a peer observed.
+    pub fn observed(&mut self, period: Period) -> Change {
+        let Some(own) = self.period else {
+            self.period = Some(period);
+            return Change::None;
+        };
+        if period.era < own.era {
+            return Change::None;
         }
-        let failed = self.failed_since.take().filter(|since| at > since + MIN_OUTAGE);
-        let last = std::mem::replace(&mut self.answered, at);
-        let silent = last > 0 && at > last + self.max_idle + MIN_OUTAGE;
-        let (evidence, since) = match failed {
-            Some(since) => (Evidence::FailedCalls, since),
-            None if silent => (Evidence::NoAnswers, last),
-            None => return None,
+        let evidence = if period.era > own.era {
+            Evidence::Restore
+        } else if period.touches(&own) {
+            let since = own.since.min(period.since);
+            let until = own.until.max(period.until);
+            self.period = Some(Period { since, until, ..own });
+            let disproved = since.saturating_add(MAX_GAP) < own.since;
+            return if disproved { Change::Disproved } else { Change::None };
+        } else if period.until < own.until {
+            return Change::None;
+        } else if self.failed_at.is_some() {
+            Evidence::FailedCalls
+        } else {
+            Evidence::NoAnswers
         };
-        self.recovered_at = at;
-        Some(Outage { evidence, since, until: at })
+        self.period = Some(period);
+        Change::Ended(Outage { evidence, since: own.until, until: period.since })
     }
 
-    /// Records that the service was restored from a backup.
-    pub fn restored(&mut self, now: Millis) -> Outage {
-        self.recovered_at = now;
-        Outage { evidence: Evidence::Restore, since: now, until: now }
+    /// The latest period in which the service is known to have been available, if any.
+    pub fn period(&self) -> Option<Period> {
+        self.period
     }
 
-    /// End of the last outage or restore; 0 if there was none.
-    pub fn recovered_at(&self) -> Millis {
-        self.recovered_at
+    /// Since when the service is available: the end of the last outage or restore; 0 if none is
+    /// known.
+    pub fn since(&self) -> Millis {
+        let known = self.period.filter(|it| Some(it.since) != self.first);
+        known.map_or(0, |it| it.since)
     }
 }
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -129,8 +129,8 @@
     /// The earliest revision of the list's current era at which any process read the list. Lines
     /// with a later revision do not come from a restored backup.
     pub first_read: Revision,
-    /// Time at which the list's service last recovered from an outage; 0 if it had none.
-    pub recovered_at: Millis,
+    /// End of the last outage of the list's service; 0 if none is known.
+    pub available_since: Millis,
 }
 
 /// Identity of this process.
--- a/crates/sablepass-edge/src/mesh/held.rs
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -33,6 +33,9 @@
         for pull in self.replication.compare(now, message) {
             call!([peer.link], send(Body::Pull(pull)));
         }
+        if self.replication.merge_availability(now, message) {
+            self.publish_list();
+        }
     }
 
     pub(super) fn handle_pull(&mut self, key: PeerKey, message: &wire::Pull) {
@@ -110,19 +113,22 @@
                 self.owner.fwd(Event::Config(Rc::new(catalogue)));
             }
             Some(StoreKind::Instances) => {
-                let listing = Listing {
-                    instances: self.replication.instances().clone(),
-                    revision: self.replication.list_revision(),
-                    first_read: self.replication.list_first_read(),
-                    recovered_at: self.replication.recovered_at(),
-                };
-                self.owner.fwd(Event::Instances(listing));
+                self.publish_list();
                 self.update_endpoints(cx);
             }
         }
         self.send_digest_to_all();
     }
 
+    fn publish_list(&self) {
+        self.owner.fwd(Event::Instances(Listing {
+            instances: self.replication.instances().clone(),
+            revision: self.replication.list_revision(),
+            first_read: self.replication.list_first_read(),
+            available_since: self.replication.available_since(),
+        }));
+    }
+
     fn send_digest_to_all(&self) {
         self.send_digest(|_| true);
     }
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -22,7 +22,7 @@
 use sablepass_core::declaration;
 use sablepass_core::duty;
 use sablepass_core::id::Millis;
-use sablepass_core::outage::Outages;
+use sablepass_core::outage::{Availability, Change, Period};
 use sablepass_core::reason::Ignored;
 use sablepass_core::revision::Revision;
 use sablepass_wire::convert;
@@ -146,8 +146,8 @@
     started: Millis,
     /// Last time at which [`Self::shared_service`] is known to have answered any process.
     last_answer: Millis,
-    /// Outages of the instance list's service.
-    outages: Outages,
+    /// Availability of the instance list's service.
+    availability: Availability,
     /// Era named by the last answer of the platform's service.
     era: Option<u64>,
     /// Whether the last answer named an implausible era.
@@ -192,7 +192,7 @@
             entries: Vec::new(),
             started: now,
             last_answer: 0,
-            outages: Outages::open(node.watch),
+            availability: Availability::default(),
             era: None,
             era_rejected: false,
             unsent_removals: BTreeMap::new(),
@@ -248,9 +248,9 @@
         catalogue
     }
 
-    /// Time at which the instance list's service last recovered from an outage; 0 if it had none.
-    pub fn recovered_at(&self) -> Millis {
-        self.outages.recovered_at()
+    /// End of the last outage of the instance list's service; 0 if none is known.
+    pub fn available_since(&self) -> Millis {
+        self.availability.since()
     }
 
     /// The instances in the list, by name.
@@ -297,7 +297,7 @@
         wire::Digest {
             revision: declarations.revision.number,
             hash: declarations.hash,
-            age: u32::try_from(now.saturating_sub(self.last_answer)).unwrap_or(u32::MAX),
+            age: duration_ms(self.last_answer, now),
             list_revision: instances.revision.number,
             list_hash: instances.hash,
             list_since: instances.since.number,
@@ -306,16 +306,28 @@
             list_since_era: instances.since.era,
             list_began: self.list.store.first_read().number,
             list_began_era: self.list.store.first_read().era,
+            available: self.availability.period().map(|it| wire::Available {
+                era: it.era,
+                age: duration_ms(it.until, now),
+                duration: duration_ms(it.since, it.until),
+            }),
         }
     }
 
+    /// Merges the period in which a peer knows the instance list's service to have been available.
+    /// Returns whether that disproves an outage.
+    pub fn merge_availability(&mut self, now: Millis, peer: &wire::Digest) -> bool {
+        let Some(available) = &peer.available else { return false };
+        let until = now.saturating_sub(Millis::from(available.age));
+        let since = until.saturating_sub(Millis::from(available.duration));
+        let change = self.availability.observed(Period { era: available.era, since, until });
+        self.report_availability(change);
+        change == Change::Disproved
+    }
+
     /// Compares a peer's digest with this replica and returns the pulls to send to that peer.
     pub fn compare(&mut self, now: Millis, peer: &wire::Digest) -> Vec<wire::Pull> {
         self.last_answer = self.last_answer.max(now.saturating_sub(Millis::from(peer.age)));
-        if self.shared_service() == StoreKind::Instances {
-            let outage = self.outages.answered(self.last_answer);
-            self.report_outage(outage);
-        }
         let declarations = Digest {
             revision: Revision::new(peer.era, peer.revision),
             hash: peer.hash,
@@ -412,9 +424,9 @@
     pub fn read(&mut self, now: Millis, read: Read) -> Option<StoreKind> {
         let kind = read.kind;
         let started = self.source(kind).read_started.take().unwrap_or(now);
-        self.record_era(now, read.era);
+        self.record_era(read.era);
         if kind == StoreKind::Instances {
-            self.record_outage(now, &read.result);
+            self.record_availability(now, started, &read.result);
         }
         if let Some(e) = &read.rejected_era {
             self.report_rejected_era(kind, e);
@@ -474,25 +486,32 @@
         None
     }
 
-    /// Updates the record of outages of the instance list's service after a call. A late answer
-    /// counts as an outage that has ended.
-    fn record_outage(&mut self, now: Millis, result: &Result<Batch, reader::Error>) {
+    /// Updates the availability of the instance list's service after a call that began at
+    /// `started`. A late answer proves only that the service is available now.
+    fn record_availability(
+        &mut self,
+        now: Millis,
+        started: Millis,
+        result: &Result<Batch, reader::Error>,
+    ) {
         let due = now.min(self.list.answer_due);
         match result {
             Ok(_) | Err(reader::Error::HistoryGone { .. } | reader::Error::Restored { .. }) => {
-                if now > due + LATE_ANSWER {
-                    self.outages.failed(due);
+                let late = now > due + LATE_ANSWER;
+                if late {
+                    self.availability.failed(due);
                 }
-                let outage = self.outages.answered(now);
-                self.report_outage(outage);
+                let era = self.era.unwrap_or_default();
+                let started = if late { now } else { started };
+                let change = self.availability.answered(era, started, now);
+                self.report_availability(change);
             }
-            Err(_) => self.outages.failed(due),
+            Err(_) => self.availability.failed(due),
         }
     }
 
-    /// Records the era named by an answer. Logs a change, and records one after the first as a
-    /// restore.
-    fn record_era(&mut self, now: Millis, era: Option<u64>) {
+    /// Records the era named by an answer, and logs a change.
+    fn record_era(&mut self, era: Option<u64>) {
         let Some(named) = era else { return };
         self.era_rejected = false;
         let before = self.era.replace(named);
@@ -501,10 +520,6 @@
         }
         slog::info!(self.log, "platform era changed"; "before" => before, "now" => named);
         self.metrics.era.set(i64::try_from(named).unwrap_or(i64::MAX));
-        if before.is_some() {
-            let outage = self.outages.restored(now);
-            self.report_outage(Some(outage));
-        }
     }
 
     fn handle_failure(&mut self, now: Millis, kind: StoreKind, e: &reader::Error) {
@@ -631,3 +646,8 @@
         duty::is_reader(options, name, hall, &names, self.age(now))
     }
 }
+
+/// Milliseconds from one time to another, as they are sent to peers.
+fn duration_ms(from: Millis, to: Millis) -> u32 {
+    u32::try_from(to.saturating_sub(from)).unwrap_or(u32::MAX)
+}
--- a/crates/sablepass-edge/src/spread/report.rs
+++ b/crates/sablepass-edge/src/spread/report.rs
@@ -5,7 +5,7 @@
 //! that are rejected. An item is reported once for each of its changes, not for each read.
 
 use sablepass_core::config::{Delta, Document, StoreKind};
-use sablepass_core::outage::Outage;
+use sablepass_core::outage::Change;
 use sablepass_core::reason::Ignored;
 use sablepass_core::revision::Revision;
 
@@ -35,13 +35,20 @@
         }
     }
 
-    /// Logs and counts an outage of the instance list's service that has ended.
-    pub(super) fn report_outage(&self, outage: Option<Outage>) {
-        let Some(outage) = outage else { return };
-        let evidence = outage.evidence.label();
-        self.metrics.list_outages.with_label_values(&[evidence]).inc();
-        slog::info!(self.log, "instance list outage ended"; "evidence" => evidence,
-            "since" => outage.since, "until" => outage.until);
+    /// Logs and counts an outage of the instance list's service that has ended, and logs if there
+    /// was none.
+    pub(super) fn report_availability(&self, change: Change) {
+        match change {
+            Change::None => {}
+            Change::Ended(outage) => {
+                let evidence = outage.evidence.label();
+                self.metrics.list_outages.with_label_values(&[evidence]).inc();
+                slog::info!(self.log, "instance list outage ended"; "evidence" => evidence,
+                    "since" => outage.since, "until" => outage.until);
+            }
+            Change::Disproved => slog::info!(self.log, "instance list outage disproved by a peer";
+                "available_since" => self.availability.since()),
+        }
     }
 
     /// Logs lines that mark an instance as leaving and are overwritten within the same answer, so
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -156,8 +156,6 @@
     listed_entries: usize,
     /// Era of the instance list.
     era: u64,
-    /// When the list was last restored, which starts a later era.
-    restored_at: Millis,
     sharers: Sharers,
     /// Entries that hold the limits that targets announce.
     holders: Holders,
@@ -191,7 +189,6 @@
             connected_entries: 1,
             listed_entries: 0,
             era: 0,
-            restored_at: 0,
             sharers: Sharers::open(options.agent_port.is_some()),
             holders: Holders::open(&options.me),
             chooser: Chooser::open(policy),
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -86,15 +86,11 @@
 
     /// Applies a new instance list. Returns what changed.
     pub fn apply_list(&mut self, now: Millis, list: &Listing) -> Changes {
-        let Listing { instances, revision, first_read, recovered_at } = list;
+        let Listing { instances, revision, first_read, available_since } = list;
         let era = revision.era;
         let before = std::mem::replace(&mut self.era, era);
-        let mut changes = Changes::default();
-        if before > 0 && before < era {
-            self.restored_at = now;
-            changes.restored = true;
-        }
-        let back = self.restored_at.max(*recovered_at);
+        let restored = before > 0 && before < era;
+        let mut changes = Changes { restored, ..Changes::default() };
         let first = self.first_list_at.is_none();
         if !instances.is_empty() {
             self.first_list_at.get_or_insert(now);
@@ -137,10 +133,16 @@
         };
         let missing: Vec<String> = self.listed.keys().filter(|it| !is_there(it)).cloned().collect();
         for name in missing {
-            if let Some(listed) = self.listed.get_mut(&name).filter(|it| it.missing.is_none()) {
-                listed.missing =
-                    Some(Missing { since: now, gone_at: now.max(back + LIST_RECOVERY_GRACE) });
-                changes.missing.push(name);
+            let Some(listed) = self.listed.get_mut(&name) else { continue };
+            let gone_at = available_since + LIST_RECOVERY_GRACE;
+            match &mut listed.missing {
+                // An outage that a peer disproved does not count; a later outage does not extend
+                // the use of a target.
+                Some(missing) => missing.gone_at = missing.gone_at.min(gone_at.max(missing.since)),
+                None => {
+                    listed.missing = Some(Missing { since: now, gone_at: gone_at.max(now) });
+                    changes.missing.push(name);
+                }
             }
         }
         changes.gone = self.remove_expired(now);
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -366,6 +366,19 @@
     #[prost(fixed64, tag = "2")]
     pub born: u64,
 }
+/// Period in which the service of the instance list has been available, as far as the sender knows.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Available {
+    /// Era of the service.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// Milliseconds since the last answer of the period.
+    #[prost(uint32, tag = "2")]
+    pub age: u32,
+    /// Milliseconds from its first answer to its last one.
+    #[prost(uint32, tag = "3")]
+    pub duration: u32,
+}
 /// Revisions and hashes of the configuration and the instance list that a process has stored.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Digest {
@@ -397,6 +410,8 @@
     pub list_began: u64,
     #[prost(uint64, tag = "11")]
     pub list_began_era: u64,
+    #[prost(message, optional, tag = "12")]
+    pub available: ::core::option::Option<Available>,
 }
 /// Requests the documents that changed after a revision.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
