A removal after an outage of the store is honoured within the drain time

What callers saw: after an outage or a restore of the store, requests reached a target up to 3 s after its line was removed.

Cause: a missing target was used for three seconds from when a process noticed the store's return, since a running one whose line expired is listed again within two. The drain time is two seconds from the removal, and may begin as soon as the store is back.

Change: the latest time that keeps both promises is two seconds after the return, less the time in which a request is still on its way. The return is the first answer to any process, or 500 ms after the last failure that any process saw if that is earlier: so it does not depend on when somebody calls next. Failed reads are repeated after 400 ms at most, 800 before, so that the return is noticed within that time. A second outage or an era change does not extend the use of a target.

Longest time from the removal to the last arrival, in ms: 400 between two reads, 500 from the last failure to the assumed return and 1,400 from there, if the removal comes right after the return: 1,900, and 100 for the request. Without an outage: 400, and the way to the other entries.

--- a/crates/sablepass-core/src/outage.rs
+++ b/crates/sablepass-core/src/outage.rs
@@ -17,6 +17,10 @@
 /// and expire after three missed renewals, so no item expires in a shorter outage.
 const MAX_GAP: Millis = 2_000;
 
+/// Longest time from the last failed call to the assumed end of an outage. A process that calls
+/// rarely would otherwise take the end of an outage for much later than it was.
+const MAX_DETECTION: Millis = 500;
+
 /// Observation from which an outage is concluded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
@@ -66,6 +70,8 @@
 pub struct Period {
     /// Era of the service.
     pub era: u64,
+    /// Assumed end of the outage before the period, at or before the first answer.
+    pub recovered: Millis,
     /// Time of the first answer.
     pub since: Millis,
     /// Time of the last answer.
@@ -73,11 +79,24 @@
 }
 
 impl Period {
+    /// The time of a call that was answered at `until`.
+    fn of_call(era: u64, since: Millis, until: Millis) -> Self {
+        Self { era, recovered: since, since, until }
+    }
+
     /// Whether two periods are parts of a longer one.
     fn touches(&self, other: &Self) -> bool {
         self.since <= other.until.saturating_add(MAX_GAP)
             && other.since <= self.until.saturating_add(MAX_GAP)
     }
+
+    /// The period of which both are parts. The process that saw the last failure knows best when
+    /// the outage ended, unless another one had an answer before.
+    fn union(&self, other: &Self) -> Self {
+        let since = self.since.min(other.since);
+        let recovered = self.recovered.max(other.recovered).min(since);
+        Self { recovered, since, until: self.until.max(other.until), ..*self }
+    }
 }
 
 /// The latest period in which a service was available.
@@ -99,10 +118,11 @@
 
     /// Records the answer to a call of this process, which the service answered when it was due.
     pub fn answered(&mut self, era: u64, started: Millis, at: Millis) -> Change {
-        let during = Period { era, since: started.max(at.saturating_sub(MAX_GAP)), until: at };
+        let during = Period::of_call(era, started.max(at.saturating_sub(MAX_GAP)), at);
         let continues = self.period.is_some_and(|it| it.era == era && it.touches(&during));
         // After an outage, the call may have been waiting for the service to return.
-        let answer = Period { era, since: at, until: at };
+        let recovered = self.failed_at.map_or(at, |it| at.min(it.saturating_add(MAX_DETECTION)));
+        let answer = Period { recovered, ..Period::of_call(era, at, at) };
         if self.period.is_none() {
             self.first = Some(at);
         }
@@ -123,10 +143,9 @@
         let evidence = if period.era > own.era {
             Evidence::Restore
         } else if period.touches(&own) {
-            let since = own.since.min(period.since);
-            let until = own.until.max(period.until);
-            self.period = Some(Period { since, until, ..own });
-            let disproved = since.saturating_add(MAX_GAP) < own.since;
+            let union = own.union(&period);
+            self.period = Some(union);
+            let disproved = union.since.saturating_add(MAX_GAP) < own.since;
             return if disproved { Change::Disproved } else { Change::None };
         } else if period.until < own.until {
             return Change::None;
@@ -144,10 +163,9 @@
         self.period
     }
 
-    /// Since when the service is available: the end of the last outage or restore; 0 if none is
-    /// known.
-    pub fn since(&self) -> Millis {
+    /// End of the last outage or restore; 0 if none is known.
+    pub fn recovered_at(&self) -> Millis {
         let known = self.period.filter(|it| Some(it.since) != self.first);
-        known.map_or(0, |it| it.since)
+        known.map_or(0, |it| it.recovered)
     }
 }
--- a/crates/sablepass-core/tests/outage.rs
+++ b/crates/sablepass-core/tests/outage.rs
@@ -35,17 +35,32 @@
     let mut process = healthy(10_000);
     process.failed(10_100);
     assert_eq!(process.answered(0, 10_200, 10_300), Change::None);
-    assert_eq!(process.since(), 0, "neither this nor the first answer ends an outage");
+    assert_eq!(process.recovered_at(), 0, "neither this nor the first answer ends an outage");
 }
 
 #[test]
 fn verify_failures_for_longer_are_an_outage() {
     let mut process = healthy(10_000);
     [10_100, 10_300, 10_700, 11_500].into_iter().for_each(|at| process.failed(at));
+    process.failed(12_000);
     let outage = Outage { evidence: Evidence::FailedCalls, since: 10_000, until: 12_300 };
     assert_eq!(process.answered(0, 12_300, 12_300), Change::Ended(outage));
     assert_eq!(process.answered(0, 12_300, 14_300), Change::None);
-    assert_eq!(process.since(), 12_300, "a later answer does not move the end of the outage");
+    assert_eq!(
+        process.recovered_at(),
+        12_300,
+        "a later answer does not move the end of the outage"
+    );
+}
+
+/// Guards against an outage that seems to end only when a process that waits for a long time
+/// between its calls notices.
+#[test]
+fn verify_an_outage_ends_soon_after_the_last_failure() {
+    let mut process = healthy(10_000);
+    process.failed(13_000);
+    process.answered(0, 16_000, 16_000);
+    assert_eq!(process.recovered_at(), 13_500);
 }
 
 /// A process that makes no calls itself receives only the reports of its peers.
@@ -57,7 +72,7 @@
     reader.answered(0, 13_500, 13_500);
     let outage = Outage { evidence: Evidence::NoAnswers, since: 10_000, until: 13_500 };
     assert_eq!(report(&reader, &mut process), Change::Ended(outage));
-    assert_eq!(process.since(), 13_500);
+    assert_eq!(process.recovered_at(), 13_500);
 }
 
 /// Guards against an outage concluded from the time between two reports: of two answers in a row,
@@ -74,7 +89,7 @@
                 assert_eq!(report(&reader, &mut other), Change::None, "phase {phase}, at {now}");
             }
         }
-        assert_eq!(other.since(), WATCH, "the time of the first answer, phase {phase}");
+        assert_eq!(other.recovered_at(), WATCH, "the time of the first answer, phase {phase}");
     }
 }
 
@@ -86,9 +101,9 @@
     assert!(matches!(process.answered(0, 15_000, 15_000), Change::Ended(_)));
     let mut reader = healthy(14_900);
     report(&process, &mut reader);
-    assert_eq!(reader.since(), 0, "the process that lost contact convinces no peer");
+    assert_eq!(reader.recovered_at(), 0, "the process that lost contact convinces no peer");
     assert_eq!(report(&reader, &mut process), Change::Disproved);
-    assert_eq!(process.since(), 0);
+    assert_eq!(process.recovered_at(), 0);
 }
 
 #[test]
@@ -98,7 +113,10 @@
     let outage = Outage { evidence: Evidence::Restore, since: 10_000, until: 10_200 };
     assert_eq!(change, Change::Ended(outage));
     assert_eq!(report(&peer, &mut process), Change::None, "a report of an earlier era");
-    assert_eq!(process.period(), Some(Period { era: 1, since: 10_200, until: 10_200 }));
+    assert_eq!(
+        process.period(),
+        Some(Period { era: 1, recovered: 10_200, since: 10_200, until: 10_200 })
+    );
 }
 
 /// A process of the model below, with its pending call.
@@ -168,9 +186,12 @@
         for it in all.iter().chain(&all) {
             callers.iter_mut().for_each(|to| _ = to.availability.observed(*it));
         }
-        let since: Vec<u64> = callers.iter().map(|it| it.availability.since()).collect();
+        let recovered: Vec<u64> = callers.iter().map(|it| it.availability.recovered_at()).collect();
         let expected = if length > 0 { outage.end..outage.end + 500 } else { 0..1_000 };
-        let agree = since.iter().all(|it| expected.contains(it));
-        assert!(agree, "seed {seed}: available since {since:?}, expected within {expected:?}");
+        let agree = recovered.iter().all(|it| expected.contains(it));
+        assert!(
+            agree,
+            "seed {seed}: ends of the outage {recovered:?}, expected within {expected:?}"
+        );
     }
 }
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -130,7 +130,7 @@
     /// with a later revision do not come from a restored backup.
     pub first_read: Revision,
     /// End of the last outage of the list's service; 0 if none is known.
-    pub available_since: Millis,
+    pub recovered_at: Millis,
 }
 
 /// Identity of this process.
--- a/crates/sablepass-edge/src/mesh/held.rs
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -125,7 +125,7 @@
             instances: self.replication.instances().clone(),
             revision: self.replication.list_revision(),
             first_read: self.replication.list_first_read(),
-            available_since: self.replication.available_since(),
+            recovered_at: self.replication.recovered_at(),
         }));
     }
 
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -86,6 +86,13 @@
     },
 }
 
+impl Error {
+    /// Whether no answer arrived in time.
+    pub fn is_timeout(&self) -> bool {
+        matches!(self, Self::Call { source: caller::Error::Timeout })
+    }
+}
+
 /// Protocol by which the platform's services are read.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -49,7 +49,7 @@
 const RETRY_FIRST: Millis = 100;
 /// Maximum delay before a retry of a failed read: the end of an outage can go unnoticed for this
 /// long.
-const RETRY_MAX: Millis = 800;
+const RETRY_MAX: Millis = 400;
 /// Time allowed for a peer to answer a pull: some round trips and the transfer of a large document
 /// over a slow link.
 const PULL_TIMEOUT: Millis = 250;
@@ -249,8 +249,8 @@
     }
 
     /// End of the last outage of the instance list's service; 0 if none is known.
-    pub fn available_since(&self) -> Millis {
-        self.availability.since()
+    pub fn recovered_at(&self) -> Millis {
+        self.availability.recovered_at()
     }
 
     /// The instances in the list, by name.
@@ -310,6 +310,7 @@
                 era: it.era,
                 age: duration_ms(it.until, now),
                 duration: duration_ms(it.since, it.until),
+                detection: duration_ms(it.recovered, it.since),
             }),
         }
     }
@@ -320,7 +321,9 @@
         let Some(available) = &peer.available else { return false };
         let until = now.saturating_sub(Millis::from(available.age));
         let since = until.saturating_sub(Millis::from(available.duration));
-        let change = self.availability.observed(Period { era: available.era, since, until });
+        let recovered = since.saturating_sub(Millis::from(available.detection));
+        let period = Period { era: available.era, recovered, since, until };
+        let change = self.availability.observed(period);
         self.report_availability(change);
         change == Change::Disproved
     }
@@ -487,7 +490,8 @@
     }
 
     /// Updates the availability of the instance list's service after a call that began at
-    /// `started`. A late answer proves only that the service is available now.
+    /// `started`. A late answer proves only that the service is available now, and a call without
+    /// an answer that it was not when the answer was due.
     fn record_availability(
         &mut self,
         now: Millis,
@@ -506,7 +510,8 @@
                 let change = self.availability.answered(era, started, now);
                 self.report_availability(change);
             }
-            Err(_) => self.availability.failed(due),
+            Err(e) if e.is_timeout() => self.availability.failed(due),
+            Err(_) => self.availability.failed(now),
         }
     }
 
--- a/crates/sablepass-edge/src/spread/report.rs
+++ b/crates/sablepass-edge/src/spread/report.rs
@@ -47,7 +47,7 @@
                     "since" => outage.since, "until" => outage.until);
             }
             Change::Disproved => slog::info!(self.log, "instance list outage disproved by a peer";
-                "available_since" => self.availability.since()),
+                "since" => self.availability.period().map(|it| it.since)),
         }
     }
 
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -106,6 +106,7 @@
             stop_lead: settings.stop_lead,
             silence: settings.silence,
             group_stall: settings.stands,
+            drain: settings.drain,
             agent_port: settings.agent_port,
         };
         let policy = Policy::parse(&settings.policy).unwrap_or_default();
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -53,6 +53,10 @@
     /// Time for which a group of ranks stalls before it gives up a lost rank. Default 1,500.
     #[serde(default = "default_stands")]
     pub stands: u64,
+    /// Time within which the last request reaches a target after its line marks it as leaving or is
+    /// removed. Default 2,000.
+    #[serde(default = "default_drain")]
+    pub drain: u64,
     /// Timeout of a probe that asks an agent, after contact was lost, for the state of an attempt.
     /// Default 5,000.
     #[serde(default = "default_probe")]
@@ -142,6 +146,10 @@
     1_500
 }
 
+fn default_drain() -> u64 {
+    2_000
+}
+
 fn default_probe() -> u64 {
     flight::Options::default().probe_timeout
 }
@@ -185,6 +193,7 @@
             ("deadline", self.deadline),
             ("stall", self.stall),
             ("stands", self.stands),
+            ("drain", self.drain),
             ("probe", self.probe),
         ];
         for (key, value) in spans {
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -59,6 +59,8 @@
     pub silence: Millis,
     /// Time for which a group stalls before it gives up a lost rank.
     pub group_stall: Millis,
+    /// Time within which the last request reaches a target that leaves.
+    pub drain: Millis,
     /// Port of the agents on the machines of listed targets; none if there are no such agents.
     pub agent_port: Option<u16>,
 }
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -15,12 +15,13 @@
 use sablepass_edge::mesh::Listing;
 
 use crate::pool::Destination;
-use crate::targets::{Listed, Missing, Targets};
+use crate::targets::{Listed, Missing, Options, Targets};
 
-/// Time after the list's service became available again in which a target may be missing from the
-/// list only because its lease expired during the outage: running targets are listed again within
-/// about two seconds.
-const LIST_RECOVERY_GRACE: Millis = 3_000;
+/// Time after the end of an outage of the list's service by which running targets whose lines
+/// expired are listed again: two seconds, and the time to read the list.
+const RELIST_TIME: Millis = 2_500;
+/// Part of the drain time in which the end of an outage is noticed and the last request arrives.
+const DETECTION_TIME: Millis = 600;
 /// How long a target is kept that the list no longer contains, since requests may still run there.
 const MISSING_RETENTION: Millis = 1_200;
 
@@ -45,6 +46,15 @@
     pub contradicted: Vec<String>,
 }
 
+impl Options {
+    /// Time after the end of an outage of the list's service for which a missing target is used,
+    /// since its line may have expired. A target that is removed after the outage must get no
+    /// requests after its drain time.
+    fn expiry_grace(&self) -> Millis {
+        self.drain.saturating_sub(DETECTION_TIME).min(RELIST_TIME)
+    }
+}
+
 impl Targets {
     /// Start time of a target's current incarnation; 0 if unknown.
     pub fn started_at(&self, name: &str) -> Millis {
@@ -86,7 +96,7 @@
 
     /// Applies a new instance list. Returns what changed.
     pub fn apply_list(&mut self, now: Millis, list: &Listing) -> Changes {
-        let Listing { instances, revision, first_read, available_since } = list;
+        let Listing { instances, revision, first_read, recovered_at } = list;
         let era = revision.era;
         let before = std::mem::replace(&mut self.era, era);
         let restored = before > 0 && before < era;
@@ -134,7 +144,7 @@
         let missing: Vec<String> = self.listed.keys().filter(|it| !is_there(it)).cloned().collect();
         for name in missing {
             let Some(listed) = self.listed.get_mut(&name) else { continue };
-            let gone_at = available_since + LIST_RECOVERY_GRACE;
+            let gone_at = recovered_at + self.options.expiry_grace();
             match &mut listed.missing {
                 // An outage that a peer disproved does not count; a later outage does not extend
                 // the use of a target.
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -324,6 +324,52 @@
     assert_eq!(bad_frames, 0.0);
 }
 
+/// Guards against a time for expired lines to be written again that outlasts the drain time of a
+/// target whose line is removed soon after the store's return.
+#[test]
+fn verify_a_target_removed_after_an_outage_gets_no_late_requests() {
+    for (mode, outage_ms) in [(Mode::Down, 900), (Mode::Down, 3_000), (Mode::Silent, 3_000)] {
+        for after_ms in [50, 500] {
+            let running = Running::start_quiet(3);
+            let leaving = running.site.replicas[0].clone();
+            running.site.store.set(mode);
+            thread::sleep(Duration::from_millis(outage_ms));
+            running.site.store.set(Mode::Up);
+            thread::sleep(Duration::from_millis(after_ms));
+            let left_at = running.leave(&leaving, Way::Removed);
+            thread::sleep(Duration::from_secs(4));
+            let late = late(&leaving, left_at, (0, 0));
+            running.end();
+            let case = format!("{mode:?} for {outage_ms} ms, removed {after_ms} ms after");
+            assert_eq!(late, no_late_requests(), "{case}");
+        }
+    }
+}
+
+/// Guards against the same after the store was restored, also if it then fails once more.
+#[test]
+fn verify_a_target_removed_after_a_restore_gets_no_late_requests() {
+    for (after_ms, fails_again) in [(50, false), (500, false), (50, true)] {
+        let running = Running::start_quiet(3);
+        let leaving = running.site.replicas[0].clone();
+        let backup = running.site.store.backup();
+        running.site.store.restore(&backup, RESTORED_ERA);
+        thread::sleep(Duration::from_millis(after_ms));
+        let left_at = running.leave(&leaving, Way::Removed);
+        if fails_again {
+            thread::sleep(Duration::from_millis(100));
+            running.site.store.set(Mode::Down);
+            thread::sleep(Duration::from_millis(2_500));
+            running.site.store.set(Mode::Up);
+        }
+        thread::sleep(Duration::from_secs(4));
+        let late = late(&leaving, left_at, (0, 0));
+        running.end();
+        let case = format!("removed {after_ms} ms after, fails again: {fails_again}");
+        assert_eq!(late, no_late_requests(), "{case}");
+    }
+}
+
 /// The line of a running target expires while the store is unavailable, or is missing in the
 /// restored backup, and is written again within two seconds of the store's return. The target
 /// must be used all the time.
--- a/crates/sablepass-stand/tests/leaving_table.rs
+++ b/crates/sablepass-stand/tests/leaving_table.rs
@@ -21,9 +21,6 @@
 const MOMENTS: [Moment; 4] = [Moment::Before, Moment::During, Moment::After, Moment::Later];
 /// Number of targets that stay.
 const STAYING: usize = 3;
-/// Time from the end of a fault until removals are believed again: three seconds for expired
-/// lines to be written again, and two for processes to read the list.
-const SETTLED_MS: u64 = 5_000;
 /// Time after its start within which a new entry may still use a target that has left.
 const STARTUP_MS: u64 = 3_000;
 
@@ -122,8 +119,9 @@
                 *announced.entry(entry).or_insert(arrival.at)
             }
             (Way::Announced, _) => continue,
-            (_, Moment::Before | Moment::Later) => departure.at_ms,
-            (_, Moment::During | Moment::After) => fault_end + SETTLED_MS - DRAIN_LIMIT_MS,
+            // What is written during a fault cannot be read before its end.
+            (_, Moment::During) => fault_end,
+            (_, Moment::Before | Moment::After | Moment::Later) => departure.at_ms,
         };
         let startup_end = if entry == fresh.0 { fresh.1 + STARTUP_MS } else { 0 };
         if arrival.at > (since + DRAIN_LIMIT_MS).max(startup_end) {
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -378,6 +378,9 @@
     /// Milliseconds from its first answer to its last one.
     #[prost(uint32, tag = "3")]
     pub duration: u32,
+    /// Milliseconds from the assumed end of the outage before the period to its first answer.
+    #[prost(uint32, tag = "4")]
+    pub detection: u32,
 }
 /// Revisions and hashes of the configuration and the instance list that a process has stored.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
