A time in which nobody called the store is no outage

Cause: an entry leaves the reading of the list to its peers. When these are gone it calls after 0.7 to 3.5 s, and took the gap between the last answer that it had heard of and its own first one for an outage, so that it used removed targets for 1.4 s more.

Change: a gap counts only if a call failed in it, of this process or of one that reports it.

Evidence: verify_a_time_without_calls_is_no_outage failed before. In a site of seven entries of which six stand still, the seventh logged 'no-answers' after 3.5 s without calls and sent 20 to 31 requests late.

verify_silence_of_all_processes_is_an_outage had no failed call in the outage; now the reader's call fails in it, as a reader's does, and the test is named after what remains to check: the report to the others.

--- a/crates/sablepass-core/src/outage.rs
+++ b/crates/sablepass-core/src/outage.rs
@@ -6,10 +6,10 @@
 //! An item that an available service stops listing was removed. An item missing after an outage may
 //! merely have expired during the outage, and may be written again soon.
 //!
-//! A process that receives no answer cannot tell an outage from its own suspension or loss of
-//! contact, and one that makes no calls hears of only some answers. So processes exchange the
-//! periods in which the service answered any of them, and only a gap that none of these periods
-//! covers counts as an outage.
+//! A process whose calls fail cannot tell an outage from its own suspension or loss of contact, and
+//! one that makes no calls hears of only some answers. So processes exchange the periods in which
+//! the service answered any of them, and only a gap that none of these periods covers counts as an
+//! outage.
 
 use crate::id::Millis;
 
@@ -26,8 +26,8 @@
 pub enum Evidence {
     /// Calls of this process failed or were answered late.
     FailedCalls,
-    /// No process is known to have received an answer.
-    NoAnswers,
+    /// A peer reported it.
+    Reported,
     /// The service was restored from a backup.
     Restore,
 }
@@ -37,7 +37,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::FailedCalls => "failed-calls",
-            Self::NoAnswers => "no-answers",
+            Self::Reported => "reported",
             Self::Restore => "restore",
         }
     }
@@ -79,11 +79,6 @@
 }
 
 impl Period {
-    /// The time of a call that was answered at `until`.
-    fn of_call(era: u64, since: Millis, until: Millis) -> Self {
-        Self { era, recovered: since, since, until }
-    }
-
     /// Whether two periods are parts of a longer one.
     fn touches(&self, other: &Self) -> bool {
         self.since <= other.until.saturating_add(MAX_GAP)
@@ -118,15 +113,25 @@
 
     /// Records the answer to a call of this process, which the service answered when it was due.
     pub fn answered(&mut self, era: u64, started: Millis, at: Millis) -> Change {
-        let during = Period::of_call(era, started.max(at.saturating_sub(MAX_GAP)), at);
-        let continues = self.period.is_some_and(|it| it.era == era && it.touches(&during));
-        // After an outage, the call may have been waiting for the service to return.
-        let recovered = self.failed_at.map_or(at, |it| at.min(it.saturating_add(MAX_DETECTION)));
-        let answer = Period { recovered, ..Period::of_call(era, at, at) };
+        let failed_at = self.failed_at;
+        let available_from = started.max(at.saturating_sub(MAX_GAP));
+        let continues = |own: &Period| {
+            let gap = available_from.saturating_sub(own.until);
+            // Without a failure there was no call in the gap.
+            own.era == era && (gap <= MAX_GAP || failed_at.is_none())
+        };
+        let period = match self.period.filter(continues) {
+            Some(own) => Period { until: at, ..own },
+            None => {
+                // The call may have been waiting for the service to return.
+                let recovered = failed_at.map_or(at, |it| it.saturating_add(MAX_DETECTION).min(at));
+                Period { era, recovered, since: at, until: at }
+            }
+        };
         if self.period.is_none() {
             self.first = Some(at);
         }
-        let change = self.observed(if continues { during } else { answer });
+        let change = self.observed(period);
         self.failed_at = None;
         change
     }
@@ -152,7 +157,7 @@
         } else if self.failed_at.is_some() {
             Evidence::FailedCalls
         } else {
-            Evidence::NoAnswers
+            Evidence::Reported
         };
         self.period = Some(period);
         Change::Ended(Outage { evidence, since: own.until, until: period.since })
