An entry that hears of no other entry reads the list itself

What callers saw: an entry whose peers stand still or are out of reach sends requests to a target up to 3.5 s after it said draining.

Cause: an entry reads the list itself if it has heard of no answer of the store for 700 ms times its place among the substitutes; beyond six places, never. That staggers calls during an outage of the store, but an entry that hears nothing of any peer has nobody to wait for.

Change: an entry that received no digest of an entry for the interval of digests and 500 ms, 1.5 s on the users' platform, reads the list as the readers do.

The other entries and normal operation make no more calls than before.

--- a/crates/sablepass-edge/src/mesh/held.rs
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -30,6 +30,9 @@
             return;
         };
         peer.revision = Revision::new(message.era, message.revision);
+        if peer.entry_name().is_some() {
+            self.replication.entry_heard(now);
+        }
         for pull in self.replication.compare(now, message) {
             call!([peer.link], send(Body::Pull(pull)));
         }
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -61,6 +61,10 @@
 /// answers in milliseconds, so a late answer means that it was unavailable in between.
 const LATE_ANSWER: Millis = 500;
 
+/// Time beyond the interval of digests without a digest of any entry from which this process no
+/// longer relies on others to read the instance list.
+const DIGEST_GRACE: Millis = 500;
+
 /// Maximum number of rejected items remembered per service, so that the next full read does not log
 /// them again.
 const MAX_REJECTED_ITEMS: usize = 1_024;
@@ -146,6 +150,8 @@
     started: Millis,
     /// Last time at which [`Self::shared_service`] is known to have answered any process.
     last_answer: Millis,
+    /// When the last digest of an entry arrived.
+    entry_heard_at: Millis,
     /// Availability of the instance list's service.
     availability: Availability,
     /// Era named by the last answer of the platform's service.
@@ -192,6 +198,7 @@
             entries: Vec::new(),
             started: now,
             last_answer: 0,
+            entry_heard_at: now,
             availability: Availability::default(),
             era: None,
             era_rejected: false,
@@ -315,6 +322,11 @@
         }
     }
 
+    /// Records that a digest of an entry arrived.
+    pub fn entry_heard(&mut self, now: Millis) {
+        self.entry_heard_at = now;
+    }
+
     /// Merges the period in which a peer knows the instance list's service to have been available.
     /// Returns whether that disproves an outage.
     pub fn merge_availability(&mut self, now: Millis, peer: &wire::Digest) -> bool {
@@ -594,7 +606,7 @@
     /// from the readers watches only as a fallback, with the separate time `watch_rest`.
     fn max_wait(&mut self, now: Millis, kind: StoreKind) -> Duration {
         let is_watched = self.node.form == Form::Keys || kind == StoreKind::Declarations;
-        let watch = if self.ranks_as_reader(now) { self.node.watch } else { self.node.watch_rest };
+        let watch = if self.acts_as_reader(now) { self.node.watch } else { self.node.watch_rest };
         let wait = if is_watched && self.source(kind).healthy { watch } else { 0 };
         Duration::from_millis(wait)
     }
@@ -617,13 +629,25 @@
             }
             (Form::Keys, Role::Entry, StoreKind::Declarations) => true,
             (Form::Keys, Role::Entry, StoreKind::Instances) => {
-                self.instances.is_empty() || self.ranks_as_reader(now)
+                self.instances.is_empty() || self.acts_as_reader(now)
             }
             // Agents are too numerous to read the platform; entries send them what they need.
             (Form::Keys, Role::Agent | Role::Target, _) => false,
         }
     }
 
+    /// Whether this process hears nothing of the entries that would forward the instance list.
+    fn is_isolated(&self, now: Millis) -> bool {
+        let expected = self.entry_heard_at + self.node.digest_every + DIGEST_GRACE;
+        self.node.form == Form::Keys && self.role == Role::Entry && now > expected
+    }
+
+    /// Whether this process reads the services itself, as one of the readers or since it hears
+    /// nothing of them.
+    fn acts_as_reader(&self, now: Millis) -> bool {
+        self.is_isolated(now) || self.ranks_as_reader(now)
+    }
+
     /// Whether this process is a reader now. While the service does not answer, a further
     /// substitute joins the readers after each period of `patience`.
     fn ranks_as_reader(&self, now: Millis) -> bool {
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -30,6 +30,14 @@
     HashMap::new()
 }
 
+/// Indices of entries in the order in which they are chosen to read the instance list.
+fn readers_first(entries: usize) -> Vec<usize> {
+    let names: Vec<String> = (1..=entries).map(|it| format!("entry-{it}")).collect();
+    let ranked = rendezvous::rank("", names.iter().map(String::as_str));
+    let number = |name: &str| names.iter().position(|it| it == name).expect("an entry");
+    ranked.into_iter().map(number).collect()
+}
+
 /// Sends requests through an entry until an answer of the target has announced that it leaves.
 fn announce_leaving(site: &Site, entry: usize, leaving: &Replica) {
     leaving.leave();
@@ -95,10 +103,7 @@
 /// target without them.
 #[test]
 fn verify_a_leaving_target_gets_no_more_requests_while_list_readers_are_paused() {
-    let names: Vec<String> = (1..=ENTRIES).map(|it| format!("entry-{it}")).collect();
-    let ranked = rendezvous::rank("", names.iter().map(String::as_str));
-    let number = |name: &str| names.iter().position(|it| it == name).expect("an entry");
-    let readers: Vec<usize> = ranked.into_iter().take(READERS).map(number).collect();
+    let readers: Vec<usize> = readers_first(ENTRIES).into_iter().take(READERS).collect();
     for way in [Way::Draining, Way::Removed] {
         let running = Running::start(3);
         let leaving = running.site.replicas[0].clone();
@@ -112,6 +117,37 @@
     }
 }
 
+/// Guards against an entry that leaves the reading of the list to its peers for longer than the
+/// drain time, although it hears nothing of them.
+#[test]
+fn verify_an_entry_without_peers_uses_no_target_that_left() {
+    for way in [Way::Draining, Way::Removed] {
+        let mut running = Running::start_quiet(3);
+        for _ in 0..2 {
+            let entry = running.site.add_entry_with_seeds("", SEEDS);
+            running.call(entry);
+        }
+        let count = running.site.entries.len();
+        wait_for("all entries know each other", || {
+            (0..count).all(|it| running.site.status(it)["entries"].as_u64() == Some(count as u64))
+        });
+        let last = *readers_first(count).last().expect("an entry");
+        let others: Vec<usize> = (0..count).filter(|it| *it != last).collect();
+        let [leaving, other] = [0, 1].map(|it| running.site.replicas[it].clone());
+        // A change, by which all entries know that the store has just answered.
+        running.site.list(&other, "ready");
+        thread::sleep(Duration::from_millis(300));
+        others.iter().for_each(|it| running.site.entries[*it].pause());
+        thread::sleep(Duration::from_millis(100));
+        let left_at = running.leave(&leaving, way);
+        thread::sleep(Duration::from_secs(4));
+        let late = late(&leaving, left_at, (0, 0));
+        others.iter().for_each(|it| running.site.entries[*it].resume());
+        assert_eq!(late, no_late_requests(), "{way:?}");
+        running.end();
+    }
+}
+
 /// The restored backup of the store lists a target that has left, and an entry that starts
 /// afterwards has read nothing but this backup.
 #[test]
