Soak: an entry that is suspended when it is to exit is resumed first

Trace: the schedule suspends entry 2 from 3,142 to 4,314 ms and asks it to shut down at 3,175 ms. At 3,682 ms the loop that plays the schedule waits for the exit, so that it never gets to the end of the suspension. The entry exits once it is resumed.

--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -416,6 +416,8 @@
             Fault::EntryKilled => self.add_entry(),
             Fault::EntryPaused => self.site.entries[index].resume(),
             Fault::EntryStopped => {
+                // An overlapping fault may have suspended the entry, which exits only when it runs.
+                self.site.entries[index].resume();
                 self.wait_for_exit(index);
                 self.add_entry();
             }
