--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -18,7 +18,7 @@
 use crate::process::Process;
 use crate::ranks::{self, Group};
 use crate::replica::{self, Replica};
-use crate::site::{self, Site};
+use crate::site::{self, Pace, Site};
 use crate::soak::Options;
 use crate::soak::callers::Directory;
 use crate::soak::schedule::{Fault, PlannedFault};
@@ -107,8 +107,10 @@
 impl Fleet {
     /// Starts all processes and waits until every entry can use all replicas and ranks.
     pub fn start(options: &Options) -> Self {
+        let mut site = Site::open(0);
+        site.pace = Pace::Platform;
         let mut fleet = Self {
-            site: Site::open(0),
+            site,
             group: Group::spawn(RANKS),
             agents: Vec::new(),
             agent_port: ranks::free_port(RANKS),
