Test: a target that counts as gone gets no more requests

No test failed with the mutation 'a missing target is not taken as gone', since its record is dropped 1.2 s later, still within the drain time. The entry's own line says for how long it uses the target; requests that reach it 100 ms after that fail the test.

--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -17,7 +17,7 @@
 use sablepass_stand::keys::Mode;
 use sablepass_stand::process::Process;
 use sablepass_stand::ranks;
-use sablepass_stand::replica::Replica;
+use sablepass_stand::replica::{Arrival, Replica};
 use sablepass_stand::site::{Pace, Site, ask};
 
 use crate::common::running::{DRAIN_LIMIT_MS, ENTRIES, RESTORED_ERA, Running, SEEDS, Way, late};
@@ -25,6 +25,8 @@
 /// Number of entries that read the instance list from the store; the others receive it from
 /// them.
 const READERS: usize = 2;
+/// Time within which a request reaches its target after the entry has sent it, in milliseconds.
+const TRANSIT_LIMIT_MS: u64 = 100;
 
 fn no_late_requests() -> HashMap<usize, usize> {
     HashMap::new()
@@ -60,6 +62,29 @@
     }
 }
 
+/// Guards against an entry that keeps a target in use for the time for which it keeps its record.
+#[test]
+fn verify_a_target_gets_no_requests_once_it_counts_as_gone() {
+    let running = Running::start_quiet(3);
+    let leaving = running.site.replicas[0].clone();
+    running.leave(&leaving, Way::Removed);
+    thread::sleep(Duration::from_secs(3));
+    let is_report = |it: &serde_json::Value| {
+        it["event"] == "target no longer listed" && it["target"] == leaving.id.as_str()
+    };
+    for (index, entry) in running.site.entries.iter().enumerate() {
+        let log = entry.log();
+        let report = log.iter().find(|it| is_report(it)).expect("the removal is reported");
+        let time = |key: &str| report[key].as_u64().expect("a time in milliseconds");
+        let gone_at = time("time") + time("used_for");
+        let is_late = |it: &Arrival| {
+            it.id.starts_with(&format!("{index}-")) && it.at > gone_at + TRANSIT_LIMIT_MS
+        };
+        assert_eq!(leaving.arrivals().iter().filter(|it| is_late(it)).count(), 0, "entry {index}");
+    }
+    running.end();
+}
+
 /// Guards against entries that take the time between two reports of a quiet list for an outage
 /// of the store, and go on using a target whose line was removed.
 #[test]
