Availability: a failure counts only if no answer is known since

A failure of long ago, before answers that peers reported, made an entry that had not called since take a later gap for an outage. Overwritten lines are looked for in one pass, and lines that occur once in an answer are not parsed for it.

--- a/crates/sablepass-core/src/outage.rs
+++ b/crates/sablepass-core/src/outage.rs
@@ -101,39 +101,40 @@
     /// Time of the first answer to this process, unless a peer had reported one before. Nothing was
     /// listed earlier that could have expired.
     first: Option<Millis>,
-    /// Time of the last failure, if no call has succeeded since.
-    failed_at: Option<Millis>,
+    /// Time of the last failure of a call of this process; 0 if there was none.
+    failed_at: Millis,
 }
 
 impl Availability {
-    /// Records that a call of this process failed; its answer was due at `due`.
-    pub fn failed(&mut self, due: Millis) {
-        self.failed_at = Some(due);
+    /// Records that the service did not answer a call of this process at `at`.
+    pub fn failed(&mut self, at: Millis) {
+        self.failed_at = at;
+    }
+
+    /// Time of the last failure, if nobody is known to have received an answer since.
+    fn failing_at(&self) -> Option<Millis> {
+        let answered_at = self.period.map_or(0, |it| it.until);
+        Some(self.failed_at).filter(|it| *it > answered_at)
     }
 
     /// Records the answer to a call of this process, which the service answered when it was due.
     pub fn answered(&mut self, era: u64, started: Millis, at: Millis) -> Change {
-        let failed_at = self.failed_at;
+        if self.period.is_none() {
+            self.first = Some(at);
+        }
+        let failing_at = self.failing_at();
         let available_from = started.max(at.saturating_sub(MAX_GAP));
         let continues = |own: &Period| {
             let gap = available_from.saturating_sub(own.until);
             // Without a failure there was no call in the gap.
-            own.era == era && (gap <= MAX_GAP || failed_at.is_none())
+            own.era == era && (gap <= MAX_GAP || failing_at.is_none())
         };
-        let period = match self.period.filter(continues) {
-            Some(own) => Period { until: at, ..own },
-            None => {
-                // The call may have been waiting for the service to return.
-                let recovered = failed_at.map_or(at, |it| it.saturating_add(MAX_DETECTION).min(at));
-                Period { era, recovered, since: at, until: at }
-            }
-        };
-        if self.period.is_none() {
-            self.first = Some(at);
+        if let Some(own) = self.period.filter(continues) {
+            return self.observed(Period { until: at, ..own });
         }
-        let change = self.observed(period);
-        self.failed_at = None;
-        change
+        // The call may have been waiting for the service to return.
+        let recovered = failing_at.map_or(at, |it| it.saturating_add(MAX_DETECTION).min(at));
+        self.observed(Period { era, recovered, since: at, until: at })
     }
 
     /// Records a period that this process or a peer observed.
@@ -145,19 +146,17 @@
         if period.era < own.era {
             return Change::None;
         }
-        let evidence = if period.era > own.era {
-            Evidence::Restore
-        } else if period.touches(&own) {
+        if period.era == own.era && period.touches(&own) {
             let union = own.union(&period);
             self.period = Some(union);
             let disproved = union.since.saturating_add(MAX_GAP) < own.since;
             return if disproved { Change::Disproved } else { Change::None };
-        } else if period.until < own.until {
-            return Change::None;
-        } else if self.failed_at.is_some() {
-            Evidence::FailedCalls
-        } else {
-            Evidence::Reported
+        }
+        let evidence = match self.failing_at() {
+            _ if period.era > own.era => Evidence::Restore,
+            _ if period.until < own.until => return Change::None,
+            Some(_) => Evidence::FailedCalls,
+            None => Evidence::Reported,
         };
         self.period = Some(period);
         Change::Ended(Outage { evidence, since: own.until, until: period.since })
--- a/crates/sablepass-edge/src/spread/report.rs
+++ b/crates/sablepass-edge/src/spread/report.rs
@@ -4,6 +4,8 @@
 //! Logs and counts what processes conclude from reads of the platform: outages, and items and eras
 //! that are rejected. An item is reported once for each of its changes, not for each read.
 
+use std::collections::BTreeMap;
+
 use sablepass_core::config::{Delta, Document, StoreKind};
 use sablepass_core::outage::Change;
 use sablepass_core::reason::Ignored;
@@ -56,16 +58,12 @@
     pub(super) fn report_overwritten(&self, delta: &Delta) {
         let is_leaving =
             |it: &Document| Instance::parse(&it.newest.body).is_ok_and(|line| line.leaving);
-        for it in delta.documents.iter().filter(|it| is_leaving(it)) {
-            let overwrites = |other: &&Document| {
-                other.key == it.key
-                    && other.newest.revision > it.newest.revision
-                    && !other.removed
-                    && !is_leaving(other)
-            };
-            if let Some(later) = delta.documents.iter().find(overwrites) {
+        let mut last: BTreeMap<&str, &Document> = BTreeMap::new();
+        for it in &delta.documents {
+            let Some(before) = last.insert(&it.key, it) else { continue };
+            if !it.removed && !is_leaving(it) && is_leaving(before) {
                 slog::warn!(self.log, "line of a leaving instance overwritten"; "key" => &it.key,
-                    "revision" => it.newest.revision.number, "by" => later.newest.revision.number);
+                    "revision" => before.newest.revision.number, "by" => it.newest.revision.number);
             }
         }
     }
