--- a/crates/sablepass-core/tests/outage.rs
+++ b/crates/sablepass-core/tests/outage.rs
@@ -62,6 +62,16 @@
     assert_eq!(process.recovered_at(), 0);
 }
 
+/// Guards against an outage concluded from a failure that lies before an answer to a peer.
+#[test]
+fn verify_a_failure_before_an_answer_to_a_peer_is_no_evidence() {
+    let mut process = healthy(10_000);
+    process.failed(10_500);
+    report(&healthy(20_000), &mut process);
+    assert_eq!(process.answered(0, 25_000, 25_000), Change::None);
+    assert_eq!(process.recovered_at(), 0);
+}
+
 /// Guards against an outage that seems to end only when a process that waits for a long time
 /// between its calls notices.
 #[test]
