A disproved outage changes what follows, not targets that are missing already

The immediate correction of missing targets had no effect that a test could show: with it disabled, all tests of draining.rs passed, since an entry that was out of touch counts an outage only until 500 ms after its last failure, and hears of its peers before it reads. The code goes.

verify_all_entries_learn_of_an_outage: seven entries of which the last do not call the store during an outage of 2.3 s; fails if periods of peers are not merged, which no other test of the processes showed.

--- a/crates/sablepass-edge/src/mesh/held.rs
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -36,9 +36,7 @@
         for pull in self.replication.compare(now, message) {
             call!([peer.link], send(Body::Pull(pull)));
         }
-        if self.replication.merge_availability(now, message) {
-            self.publish_list();
-        }
+        self.replication.merge_availability(now, message);
     }
 
     pub(super) fn handle_pull(&mut self, key: PeerKey, message: &wire::Pull) {
@@ -116,22 +114,19 @@
                 self.owner.fwd(Event::Config(Rc::new(catalogue)));
             }
             Some(StoreKind::Instances) => {
-                self.publish_list();
+                let listing = Listing {
+                    instances: self.replication.instances().clone(),
+                    revision: self.replication.list_revision(),
+                    first_read: self.replication.list_first_read(),
+                    recovered_at: self.replication.recovered_at(),
+                };
+                self.owner.fwd(Event::Instances(listing));
                 self.update_endpoints(cx);
             }
         }
         self.send_digest_to_all();
     }
 
-    fn publish_list(&self) {
-        self.owner.fwd(Event::Instances(Listing {
-            instances: self.replication.instances().clone(),
-            revision: self.replication.list_revision(),
-            first_read: self.replication.list_first_read(),
-            recovered_at: self.replication.recovered_at(),
-        }));
-    }
-
     fn send_digest_to_all(&self) {
         self.send_digest(|_| true);
     }
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -22,7 +22,7 @@
 use sablepass_core::declaration;
 use sablepass_core::duty;
 use sablepass_core::id::Millis;
-use sablepass_core::outage::{Availability, Change, Period};
+use sablepass_core::outage::{Availability, Period};
 use sablepass_core::reason::Ignored;
 use sablepass_core::revision::Revision;
 use sablepass_wire::convert;
@@ -328,16 +328,14 @@
     }
 
     /// Merges the period in which a peer knows the instance list's service to have been available.
-    /// Returns whether that disproves an outage.
-    pub fn merge_availability(&mut self, now: Millis, peer: &wire::Digest) -> bool {
-        let Some(available) = &peer.available else { return false };
+    pub fn merge_availability(&mut self, now: Millis, peer: &wire::Digest) {
+        let Some(available) = &peer.available else { return };
         let until = now.saturating_sub(Millis::from(available.age));
         let since = until.saturating_sub(Millis::from(available.duration));
         let recovered = since.saturating_sub(Millis::from(available.detection));
         let period = Period { era: available.era, recovered, since, until };
         let change = self.availability.observed(period);
         self.report_availability(change);
-        change == Change::Disproved
     }
 
     /// Compares a peer's digest with this replica and returns the pulls to send to that peer.
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -143,16 +143,10 @@
         };
         let missing: Vec<String> = self.listed.keys().filter(|it| !is_there(it)).cloned().collect();
         for name in missing {
-            let Some(listed) = self.listed.get_mut(&name) else { continue };
-            let gone_at = recovered_at + self.options.expiry_grace();
-            match &mut listed.missing {
-                // An outage that a peer disproved does not count; a later outage does not extend
-                // the use of a target.
-                Some(missing) => missing.gone_at = missing.gone_at.min(gone_at.max(missing.since)),
-                None => {
-                    listed.missing = Some(Missing { since: now, gone_at: gone_at.max(now) });
-                    changes.missing.push(name);
-                }
+            if let Some(listed) = self.listed.get_mut(&name).filter(|it| it.missing.is_none()) {
+                let gone_at = now.max(recovered_at + self.options.expiry_grace());
+                listed.missing = Some(Missing { since: now, gone_at });
+                changes.missing.push(name);
             }
         }
         changes.gone = self.remove_expired(now);
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -142,20 +142,45 @@
     }
 }
 
+/// Guards against entries that know nothing of an outage during which only others called the store:
+/// they would drop targets whose lines expired.
+#[test]
+fn verify_all_entries_learn_of_an_outage() {
+    let (running, count) = site_of_seven();
+    running.site.list(&running.site.replicas[0], "ready");
+    thread::sleep(Duration::from_millis(300));
+    running.site.store.set(Mode::Down);
+    thread::sleep(Duration::from_millis(2_300));
+    running.site.store.set(Mode::Up);
+    let is_report = |it: &serde_json::Value| it["event"] == "instance list outage ended";
+    let knows = |entry: &usize| running.site.entries[*entry].log().iter().any(is_report);
+    thread::sleep(Duration::from_secs(2));
+    let unaware: Vec<usize> = (0..count).filter(|it| !knows(it)).collect();
+    running.end();
+    assert_eq!(unaware, Vec::<usize>::new());
+}
+
+/// A site with two more entries than usual, of which the last ones read the list only if the store
+/// has answered nobody for about three seconds. Returns the number of entries.
+fn site_of_seven() -> (Running, usize) {
+    let mut running = Running::start_quiet(3);
+    for _ in 0..2 {
+        let entry = running.site.add_entry_with_seeds("", SEEDS);
+        running.call(entry);
+    }
+    let count = running.site.entries.len();
+    wait_for("all entries know each other", || {
+        (0..count).all(|it| running.site.status(it)["entries"].as_u64() == Some(count as u64))
+    });
+    (running, count)
+}
+
 /// Guards against an entry that leaves the reading of the list to its peers for longer than the
 /// drain time, although it hears nothing of them.
 #[test]
 fn verify_an_entry_without_peers_uses_no_target_that_left() {
     for way in [Way::Draining, Way::Removed] {
-        let mut running = Running::start_quiet(3);
-        for _ in 0..2 {
-            let entry = running.site.add_entry_with_seeds("", SEEDS);
-            running.call(entry);
-        }
-        let count = running.site.entries.len();
-        wait_for("all entries know each other", || {
-            (0..count).all(|it| running.site.status(it)["entries"].as_u64() == Some(count as u64))
-        });
+        let (running, count) = site_of_seven();
         let last = *readers_first(count).last().expect("an entry");
         let others: Vec<usize> = (0..count).filter(|it| *it != last).collect();
         let [leaving, other] = [0, 1].map(|it| running.site.replicas[it].clone());
