--- a/crates/sablepass-core/src/outage.rs
+++ b/crates/sablepass-core/src/outage.rs
@@ -61,7 +61,8 @@
     None,
     /// An outage has ended.
     Ended(Outage),
-    /// There was no outage before the current period: another process received answers meanwhile.
+    /// There was no outage before the current period, since another process received answers
+    /// meanwhile.
     Disproved,
 }
 
@@ -117,7 +118,8 @@
         Some(self.failed_at).filter(|it| *it > answered_at)
     }
 
-    /// Records the answer to a call of this process, which the service answered when it was due.
+    /// Records the answer to a call of this process. A late answer proves nothing of the time since
+    /// the start of the call, and is recorded as if the call had started `at` the answer.
     pub fn answered(&mut self, era: u64, started: Millis, at: Millis) -> Change {
         if self.period.is_none() {
             self.first = Some(at);
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -20,7 +20,7 @@
 /// Time after the end of an outage of the list's service by which running targets whose lines
 /// expired are listed again: two seconds, and the time to read the list.
 const RELIST_TIME: Millis = 2_500;
-/// Part of the drain time in which the end of an outage is noticed and the last request arrives.
+/// Part of the drain time for noticing the end of an outage, and for the last request to arrive.
 const DETECTION_TIME: Millis = 600;
 /// How long a target is kept that the list no longer contains, since requests may still run there.
 const MISSING_RETENTION: Millis = 1_200;
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -432,7 +432,8 @@
     }
 }
 
-/// Guards against the same after the store was restored, also if it then fails once more.
+/// Guards against a restore of the store that extends the use of a target that is removed after it,
+/// also if the store then fails once more.
 #[test]
 fn verify_a_target_removed_after_a_restore_gets_no_late_requests() {
     for (after_ms, fails_again) in [(50, false), (500, false), (50, true)] {
