Availability of the list's service has a module of its own; names and comments

The names are first_answer, unanswered_failure, ready_again, record_entry_digest, MAX_DETECTION_TIME and DRAIN_MARGIN. Each test of tests/outage.rs and each new one of draining.rs says what it guards against. No bound and no assertion changes; log lines, labels, settings and the wire are as they were.

--- a/crates/sablepass-core/src/outage.rs
+++ b/crates/sablepass-core/src/outage.rs
@@ -19,7 +19,7 @@
 
 /// Longest time from the last failed call to the assumed end of an outage. A process that calls
 /// rarely would otherwise take the end of an outage for much later than it was.
-const MAX_DETECTION: Millis = 500;
+const MAX_DETECTION_TIME: Millis = 500;
 
 /// Observation from which an outage is concluded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,7 +101,7 @@
     period: Option<Period>,
     /// Time of the first answer to this process, unless a peer had reported one before. Nothing was
     /// listed earlier that could have expired.
-    first: Option<Millis>,
+    first_answer: Option<Millis>,
     /// Time of the last failure of a call of this process; 0 if there was none.
     failed_at: Millis,
 }
@@ -113,7 +113,7 @@
     }
 
     /// Time of the last failure, if nobody is known to have received an answer since.
-    fn failing_at(&self) -> Option<Millis> {
+    fn unanswered_failure(&self) -> Option<Millis> {
         let answered_at = self.period.map_or(0, |it| it.until);
         Some(self.failed_at).filter(|it| *it > answered_at)
     }
@@ -122,20 +122,20 @@
     /// the start of the call, and is recorded as if the call had started `at` the answer.
     pub fn answered(&mut self, era: u64, started: Millis, at: Millis) -> Change {
         if self.period.is_none() {
-            self.first = Some(at);
+            self.first_answer = Some(at);
         }
-        let failing_at = self.failing_at();
+        let failure = self.unanswered_failure();
         let available_from = started.max(at.saturating_sub(MAX_GAP));
         let continues = |own: &Period| {
             let gap = available_from.saturating_sub(own.until);
             // Without a failure there was no call in the gap.
-            own.era == era && (gap <= MAX_GAP || failing_at.is_none())
+            own.era == era && (gap <= MAX_GAP || failure.is_none())
         };
         if let Some(own) = self.period.filter(continues) {
             return self.observed(Period { until: at, ..own });
         }
         // The call may have been waiting for the service to return.
-        let recovered = failing_at.map_or(at, |it| it.saturating_add(MAX_DETECTION).min(at));
+        let recovered = failure.map_or(at, |it| it.saturating_add(MAX_DETECTION_TIME).min(at));
         self.observed(Period { era, recovered, since: at, until: at })
     }
 
@@ -154,7 +154,7 @@
             let disproved = union.since.saturating_add(MAX_GAP) < own.since;
             return if disproved { Change::Disproved } else { Change::None };
         }
-        let evidence = match self.failing_at() {
+        let evidence = match self.unanswered_failure() {
             _ if period.era > own.era => Evidence::Restore,
             _ if period.until < own.until => return Change::None,
             Some(_) => Evidence::FailedCalls,
@@ -171,7 +171,7 @@
 
     /// End of the last outage or restore; 0 if none is known.
     pub fn recovered_at(&self) -> Millis {
-        let known = self.period.filter(|it| Some(it.since) != self.first);
+        let known = self.period.filter(|it| Some(it.since) != self.first_answer);
         known.map_or(0, |it| it.recovered)
     }
 }
--- a/crates/sablepass-core/tests/outage.rs
+++ b/crates/sablepass-core/tests/outage.rs
@@ -30,6 +30,7 @@
     from.period().map_or(Change::None, |it| to.observed(it))
 }
 
+/// Guards against an outage concluded from a single call that was interrupted.
 #[test]
 fn verify_an_interrupted_call_is_no_outage() {
     let mut process = healthy(10_000);
@@ -38,6 +39,7 @@
     assert_eq!(process.recovered_at(), 0, "neither this nor the first answer ends an outage");
 }
 
+/// Guards against an outage that goes unnoticed by the process whose calls fail.
 #[test]
 fn verify_failures_for_longer_are_an_outage() {
     let mut process = healthy(10_000);
@@ -82,7 +84,7 @@
     assert_eq!(process.recovered_at(), 13_500);
 }
 
-/// A process that makes no calls itself receives only the reports of its peers.
+/// Guards against an outage that is unknown to a process that makes no calls itself.
 #[test]
 fn verify_an_outage_is_reported_to_all_processes() {
     let mut process = Availability::default();
@@ -126,6 +128,7 @@
     assert_eq!(process.recovered_at(), 0);
 }
 
+/// Guards against a restore that goes unnoticed because the store answered all the while.
 #[test]
 fn verify_a_restore_counts_as_the_end_of_an_outage() {
     let (mut process, peer) = (healthy(10_000), healthy(12_000));
@@ -171,8 +174,8 @@
     }
 }
 
-/// Processes read, lose contact and report to each other at random. Once they have reported, all
-/// of them know the same: the end of the outage if there was one, and none otherwise.
+/// Guards against processes that disagree on whether and when an outage ended, after they have read,
+/// lost contact and reported to each other at random.
 #[test]
 fn verify_all_processes_conclude_the_same() {
     for seed in 0..2_000 {
--- a/crates/sablepass-edge/src/mesh/held.rs
+++ b/crates/sablepass-edge/src/mesh/held.rs
@@ -31,7 +31,7 @@
         };
         peer.revision = Revision::new(message.era, message.revision);
         if peer.entry_name().is_some() {
-            self.replication.entry_heard(now);
+            self.replication.record_entry_digest(now);
         }
         for pull in self.replication.compare(now, message) {
             call!([peer.link], send(Body::Pull(pull)));
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -22,7 +22,7 @@
 use sablepass_core::declaration;
 use sablepass_core::duty;
 use sablepass_core::id::Millis;
-use sablepass_core::outage::{Availability, Period};
+use sablepass_core::outage::Availability;
 use sablepass_core::reason::Ignored;
 use sablepass_core::revision::Revision;
 use sablepass_wire::convert;
@@ -32,11 +32,13 @@
 use stakker::{ActorOwn, Core, Fwd, actor_new, call, ret_nop};
 
 use crate::instance::{Instance, Role};
-use crate::reader::{self, Batch, Form, Read, ReadRequest, Reader};
+use crate::reader::{self, Form, Read, ReadRequest, Reader};
 use crate::settings::Node;
+use crate::spread::availability::duration_ms;
 use crate::telemetry::Metrics;
 use crate::unread::UnreadFields;
 
+mod availability;
 mod removals;
 mod report;
 
@@ -57,14 +59,6 @@
 /// burst of calls.
 const MIN_WATCH_INTERVAL: Millis = 50;
 
-/// Delay after the end of a call's wait from which its answer counts as late. The service normally
-/// answers in milliseconds, so a late answer means that it was unavailable in between.
-const LATE_ANSWER: Millis = 500;
-
-/// Time beyond the interval of digests without a digest of any entry from which this process no
-/// longer relies on others to read the instance list.
-const DIGEST_GRACE: Millis = 500;
-
 /// Maximum number of rejected items remembered per service, so that the next full read does not log
 /// them again.
 const MAX_REJECTED_ITEMS: usize = 1_024;
@@ -151,7 +145,7 @@
     /// Last time at which [`Self::shared_service`] is known to have answered any process.
     last_answer: Millis,
     /// When the last digest of an entry arrived.
-    entry_heard_at: Millis,
+    last_entry_digest: Millis,
     /// Availability of the instance list's service.
     availability: Availability,
     /// Era named by the last answer of the platform's service.
@@ -198,7 +192,7 @@
             entries: Vec::new(),
             started: now,
             last_answer: 0,
-            entry_heard_at: now,
+            last_entry_digest: now,
             availability: Availability::default(),
             era: None,
             era_rejected: false,
@@ -313,31 +307,10 @@
             list_since_era: instances.since.era,
             list_began: self.list.store.first_read().number,
             list_began_era: self.list.store.first_read().era,
-            available: self.availability.period().map(|it| wire::Available {
-                era: it.era,
-                age: duration_ms(it.until, now),
-                duration: duration_ms(it.since, it.until),
-                detection: duration_ms(it.recovered, it.since),
-            }),
+            available: self.available(now),
         }
     }
 
-    /// Records that a digest of an entry arrived.
-    pub fn entry_heard(&mut self, now: Millis) {
-        self.entry_heard_at = now;
-    }
-
-    /// Merges the period in which a peer knows the instance list's service to have been available.
-    pub fn merge_availability(&mut self, now: Millis, peer: &wire::Digest) {
-        let Some(available) = &peer.available else { return };
-        let until = now.saturating_sub(Millis::from(available.age));
-        let since = until.saturating_sub(Millis::from(available.duration));
-        let recovered = since.saturating_sub(Millis::from(available.detection));
-        let period = Period { era: available.era, recovered, since, until };
-        let change = self.availability.observed(period);
-        self.report_availability(change);
-    }
-
     /// Compares a peer's digest with this replica and returns the pulls to send to that peer.
     pub fn compare(&mut self, now: Millis, peer: &wire::Digest) -> Vec<wire::Pull> {
         self.last_answer = self.last_answer.max(now.saturating_sub(Millis::from(peer.age)));
@@ -499,32 +472,6 @@
         None
     }
 
-    /// Updates the availability of the instance list's service after a call that began at
-    /// `started`. A late answer proves only that the service is available now, and a call without
-    /// an answer that it was not when the answer was due.
-    fn record_availability(
-        &mut self,
-        now: Millis,
-        started: Millis,
-        result: &Result<Batch, reader::Error>,
-    ) {
-        let due = now.min(self.list.answer_due);
-        match result {
-            Ok(_) | Err(reader::Error::HistoryGone { .. } | reader::Error::Restored { .. }) => {
-                let late = now > due + LATE_ANSWER;
-                if late {
-                    self.availability.failed(due);
-                }
-                let era = self.era.unwrap_or_default();
-                let started = if late { now } else { started };
-                let change = self.availability.answered(era, started, now);
-                self.report_availability(change);
-            }
-            Err(e) if e.is_timeout() => self.availability.failed(due),
-            Err(_) => self.availability.failed(now),
-        }
-    }
-
     /// Records the era named by an answer, and logs a change.
     fn record_era(&mut self, era: Option<u64>) {
         let Some(named) = era else { return };
@@ -634,12 +581,6 @@
         }
     }
 
-    /// Whether this process hears nothing of the entries that would forward the instance list.
-    fn is_isolated(&self, now: Millis) -> bool {
-        let expected = self.entry_heard_at + self.node.digest_every + DIGEST_GRACE;
-        self.node.form == Form::Keys && self.role == Role::Entry && now > expected
-    }
-
     /// Whether this process reads the services itself, as one of the readers or since it hears
     /// nothing of them.
     fn acts_as_reader(&self, now: Millis) -> bool {
@@ -673,8 +614,3 @@
         duty::is_reader(options, name, hall, &names, self.age(now))
     }
 }
-
-/// Milliseconds from one time to another, as they are sent to peers.
-fn duration_ms(from: Millis, to: Millis) -> u32 {
-    u32::try_from(to.saturating_sub(from)).unwrap_or(u32::MAX)
-}
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -64,7 +64,7 @@
             ("target listed", &changes.added),
             ("target no longer listed", &changes.missing),
             ("target restarted", &changes.restarted),
-            ("leaving target listed as ready", &changes.contradicted),
+            ("leaving target listed as ready", &changes.ready_again),
         ];
         for (event, targets) in events {
             for target in targets {
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -21,7 +21,7 @@
 /// expired are listed again: two seconds, and the time to read the list.
 const RELIST_TIME: Millis = 2_500;
 /// Part of the drain time for noticing the end of an outage, and for the last request to arrive.
-const DETECTION_TIME: Millis = 600;
+const DRAIN_MARGIN: Millis = 600;
 /// How long a target is kept that the list no longer contains, since requests may still run there.
 const MISSING_RETENTION: Millis = 1_200;
 
@@ -43,7 +43,7 @@
     /// Targets that the list marks as leaving and that were not known to leave before.
     pub leaving: Vec<String>,
     /// Targets that the list marked as leaving and now marks as ready, in the same incarnation.
-    pub contradicted: Vec<String>,
+    pub ready_again: Vec<String>,
 }
 
 impl Options {
@@ -51,7 +51,7 @@
     /// since its line may have expired. A target that is removed after the outage must get no
     /// requests after its drain time.
     fn expiry_grace(&self) -> Millis {
-        self.drain.saturating_sub(DETECTION_TIME).min(RELIST_TIME)
+        self.drain.saturating_sub(DRAIN_MARGIN).min(RELIST_TIME)
     }
 }
 
@@ -115,7 +115,7 @@
             }
             let known = self.listed.get(name).map(|it| &it.instance);
             if known.is_some_and(|it| it.leaving && !instance.leaving && it.born == instance.born) {
-                changes.contradicted.push(name.clone());
+                changes.ready_again.push(name.clone());
             }
             if self.listed.get(name).is_some_and(|known| known.instance.born != instance.born) {
                 // Everything known about the target belongs to another incarnation.
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -62,7 +62,8 @@
     }
 }
 
-/// Guards against an entry that keeps a target in use for the time for which it keeps its record.
+/// Guards against an entry that still sends requests to a target after it has reported that the
+/// target is gone.
 #[test]
 fn verify_a_target_gets_no_requests_once_it_counts_as_gone() {
     let running = Running::start_quiet(3);
@@ -142,8 +143,8 @@
     }
 }
 
-/// Guards against entries that know nothing of an outage during which only others called the store:
-/// they would drop targets whose lines expired.
+/// Guards against entries that drop targets whose lines expired in an outage, because only other
+/// entries called the store meanwhile.
 #[test]
 fn verify_all_entries_learn_of_an_outage() {
     let (running, count) = site_of_seven();
@@ -410,8 +411,8 @@
     assert_eq!(bad_frames, 0.0);
 }
 
-/// Guards against a time for expired lines to be written again that outlasts the drain time of a
-/// target whose line is removed soon after the store's return.
+/// Guards against requests to a target whose line was removed just after the store's return, when
+/// entries still use missing targets because their lines may have expired.
 #[test]
 fn verify_a_target_removed_after_an_outage_gets_no_late_requests() {
     for (mode, outage_ms) in [(Mode::Down, 900), (Mode::Down, 3_000), (Mode::Silent, 3_000)] {
