--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod rendezvous;
 pub mod revision;
 pub mod route;
+pub mod scope;
 pub mod sharers;
 pub mod starts;
 pub mod suspects;
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -18,6 +18,7 @@
 use sablepass_core::reason::Refusal;
 use sablepass_core::revision::Revision;
 use sablepass_core::route::{Class, Route};
+use sablepass_core::scope::Scope;
 use sablepass_edge::{clock, server};
 use stakker::CX;
 
@@ -26,6 +27,7 @@
 use crate::openai;
 use crate::router::Router;
 use crate::targets::Served;
+use crate::targets::eligibility::Demand;
 use crate::trace::Step;
 
 /// Limit of concurrent requests of callers without a key, which have no limit of their own.
@@ -38,6 +40,7 @@
     /// Name of the customer that is sent to targets.
     forwarded_customer: Option<String>,
     served: Served,
+    scope: Scope,
     route: Option<Rc<Route>>,
     priority: Priority,
     ticket: admit::Ticket,
@@ -153,6 +156,7 @@
             priority: admitted.priority,
             run,
             served: admitted.served,
+            scope: admitted.scope,
             route: admitted.route,
             exchange,
             ticket: admitted.ticket,
@@ -231,7 +235,8 @@
         if run.priority.is_some_and(|it| it > declared.resource.priority) {
             return Err(Refusal::NotGranted);
         }
-        let room = self.targets.share(now, &served);
+        let scope = Scope::ANY;
+        let room = self.targets.share(now, Demand { served: &served, scope: &scope });
         let ticket = self.admission.admit(&admit::Ask {
             customer: &customer,
             partner: &declared.partner,
@@ -248,6 +253,7 @@
             forwarded_customer: Some(customer.clone()),
             customer,
             served,
+            scope,
             route: None,
             priority,
             ticket,
@@ -267,7 +273,8 @@
         }
         let service = route.pick(self.rng.random()).ok_or(Refusal::NoTarget)?;
         let served = (Kind::Service, service.to_owned());
-        let room = self.targets.share(now, &served);
+        let scope = Scope::ANY;
+        let room = self.targets.share(now, Demand { served: &served, scope: &scope });
         let priority = Priority::default();
         let (customer, partner, streams, share, forwarded_customer) = match &declared {
             Some((name, customer)) => {
@@ -298,6 +305,7 @@
             customer: customer.to_owned(),
             forwarded_customer: forwarded_customer.cloned(),
             served,
+            scope,
             route: Some(route.clone()),
             priority,
             ticket,
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -8,6 +8,7 @@
 use sablepass_core::id::{AttemptId, Millis, RequestId, TargetIncarnation};
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
+use sablepass_core::scope::Scope;
 use sablepass_edge::client::{self, Outgoing};
 use sablepass_edge::clock;
 use sablepass_platform::answer::{self, Pause, Proof};
@@ -190,9 +191,10 @@
         }
         let now = clock::now();
         let in_flight = self.pool.in_flight(key).copied();
-        let sent =
-            in_flight.and_then(|it| self.requests.get(&it.request)).map_or(now, |it| it.sent_at);
-        let admits = self.pool.target(key).is_some_and(|it| self.targets.admits(now, it, sent));
+        let open = in_flight.and_then(|it| self.requests.get(&it.request));
+        let (sent, scope) = open.map_or((now, &Scope::ANY), |it| (it.sent_at, &it.scope));
+        let target = self.pool.target(key);
+        let admits = target.is_some_and(|it| self.targets.admits(now, it, scope, sent));
         if admits {
             self.pool.send_waiting(key);
             return;
--- a/crates/sablepass-entry/src/open.rs
+++ b/crates/sablepass-entry/src/open.rs
@@ -13,11 +13,13 @@
 use sablepass_core::id::Millis;
 use sablepass_core::revision::Revision;
 use sablepass_core::route::Route;
+use sablepass_core::scope::Scope;
 use sablepass_edge::server::ExchangeKey;
 
 use crate::call::Run;
 use crate::pool::ConnectionKey;
 use crate::targets::Served;
+use crate::targets::eligibility::Demand;
 use crate::turns::PendingTurn;
 
 /// Maximum time from the arrival of a request that it waits for its group to become ready. Callers
@@ -35,6 +37,8 @@
     pub(crate) forwarded_customer: Option<String>,
     pub(crate) priority: Priority,
     pub(crate) served: Served,
+    /// Regions to which the request may be sent.
+    pub(crate) scope: Scope,
     /// The route that matched the request, as declared at its admission.
     pub(crate) route: Option<Rc<Route>>,
     pub(crate) exchange: ExchangeKey,
@@ -81,6 +85,11 @@
         })
     }
 
+    /// Returns what the request demands of its target.
+    pub(crate) fn demand(&self) -> Demand<'_> {
+        Demand { served: &self.served, scope: &self.scope }
+    }
+
     /// Returns whether the request may still wait for its group to become ready.
     pub(crate) fn may_wait_for_group(&self, now: Millis) -> bool {
         now < self.flight.request().deadline.min(self.run.arrived + GROUP_READY_WAIT)
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -166,11 +166,12 @@
             self.targets.ended(&name);
         }
         let turn = open.slot.take().and_then(|it| it.granted());
-        let reserved = turn.and_then(|it| self.targets.choose_reserved(now, it.incarnation()));
+        let reserved =
+            turn.and_then(|it| self.targets.choose_reserved(now, it.incarnation(), &open.scope));
         let choice = match &open.owner {
             _ if reserved.is_some() => reserved,
             Some(owner) => {
-                let choice = self.targets.choose_owner(now, owner);
+                let choice = self.targets.choose_owner(now, owner, &open.scope);
                 let since = *open.waiting_since.get_or_insert(now);
                 if choice.is_none() && now < since + OWNER_WAIT && now < open.run.deadline {
                     self.update_wanted_peers(cx);
@@ -181,7 +182,7 @@
             None => {
                 let prefix = open.run.prefix.as_deref();
                 let tried = open.flight.tried();
-                self.targets.choose(now, &mut self.rng, &open.served, prefix, tried)
+                self.targets.choose(now, &mut self.rng, open.demand(), prefix, tried)
             }
         };
         open.waiting_since = None;
@@ -203,7 +204,7 @@
         let Some(open) = self.requests.get_mut(&id) else {
             return;
         };
-        let paused_until = self.targets.pause_ends_at(now, &open.served);
+        let paused_until = self.targets.pause_ends_at(now, open.demand());
         if open.head_sent && paused_until.unwrap_or(now) < open.delivered_at + RESUME_WAIT {
             open.waiting_since = Some(now);
             return;
@@ -238,7 +239,7 @@
             return false;
         }
         let waits_too = |it: &&OpenRequest| it.waiting_since.is_some() && it.served == open.served;
-        let max_waiting = self.targets.total_share(&open.served).capacity * MAX_WAITING_FRACTION;
+        let max_waiting = self.targets.total_share(open.demand()).capacity * MAX_WAITING_FRACTION;
         (self.requests.values().filter(waits_too).count() as f64) < max_waiting
     }
 
@@ -392,7 +393,7 @@
     /// Sets the retry-after time of a request that fails while all of its possible targets are paused.
     fn set_retry_after(&mut self, now: Millis, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        if let Some(until) = self.targets.pause_ends_at(now, &open.served) {
+        if let Some(until) = self.targets.pause_ends_at(now, open.demand()) {
             let spread = self.rng.random_range(0..MAX_RETRY_AFTER_SPREAD);
             open.retry_after.get_or_insert((until - now).saturating_add(spread));
         }
--- a/crates/sablepass-entry/src/starts.rs
+++ b/crates/sablepass-entry/src/starts.rs
@@ -26,11 +26,11 @@
         let patience = starts::patience(route.objective, pause).min(left);
         let request = StartRequest { id, arrived, objective: route.objective, patience, resumed };
         let served = open.served.clone();
-        let mut room = self.targets.start_room(now, &served, pause as f64);
+        let mut room = self.targets.start_room(now, open.demand(), pause as f64);
         if matches!(room, Room::Opens { .. } | Room::Closed) {
             // The state of groups is updated at each tick; a report may have arrived since.
             self.targets.update_groups(now);
-            room = self.targets.start_room(now, &served, pause as f64);
+            room = self.targets.start_room(now, open.demand(), pause as f64);
         }
         let decision = self.start_queues.entry(served).or_default().request(now, &request, room);
         match decision {
@@ -92,7 +92,8 @@
     fn room_for_next(&self, served: &Served) -> Option<Room> {
         let now = clock::now();
         let starts = self.start_queues.get(served)?;
-        let pause = self.requests.get(&starts.front(now)?.id)?.route.as_ref()?.pause?;
-        Some(self.targets.start_room(now, served, pause as f64))
+        let open = self.requests.get(&starts.front(now)?.id)?;
+        let pause = open.route.as_ref()?.pause?;
+        Some(self.targets.start_room(now, open.demand(), pause as f64))
     }
 }
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -23,10 +23,13 @@
 use sablepass_core::notices::Notices;
 use sablepass_core::once::Key;
 use sablepass_core::rendezvous;
+use sablepass_core::scope::Scope;
 use sablepass_core::sharers::Sharers;
 use sablepass_edge::instance::Instance;
 use sablepass_edge::mesh::{PeerKey, RequiredPeer};
 
+use crate::targets::eligibility::Demand;
+
 /// How long a connection that was opened to reach the owner of a key is kept.
 const OWNER_LINK_RETENTION: Millis = 60_000;
 
@@ -37,6 +40,7 @@
 /// service.
 pub type Served = (Kind, String);
 
+pub(crate) mod eligibility;
 mod groups;
 mod limits;
 pub(crate) mod listing;
@@ -419,12 +423,6 @@
         self.names.iter().filter(|(_, name)| silent(name)).map(|(peer, _)| *peer).collect()
     }
 
-    /// Whether a target may get new work now, regardless of its limit.
-    fn is_available(&self, now: Millis, name: &str) -> bool {
-        self.accepts_work(now, self.incarnation(name))
-            && self.available_at(now, name).is_some_and(|it| now >= it)
-    }
-
     /// When the back-off of a target ends, regardless of the notices that it announced; none if it
     /// may not get new work for another reason.
     fn available_at(&self, now: Millis, name: &str) -> Option<Millis> {
@@ -465,12 +463,13 @@
         &mut self,
         now: Millis,
         rng: &mut StdRng,
-        served: &Served,
+        demand: Demand<'_>,
         prefix: Option<&str>,
         tried: &[String],
     ) -> Option<Choice> {
-        let names = self.subsets.get(served)?;
-        let open: Vec<&String> = names.iter().filter(|it| self.is_available(now, it)).collect();
+        let names = self.subsets.get(demand.served)?;
+        let available = |it: &&String| self.is_available(now, it, demand.scope);
+        let open: Vec<&String> = names.iter().filter(available).collect();
         let fresh: Vec<&String> = open.iter().copied().filter(|it| !tried.contains(it)).collect();
         let names = if fresh.is_empty() { open } else { fresh };
         let names = names.into_iter().filter(|it| self.has_turn(now, it)).collect();
@@ -489,8 +488,10 @@
         &self,
         now: Millis,
         incarnation: TargetIncarnation<'_>,
+        scope: &Scope,
     ) -> Option<Choice> {
-        if self.is_former_incarnation(incarnation) || !self.is_available(now, incarnation.name) {
+        let available = self.is_available(now, incarnation.name, scope);
+        if self.is_former_incarnation(incarnation) || !available {
             return None;
         }
         let load = self.candidate(now, incarnation.name)?.load();
@@ -506,12 +507,12 @@
 
     /// The owner of a key as a choice, if it may get work now. If there is no connection to the
     /// owner, one is required from now on.
-    pub fn choose_owner(&mut self, now: Millis, name: &str) -> Option<Choice> {
+    pub fn choose_owner(&mut self, now: Millis, name: &str, scope: &Scope) -> Option<Choice> {
         if !self.links.contains_key(name) {
             self.wanted_owners.insert(name.to_owned(), now + OWNER_LINK_RETENTION);
             return None;
         }
-        if !self.is_available(now, name) {
+        if !self.is_available(now, name, scope) {
             return None;
         }
         let load = self.candidate(now, name)?.load();
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -15,6 +15,7 @@
 use sablepass_core::membership::Pace;
 use sablepass_core::starts::Room;
 
+use crate::targets::eligibility::Demand;
 use crate::targets::shares::Share;
 use crate::targets::{Served, Targets};
 
@@ -92,8 +93,8 @@
 
     /// This entry's share of all targets of a service, whether or not they may get work now. Its
     /// load is 0.
-    pub fn total_share(&self, served: &Served) -> Share {
-        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
+    pub fn total_share(&self, demand: Demand<'_>) -> Share {
+        let names = self.serving.get(demand.served).map(Vec::as_slice).unwrap_or_default();
         let current = names.iter().filter(|it| !self.replaced.contains(*it));
         let capacities = current.filter_map(|it| Some(self.listed.get(it)?.instance.capacity));
         let capacities: Vec<u32> = capacities.collect();
@@ -103,7 +104,8 @@
 
     /// Capacity of a service for streams of this entry. Passes must leave callers no longer pause
     /// than `pause` milliseconds.
-    pub fn start_room(&self, now: Millis, served: &Served, pause: f64) -> Room {
+    pub fn start_room(&self, now: Millis, demand: Demand<'_>, pause: f64) -> Room {
+        let served = demand.served;
         let service = self.catalogue.services.get(&served.1);
         let Some(times) = service.and_then(|it| it.engine.as_ref()?.times()) else {
             return Room::Free;
@@ -114,7 +116,7 @@
             let sequences = times.sequences(pass_ms, lag) * share.targets / entries;
             sequences.clamp(share.capacity * MIN_PLACES_RATIO, share.capacity * MAX_PLACES_RATIO)
         };
-        let shares = self.shares_by_group(now, served);
+        let shares = self.shares_by_group(now, demand);
         if !shares.is_empty() {
             let (mut total, mut load) = (0.0, 0.0);
             for (group, share) in &shares {
@@ -129,7 +131,7 @@
             return Room::Free;
         }
         let Some(Opens { within, sure }) = self.opens(now, served) else { return Room::Closed };
-        let share = self.total_share(served);
+        let share = self.total_share(demand);
         Room::Opens { within, places: places(&share, INITIAL_LAG), sure }
     }
 
--- a/crates/sablepass-entry/src/targets/limits.rs
+++ b/crates/sablepass-entry/src/targets/limits.rs
@@ -6,8 +6,10 @@
 
 use sablepass_core::id::{Millis, TargetIncarnation};
 use sablepass_core::limits::{Change, Limit, Rate, Turn};
+use sablepass_core::scope::Scope;
 
-use crate::targets::{Served, Targets};
+use crate::targets::Targets;
+use crate::targets::eligibility::Demand;
 
 /// Seconds for which a request occupies a slot, by which a rate limit is converted to a number of
 /// slots: about the duration of a stream.
@@ -104,17 +106,25 @@
         &mut self,
         now: Millis,
         incarnation: TargetIncarnation<'_>,
+        scope: &Scope,
         sent: Millis,
     ) -> bool {
         let later = self.limit(incarnation).is_some_and(|it| it.since() > sent);
-        self.accepts_work(now, incarnation) && (!later || self.spend(now, incarnation.name))
+        self.barrier(now, incarnation, scope).is_none()
+            && (!later || self.spend(now, incarnation.name))
     }
 
     /// The targets that could serve a request now if they had no limits. Targets in `tried` are
     /// excluded while there are others.
-    pub fn limited_targets(&self, now: Millis, served: &Served, tried: &[String]) -> Vec<String> {
-        let names = self.subsets.get(served).map(Vec::as_slice).unwrap_or_default();
-        let limited = |it: &&String| self.is_available(now, it) && !self.has_turn(now, it);
+    pub fn limited_targets(
+        &self,
+        now: Millis,
+        demand: Demand<'_>,
+        tried: &[String],
+    ) -> Vec<String> {
+        let names = self.subsets.get(demand.served).map(Vec::as_slice).unwrap_or_default();
+        let limited =
+            |it: &&String| self.is_available(now, it, demand.scope) && !self.has_turn(now, it);
         let limited: Vec<&String> = names.iter().filter(limited).collect();
         let fresh: Vec<&String> =
             limited.iter().copied().filter(|it| !tried.contains(it)).collect();
@@ -132,14 +142,17 @@
     }
 
     /// Reserves one request, to be sent within `max_wait` milliseconds, from this entry's share of
-    /// a target's limit. Returns [`Turn::Never`] if the target may not get work.
+    /// a target's limit. Returns [`Turn::Never`] if the target may not get work. Its caller has
+    /// considered the scope of the request.
     pub fn reserve(
         &mut self,
         now: Millis,
         incarnation: TargetIncarnation<'_>,
         max_wait: Millis,
     ) -> Turn {
-        if self.is_former_incarnation(incarnation) || !self.is_available(now, incarnation.name) {
+        if self.is_former_incarnation(incarnation)
+            || !self.is_available(now, incarnation.name, &Scope::ANY)
+        {
             return Turn::Never;
         }
         self.notices.reserve(now, incarnation, max_wait).unwrap_or(Turn::Never)
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -7,7 +7,8 @@
 use sablepass_core::id::{Millis, TargetIncarnation};
 use sablepass_core::membership::Source;
 
-use crate::targets::{Served, Targets};
+use crate::targets::Targets;
+use crate::targets::eligibility::Demand;
 
 impl Targets {
     /// The current incarnation of a target.
@@ -57,11 +58,6 @@
         }
     }
 
-    /// Whether a request may be sent to a target, by its notices and the list.
-    pub fn accepts_work(&self, now: Millis, incarnation: TargetIncarnation<'_>) -> bool {
-        !self.has_left(now, incarnation) && self.notices.paused_until(now, incarnation).is_none()
-    }
-
     /// The incarnations that announced that they leave.
     pub fn leaving_incarnations(&self) -> impl Iterator<Item = TargetIncarnation<'_>> {
         self.notices.leaving()
@@ -104,12 +100,14 @@
 
     /// When the first target of a service accepts requests again, if none is available now and at
     /// least one of them requested a pause; none otherwise.
-    pub fn pause_ends_at(&self, now: Millis, served: &Served) -> Option<Millis> {
-        let names = self.subsets.get(served)?;
+    pub fn pause_ends_at(&self, now: Millis, demand: Demand<'_>) -> Option<Millis> {
+        let names = self.subsets.get(demand.served)?;
         let paused_until = |it: &String| self.notices.paused_until(now, self.incarnation(it));
         let is_paused =
             |it: &String| paused_until(it).is_some() || self.is_paused_behind_agent(now, it);
-        if !names.iter().any(is_paused) || names.iter().any(|it| self.is_available(now, it)) {
+        if !names.iter().any(is_paused)
+            || names.iter().any(|it| self.is_available(now, it, demand.scope))
+        {
             return None;
         }
         let present = names.iter().filter(|it| !self.has_left(now, self.incarnation(it)));
--- a/crates/sablepass-entry/src/targets/shares.rs
+++ b/crates/sablepass-entry/src/targets/shares.rs
@@ -7,6 +7,7 @@
 
 use sablepass_core::id::Millis;
 
+use crate::targets::eligibility::Demand;
 use crate::targets::{Served, Targets};
 
 /// Share of an entry in the capacity and load of a model or service.
@@ -23,9 +24,9 @@
 impl Targets {
     /// This entry's share of the targets of a model or service that may get work now. Targets are
     /// shared with the other entries that use them.
-    pub fn share(&self, now: Millis, served: &Served) -> Share {
+    pub fn share(&self, now: Millis, demand: Demand<'_>) -> Share {
         let mut sum = Share::default();
-        for share in self.shares_by_group(now, served).into_values() {
+        for share in self.shares_by_group(now, demand).into_values() {
             sum.capacity += share.capacity;
             sum.load += share.load;
             sum.targets += share.targets;
@@ -34,11 +35,12 @@
     }
 
     /// The same as [`Self::share`], by group id.
-    pub(super) fn shares_by_group(&self, now: Millis, served: &Served) -> BTreeMap<u32, Share> {
+    pub(super) fn shares_by_group(&self, now: Millis, demand: Demand<'_>) -> BTreeMap<u32, Share> {
+        let Demand { served, scope } = demand;
         let mut shares: BTreeMap<u32, Share> = BTreeMap::new();
         let Some(subset) = self.subsets.get(served) else { return shares };
         let entries = self.entries_per_target(served);
-        let available = subset.iter().filter(|it| self.is_available(now, it)).collect();
+        let available = subset.iter().filter(|it| self.is_available(now, it, scope)).collect();
         for name in self.prefer_responsive(available) {
             let (Some(candidate), Some(member)) =
                 (self.candidate(now, name), self.members.get(name))
--- a/crates/sablepass-entry/src/targets/watch.rs
+++ b/crates/sablepass-entry/src/targets/watch.rs
@@ -8,6 +8,7 @@
 use std::net::IpAddr;
 
 use sablepass_core::id::Millis;
+use sablepass_core::scope::Scope;
 use sablepass_core::sharers::Sharers;
 
 use crate::targets::Targets;
@@ -64,7 +65,7 @@
             listed: self.listed.len(),
             agents: machines.len(),
             linked: self.listed.keys().filter(|it| member(it).is_some_and(|it| it.linked)).count(),
-            usable: self.listed.keys().filter(|it| self.is_available(now, it)).count(),
+            usable: self.listed.keys().filter(|it| self.is_available(now, it, &Scope::ANY)).count(),
             paused: self.paused_count(now),
             limited: self.limits().count(),
         }
--- a/crates/sablepass-entry/src/turns.rs
+++ b/crates/sablepass-entry/src/turns.rs
@@ -99,7 +99,7 @@
         if open.owner.is_some() {
             return false;
         }
-        let limited = self.targets.limited_targets(now, &open.served, open.flight.tried());
+        let limited = self.targets.limited_targets(now, open.demand(), open.flight.tried());
         if limited.is_empty() {
             return false;
         }
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -160,6 +160,9 @@
     pub steps: bool,
 }
 
+/// Data hall of replicas and entries, unless a test needs several.
+const DEFAULT_HALL: &str = "ba-1";
+
 /// A replica. It serves until it crashes or the process ends; clones share its state.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -169,6 +172,8 @@
     pub started_at: u64,
     /// Service that it belongs to.
     pub service: String,
+    /// Data hall in its item of the instance list.
+    pub hall: String,
     /// Address at which callers reach it.
     pub addr: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
@@ -191,7 +196,7 @@
 
     /// Starts a new incarnation: a replica with the same id and IP address and another port.
     pub fn new_incarnation(&self) -> Self {
-        Self::spawn_as(&self.service, self.addr.ip(), self.id.clone())
+        Self::spawn_as(&self.service, self.addr.ip(), self.id.clone()).in_hall(&self.hall)
     }
 
     fn spawn_as(service: &str, ip: IpAddr, id: String) -> Self {
@@ -220,6 +225,7 @@
             id,
             started_at: clock::now(),
             service: service.to_owned(),
+            hall: DEFAULT_HALL.to_owned(),
             addr,
             state: Arc::new((Mutex::new(state), Condvar::new())),
         };
@@ -256,6 +262,11 @@
         Self { id: id.to_owned(), ..self.clone() }
     }
 
+    /// The same replica listed in another data hall.
+    pub fn in_hall(&self, hall: &str) -> Self {
+        Self { hall: hall.to_owned(), ..self.clone() }
+    }
+
     /// The same replica at another address, as through a proxy.
     pub fn at(&self, addr: SocketAddr) -> Self {
         Self { addr, ..self.clone() }
@@ -375,7 +386,7 @@
     /// Entry of the replica in the store, with a state.
     pub fn entry(&self, state: &str) -> String {
         serde_json::json!({
-            "service": self.service, "address": self.addr.to_string(), "zone": "ba-1",
+            "service": self.service, "address": self.addr.to_string(), "zone": self.hall,
             "version": "v1", "slots": 12, "state": state, "coldRemainingMs": 0, "seq": 4,
             "born": self.started_at,
         })
