Evacuations of data halls as declarations

The catalogue lists the evacuations in force. A complete read that is older than the store implies no removals. The digest leaves removed documents out: a process that started after a removal has no trace of it, and would have exchanged the complete declarations with every digest of a process that recorded it.

An attempt that an agent refuses because of an evacuation counts neither against the attempts nor the retry budget, and pass durations consider groups in which only some ranks take requests.

--- a/crates/sablepass-core/src/catalogue.rs
+++ b/crates/sablepass-core/src/catalogue.rs
@@ -29,6 +29,19 @@
     pub resource: T,
 }
 
+/// An evacuation of a data hall that is in force. Several documents may evacuate the same hall.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HallEvacuation {
+    /// Name of the data hall.
+    pub hall: String,
+    /// Key of the document that declares it.
+    pub document: String,
+    /// The partner that owns the document.
+    pub partner: String,
+    /// Revision of the document in force.
+    pub revision: Revision,
+}
+
 /// All resources in force, by qualified name `partner/name`.
 #[derive(Debug, Default)]
 pub struct Catalogue {
@@ -46,6 +59,8 @@
     pub grants: Vec<Declared<Grant>>,
     /// Start of the planned stop of each target, in milliseconds since the Unix epoch.
     pub stops: BTreeMap<String, Millis>,
+    /// Evacuations of data halls, in the order of their documents' revisions.
+    pub evacuations: Vec<HallEvacuation>,
     /// Routes of all partners.
     pub routes: Table,
     /// Services that routes refer to, by unqualified name.
@@ -68,8 +83,8 @@
             force.extend(verdict.force.as_ref().map(|(revision, it)| (*revision, key, it)));
         }
         force.sort_by_key(|(revision, key, _)| (*revision, *key));
-        for (_, key, declared) in force {
-            if let Err(e) = catalogue.add(key, Declarations::clone(declared)) {
+        for (revision, key, declared) in force {
+            if let Err(e) = catalogue.add(key, revision, Declarations::clone(declared)) {
                 catalogue.refused.insert(key.clone(), e);
             }
         }
@@ -78,7 +93,7 @@
 
     /// Adds the declarations of a document, or none of them if one conflicts with an earlier
     /// document.
-    fn add(&mut self, key: &str, declared: Declarations) -> Result<()> {
+    fn add(&mut self, key: &str, revision: Revision, declared: Declarations) -> Result<()> {
         let partner = declaration::partner(key)?.to_owned();
         let qualify = |name: &str| format!("{partner}/{name}");
         for target in &declared.target {
@@ -132,6 +147,12 @@
         for stop in declared.stop {
             self.stops.insert(qualify(&stop.target), stop.at);
         }
+        self.evacuations.extend(declared.evacuation.into_iter().map(|it| HallEvacuation {
+            hall: it.hall,
+            document: key.to_owned(),
+            partner: partner.clone(),
+            revision,
+        }));
         for route in declared.route {
             self.routes.add(route);
         }
@@ -172,6 +193,17 @@
         self.serving(it.resource.kind, &format!("{}/{}", it.partner, it.resource.serves))
     }
 
+    /// Whether a declared target is in a data hall that its partner evacuates.
+    pub fn is_evacuated(&self, target: &str) -> bool {
+        let evacuates = |target: &Declared<Target>| {
+            let fits = |it: &HallEvacuation| {
+                it.partner == target.partner && it.hall == target.resource.hall
+            };
+            self.evacuations.iter().any(fits)
+        };
+        self.targets.get(target).is_some_and(evacuates)
+    }
+
     /// The part, 0 to 1, of the capacity of `serves` that customers of `partner` may use; 1 for the
     /// owner's own customers.
     pub fn granted(&self, partner: &str, owner: &str, serves: &str) -> f64 {
--- a/crates/sablepass-core/src/config.rs
+++ b/crates/sablepass-core/src/config.rs
@@ -66,7 +66,8 @@
 pub struct Digest {
     /// Highest revision of the store.
     pub revision: Revision,
-    /// Declarations: hash of all keys with their newest revision and the revision in force.
+    /// Declarations: hash of the keys of all documents that are not removed, with their newest
+    /// revision and the revision in force.
     /// Instance list: hash of the content of its lines.
     pub hash: u64,
     /// A peer below this revision can't be sent the changes; it must compare the full content.
@@ -213,7 +214,9 @@
 
     /// Digest of the store. For declarations the hash covers the revision in force as well as the
     /// newest one: otherwise a process that never received the last accepted version of a document
-    /// with an invalid edit would not detect the difference.
+    /// with an invalid edit would not detect the difference. It does not cover removed documents: a
+    /// process that started after a removal has no trace of it, and would differ forever from those
+    /// that recorded it. A process that still holds the document differs from both.
     pub fn digest(&self) -> Digest {
         let hash = match self.what {
             StoreKind::Instances => self.parts.hash(),
@@ -221,8 +224,8 @@
                 let line = |it: &Document| {
                     (it.key.clone(), it.newest.revision, self.revision_in_force(&it.key))
                 };
-                let held: Vec<(String, Revision, Option<Revision>)> =
-                    self.documents.values().map(line).collect();
+                let present = self.documents.values().filter(|it| !it.removed);
+                let held: Vec<(String, Revision, Option<Revision>)> = present.map(line).collect();
                 rendezvous::stable_hash(&held)
             }
         };
--- a/crates/sablepass-core/src/config/documents.rs
+++ b/crates/sablepass-core/src/config/documents.rs
@@ -30,10 +30,11 @@
     /// Adds removals to a complete listing: for each stored document that the listing neither names
     /// nor predates. A document already removed here is marked again at the later revision, since a
     /// peer with more of the history may have seen it return meanwhile. A listing shows only that
-    /// documents of its own era are gone.
+    /// documents of its own era are gone, and one that is older than the store shows nothing: the
+    /// store has every removal up to its own revision.
     pub(super) fn add_implied_removals(&self, delta: &mut Delta) {
         let Revision { era, .. } = delta.revision;
-        if era < self.revision.era {
+        if delta.revision < self.revision {
             return;
         }
         let named: BTreeSet<&String> = delta.documents.iter().map(|it| &it.key).collect();
--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -350,6 +350,14 @@
     pub at: Millis,
 }
 
+/// An evacuation of a data hall: while it is declared, no request is sent to a target there.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct Evacuation {
+    /// Name of the data hall. Compared byte by byte; any characters are allowed.
+    pub hall: String,
+}
+
 /// The content of one document.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, default)]
@@ -367,6 +375,8 @@
     pub grant: Vec<Grant>,
     /// Planned stops.
     pub stop: Vec<Stop>,
+    /// Evacuations of data halls.
+    pub evacuation: Vec<Evacuation>,
     /// Routes.
     pub route: Vec<Route>,
     /// Services that routes refer to.
@@ -489,6 +499,10 @@
             let fits = grant.part > 0.0 && grant.part <= 1.0;
             self.range("grant", &grant.serves, "part", grant.part, fits, "above 0 and up to 1")?;
         }
+        for evacuation in &declarations.evacuation {
+            let (hall, fits) = (&evacuation.hall, !evacuation.hall.is_empty());
+            self.range("evacuation", hall, "hall", hall, fits, "the name of a data hall")?;
+        }
         for route in &declarations.route {
             self.route_ranges(route)?;
         }
--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -108,7 +108,8 @@
     },
     /// The agent refused the attempt.
     Refused(Refusal),
-    /// The target announced that it accepts no requests before any part of the attempt was sent.
+    /// Before any part of the attempt was sent, the target announced that it accepts no requests,
+    /// or its data hall was evacuated.
     Unsent,
     /// The target failed to answer, or its answer was interrupted.
     Failed(Failure),
@@ -485,6 +486,10 @@
         if self.head_delivered {
             ran = Ran::Ran;
         }
+        if reason == Refusal::HallEvacuated && !self.request.keyed {
+            // The agent sent no part of the attempt to its target.
+            return self.on_unsent();
+        }
         let failure = Failure { reason, ran };
         // If the agent proved that this attempt did not run, even an unsafe request may be
         // retried at another target, unless it has a key: only the key's owner may run it.
--- a/crates/sablepass-core/src/pass.rs
+++ b/crates/sablepass-core/src/pass.rs
@@ -42,11 +42,18 @@
     /// Number of sequences per rank with which a pass takes no longer than `pause` milliseconds,
     /// where the rank with the most experts' work has `lag` times the mean.
     pub fn sequences(&self, pause: f64, lag: f64) -> f64 {
+        self.sequences_of_part(pause, lag, 1.0)
+    }
+
+    /// The same as [`Self::sequences`] for a group in which only a part of the ranks, above 0 and
+    /// up to 1, takes requests. All ranks share the experts' work of a pass, which is less by that
+    /// factor, while each rank that takes requests does the rest of the work for its own sequences.
+    pub fn sequences_of_part(&self, pause: f64, lag: f64, taking: f64) -> f64 {
         if self.sequence <= 0.0 {
             return f64::INFINITY;
         }
         // Experts' work is as uneven for tokens read as for tokens generated.
-        let uneven = 1.0 - self.part + self.part * lag.max(1.0);
+        let uneven = 1.0 - self.part + self.part * lag.max(1.0) * taking;
         (((pause - self.base) / uneven - self.reading) / self.sequence).max(0.0)
     }
 }
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -143,6 +143,10 @@
         TargetsLimited = 53, "targets-limited";
         /// The target has reached its request limit.
         TargetLimited = 54, "target-limited";
+        /// All targets that could serve the request are in evacuated data halls.
+        Evacuated = 60, "evacuated";
+        /// The target is in a data hall that its partner evacuates.
+        HallEvacuated = 61, "hall-evacuated";
         /// The headers exceed the size limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -169,7 +173,8 @@
         SlowTarget = 7, "slow-target";
         /// The target's machine is unresponsive, and no part of the answer arrived for a while.
         QuietTarget = 8, "quiet-target";
-        /// The target asked for a pause before any part of the attempt was sent.
+        /// The target asked for a pause, announced that it leaves, or was evacuated before any part
+        /// of the attempt was sent.
         TargetRests = 9, "target-rests";
     }
 }
@@ -230,6 +235,8 @@
             | Self::TargetsLimited
             | Self::TargetLimited
             | Self::TargetFull
+            | Self::Evacuated
+            | Self::HallEvacuated
             | Self::Misdirected
             | Self::ProcessLimit
             | Self::NoTarget
@@ -277,6 +284,7 @@
                 | Self::TargetFull
                 | Self::TargetRests
                 | Self::TargetLimited
+                | Self::HallEvacuated
                 | Self::Misdirected
         )
     }
