Entries and agents send no requests to evacuated data halls

Cause: an operator has to be able to keep all requests out of a data hall until further notice.

Change: Barrier::Evacuated is part of the eligibility check, so that every dispatch point honours it. Capacity, shares, expected waits and back-off thresholds count only the targets of other halls. Requests that wait for a connection or a turn in the hall are withdrawn and placed elsewhere; if all targets that could serve a request are evacuated, it is refused at once with the reason evacuated. An agent with a gate refuses attempts while its hall is evacuated. Logs, metrics, the status and sablepassctl show the evacuations. evacuation::Changes::released names the targets that may get requests again.

--- a/crates/sablepass-agent/src/keeper.rs
+++ b/crates/sablepass-agent/src/keeper.rs
@@ -98,6 +98,8 @@
     pub(crate) capacity: u32,
     /// Time of the planned stop.
     pub(crate) stop_at: Option<Millis>,
+    /// Whether the target is in a data hall that its partner evacuates.
+    evacuated: bool,
     pub(crate) stopping: bool,
     pub(crate) drained: bool,
 }
@@ -134,6 +136,7 @@
             notices: Notices::default(),
             capacity: 0,
             stop_at: None,
+            evacuated: false,
             stopping: false,
             drained: false,
             settings,
@@ -176,6 +179,12 @@
         self.gate.declare(clock::now(), catalogue.siblings(name));
         self.capacity = catalogue.targets.get(name).map_or(0, |it| it.resource.capacity);
         self.stop_at = catalogue.stops.get(name).copied();
+        let evacuated = catalogue.is_evacuated(name);
+        if std::mem::replace(&mut self.evacuated, evacuated) != evacuated {
+            slog::info!(self.log, "evacuation of the target's hall changed";
+                "evacuated" => evacuated, "era" => catalogue.revision.era,
+                "revision" => catalogue.revision.number, "running" => self.gate.running());
+        }
     }
 
     fn message(&mut self, _cx: CX![], peer: PeerKey, body: Body) {
@@ -212,8 +221,9 @@
         let parsed = convert::dispatch(&dispatch)?;
         let attempt = parsed.attempt;
         let now = clock::now();
-        let notices = &mut self.notices;
-        match self.gate.dispatch_if(now, &parsed, || notices.admit(now)) {
+        let (notices, evacuated) = (&mut self.notices, self.evacuated);
+        let admit = || if evacuated { Err(Refusal::HallEvacuated) } else { notices.admit(now) };
+        match self.gate.dispatch_if(now, &parsed, admit) {
             Decision::Run => {
                 let key = parsed.key.filter(|_| parsed.unsafe_repeat);
                 self.start(peer, attempt, key, dispatch);
--- a/crates/sablepass-ctl/src/show.rs
+++ b/crates/sablepass-ctl/src/show.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::time::{Duration, UNIX_EPOCH};
 
 use sablepass_core::revision::Revision;
 use serde_json::Value;
@@ -26,6 +27,7 @@
     let mut out = String::new();
     // Writing to a string cannot fail.
     let _ = write_processes(&mut out, all);
+    let _ = write_evacuations(&mut out, all);
     let _ = write_documents(&mut out, all);
     out
 }
@@ -74,6 +76,45 @@
     }
 }
 
+/// Writes the evacuated halls, if there are any: since when the first process knows of each, the
+/// revision of its document, and the entries that don't know of it.
+fn write_evacuations(out: &mut String, all: &[Status]) -> std::fmt::Result {
+    let mut evacuations: BTreeMap<(&str, &str), Vec<(&Value, &str)>> = BTreeMap::new();
+    let mut entries = Vec::new();
+    for (process, status) in all {
+        let Ok(status) = status else { continue };
+        let Some(evacuated) = status["evacuations"].as_array() else { continue };
+        let name = status["name"].as_str().unwrap_or(process);
+        entries.push(name);
+        for it in evacuated {
+            let key = (it["hall"].as_str().unwrap_or(""), it["partner"].as_str().unwrap_or(""));
+            evacuations.entry(key).or_default().push((it, name));
+        }
+    }
+    if evacuations.is_empty() {
+        return Ok(());
+    }
+    writeln!(
+        out,
+        "\n{:<28} {:<30} {:>4} {:>9}  NOTES",
+        "EVACUATED HALL", "SINCE", "ERA", "REVISION"
+    )?;
+    for ((hall, partner), known) in &evacuations {
+        let since = known.iter().filter_map(|it| it.0["since"].as_u64()).min().unwrap_or(0);
+        let since = httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_millis(since));
+        let newest = known.iter().map(|it| revision(it.0, "revision")).max().unwrap_or_default();
+        let unaware: Vec<&str> =
+            entries.iter().copied().filter(|name| known.iter().all(|it| it.1 != *name)).collect();
+        let mut notes = format!("by {partner}");
+        if !unaware.is_empty() {
+            write!(notes, "; lagging: {}", unaware.join(", "))?;
+        }
+        let Revision { era, number } = newest;
+        writeln!(out, "{hall:<28} {since:<30} {era:>4} {number:>9}  {notes}")?;
+    }
+    Ok(())
+}
+
 fn write_documents(out: &mut String, all: &[Status]) -> std::fmt::Result {
     let mut documents: BTreeMap<String, Vec<(&Value, String)>> = BTreeMap::new();
     for (process, status) in all {
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -73,6 +73,10 @@
     pub sent_to_resting: IntCounter,
     /// Requests sent to targets known to be leaving. Always 0 unless this program has a fault.
     pub sent_to_leaving: IntCounter,
+    /// Requests sent to targets known to be evacuated. Always 0 unless this program has a fault.
+    pub sent_to_evacuated: IntCounter,
+    /// 1 for each evacuated data hall, 0 after its evacuation has ended.
+    pub hall_evacuated: IntGaugeVec,
     /// Targets whose answer announced that they are leaving, by source: observed here or reported
     /// by others.
     pub left: IntCounterVec,
@@ -167,6 +171,12 @@
                 "sent_to_leaving_total",
                 "Requests sent to targets that were known to leave: a fault",
             )?,
+            sent_to_evacuated: counter(
+                r,
+                "sent_to_evacuated_total",
+                "Requests sent to targets that were known to be evacuated: a fault",
+            )?,
+            hall_evacuated: gauges(r, "hall_evacuated", "1 for an evacuated hall", &["hall"])?,
             left: counters(
                 r,
                 "targets_left_total",
--- a/crates/sablepass-entry/src/answers.rs
+++ b/crates/sablepass-entry/src/answers.rs
@@ -55,6 +55,7 @@
         let connections = self.pool.len();
         let entries = self.targets.sharers().count();
         let suspects = self.watch.status(now);
+        let evacuations = self.evacuation_status();
         let ret = ret_some_do!(move |mesh: serde_json::Value| {
             let mut status = mesh;
             status["role"] = "entry".into();
@@ -63,6 +64,7 @@
             status["targets"] = targets.into();
             status["entries"] = entries.into();
             status["suspects"] = suspects;
+            status["evacuations"] = evacuations;
             reply.send(admin::Reply::ok(&status));
         });
         call!([self.mesh], status(ret));
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -236,6 +236,10 @@
             return Err(Refusal::NotGranted);
         }
         let scope = Scope::ANY;
+        if self.targets.is_all_evacuated(now, Demand { served: &served, scope: &scope }, None) {
+            self.log_evacuated_refusal(&served);
+            return Err(Refusal::Evacuated);
+        }
         let room = self.targets.share(now, Demand { served: &served, scope: &scope });
         let ticket = self.admission.admit(&admit::Ask {
             customer: &customer,
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -90,7 +90,7 @@
     }
 
     /// Records that a request no longer uses a connection.
-    fn clear_connection(&mut self, id: RequestId, key: ConnectionKey) {
+    pub(crate) fn clear_connection(&mut self, id: RequestId, key: ConnectionKey) {
         if let Some(open) = self.requests.get_mut(&id)
             && open.connection == Some(key)
         {
@@ -120,6 +120,10 @@
             in_flight,
             TargetIncarnation { name: &target, started_at },
         );
+        if meta.proof != Proof::Misdirected {
+            let incarnation = TargetIncarnation { name: &target, started_at };
+            self.check_evacuation_respected(in_flight.request, incarnation);
+        }
         if let Some(load) = meta.load {
             self.targets.record_load(now, &target, load.running + load.waiting);
         }
@@ -183,7 +187,7 @@
     }
 
     /// Handles an established connection: sends the request that waits for it. If the target no
-    /// longer accepts requests, the request is withdrawn instead. This is the last moment at which
+    /// longer accepts requests, or its hall is evacuated, the request is withdrawn instead. This is the last moment at which
     /// an announcement of the target can be taken into account.
     fn direct_connected(&mut self, cx: CX![], key: ConnectionKey) {
         if !self.pool.mark_connected(key) {
--- a/crates/sablepass-entry/src/open.rs
+++ b/crates/sablepass-entry/src/open.rs
@@ -90,6 +90,11 @@
         Demand { served: &self.served, scope: &self.scope }
     }
 
+    /// Returns the target that owns the request's idempotency key, if it has one.
+    pub(crate) fn owner(&self) -> Option<&str> {
+        self.owner.as_deref()
+    }
+
     /// Returns whether the request may still wait for its group to become ready.
     pub(crate) fn may_wait_for_group(&self, now: Millis) -> bool {
         now < self.flight.request().deadline.min(self.run.arrived + GROUP_READY_WAIT)
--- a/crates/sablepass-entry/src/openai.rs
+++ b/crates/sablepass-entry/src/openai.rs
@@ -254,6 +254,7 @@
     match failure.reason {
         // The owner of the key is available again once its agent has been restarted.
         Refusal::OwnerAway | Refusal::Leaving => Some(10),
+        Refusal::Evacuated | Refusal::HallEvacuated => Some(2),
         // Keys that are created from now on are accepted.
         Refusal::KeyUncertain => Some(30),
         it => matches!(it.status(), 429 | 503).then_some(1),
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -8,7 +8,7 @@
 
 use sablepass_core::declaration::{Limits, Service};
 use sablepass_core::flight::Event;
-use sablepass_core::id::{AttemptId, RequestId};
+use sablepass_core::id::{AttemptId, RequestId, TargetIncarnation};
 use sablepass_core::reason::{Ignored, Refusal};
 use sablepass_core::revision::Revision;
 use sablepass_edge::instance::Role;
@@ -18,6 +18,7 @@
 use sablepass_wire::{convert, generated as wire};
 use stakker::{CX, call};
 
+use crate::evacuation::BACK_OFF_EVACUATED;
 use crate::open::OpenRequest;
 use crate::router::Router;
 use crate::targets::listing::Changes;
@@ -33,9 +34,10 @@
                 if let Some(declared) = catalogue.limits {
                     call!([self.server], limit(server_limits(declared)));
                 }
-                self.targets.set_catalogue(catalogue);
+                let changes = self.targets.set_catalogue(clock::now(), catalogue);
                 self.update_wanted_peers(cx);
                 self.send_bounds();
+                self.evacuations_changed(cx, &changes);
             }
             mesh::Event::Instances(list) => {
                 let changes = self.targets.apply_list(clock::now(), &list);
@@ -253,6 +255,14 @@
             return;
         }
         match &event {
+            Event::Head(_) => {
+                let started_at = self.targets.started_at(from);
+                let incarnation = TargetIncarnation { name: from, started_at };
+                self.check_evacuation_respected(attempt.request, incarnation);
+            }
+            Event::Refused(Refusal::HallEvacuated) => {
+                self.targets.back_off(from, clock::now() + BACK_OFF_EVACUATED);
+            }
             Event::Refused(Refusal::Leaving) => self.targets.mark_leaving(from),
             Event::Failed(failure) if failure.reason == Refusal::EngineAway => {
                 self.targets.refused_connection(from)
--- a/crates/sablepass-entry/src/pool.rs
+++ b/crates/sablepass-entry/src/pool.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Returns whether a request waits for the connection to be established.
+    pub fn has_waiting(&self, key: ConnectionKey) -> bool {
+        self.connections.get(&key).is_some_and(|it| it.waiting.is_some())
+    }
+
     /// Withdraws the request that waits for the connection; no part of it was sent.
     pub fn withdraw(&mut self, key: ConnectionKey) {
         if let Some(pooled) = self.connections.get_mut(&key) {
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -22,6 +22,7 @@
 use sablepass_edge::client;
 use sablepass_edge::clock;
 use sablepass_edge::mesh::Mesh;
+use sablepass_edge::reader::Form;
 use sablepass_edge::server::{ExchangeKey, Part, Server};
 use sablepass_edge::telemetry::Metrics;
 use sablepass_edge::unread::UnreadFields;
@@ -108,6 +109,7 @@
             group_stall: settings.stands,
             drain: settings.drain,
             agent_port: settings.agent_port,
+            evacuates_listed: settings.node.form == Form::Keys,
         };
         let policy = Policy::parse(&settings.policy).unwrap_or_default();
         let mut router = Self {
@@ -143,7 +145,10 @@
     /// Sends a request to a target, unless it is blocked as a suspect or its start is deferred.
     pub(crate) fn dispatch(&mut self, cx: CX![], id: RequestId) {
         let now = clock::now();
-        if !self.refuse_if_blocked(cx, now, id) && !self.defer_start(cx, now, id) {
+        if !self.refuse_if_blocked(cx, now, id)
+            && !self.refuse_if_evacuated(cx, now, id)
+            && !self.defer_start(cx, now, id)
+        {
             self.place(cx, id);
         }
     }
@@ -195,6 +200,9 @@
     /// Handles a request that no target can take now: lets it wait if a target is expected in
     /// time, and refuses it otherwise.
     fn handle_no_target(&mut self, cx: CX![], now: Millis, id: RequestId) {
+        if self.refuse_if_evacuated(cx, now, id) {
+            return;
+        }
         // Heartbeats may have arrived since the last tick.
         self.targets.update_groups(now);
         let ready_soon = self.should_wait_for_group(now, id);
@@ -220,7 +228,9 @@
                 "service" => &open.served.1, "after" => now.saturating_sub(open.run.arrived));
             return;
         }
+        let is_evacuated = self.targets.is_all_evacuated(now, open.demand(), open.owner());
         let reason = match (&open.owner, self.targets.has_closed_group(now, &open.served)) {
+            _ if is_evacuated => Refusal::Evacuated,
             (Some(_), _) => Refusal::OwnerAway,
             (None, true) => Refusal::GroupClosed,
             (None, false) => Refusal::NoTarget,
--- a/crates/sablepass-entry/src/routes.rs
+++ b/crates/sablepass-entry/src/routes.rs
@@ -28,6 +28,10 @@
 /// and callers wait before a retry for at most a third of their total time.
 const RETRY_AFTER_GROUP_S: &str = "2.4";
 
+/// `Retry-After` in seconds while all targets are evacuated: callers heed up to a third of the time
+/// left to them, and retries any sooner would mostly be refused again.
+const RETRY_AFTER_EVACUATED_S: &str = "2";
+
 /// Parses a request.
 pub fn parse(options: &Options, incoming: Incoming) -> Result<Call, Refused> {
     let arrived = clock::now();
@@ -113,6 +117,7 @@
         return None;
     }
     Some(match failure.reason {
+        Refusal::Evacuated => RETRY_AFTER_EVACUATED_S,
         Refusal::GroupClosed => RETRY_AFTER_GROUP_S,
         Refusal::NoTarget | Refusal::NoConfiguration | Refusal::Stopping => RETRY_AFTER_NO_TARGET_S,
         _ => RETRY_AFTER_FULL_S,
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -29,6 +29,7 @@
 use sablepass_edge::mesh::{PeerKey, RequiredPeer};
 
 use crate::targets::eligibility::Demand;
+use crate::targets::evacuation::Evacuations;
 
 /// How long a connection that was opened to reach the owner of a key is kept.
 const OWNER_LINK_RETENTION: Millis = 60_000;
@@ -41,6 +42,7 @@
 pub type Served = (Kind, String);
 
 pub(crate) mod eligibility;
+pub(crate) mod evacuation;
 mod groups;
 mod limits;
 pub(crate) mod listing;
@@ -67,6 +69,8 @@
     pub drain: Millis,
     /// Port of the agents on the machines of listed targets; none if there are no such agents.
     pub agent_port: Option<u16>,
+    /// Whether evacuations apply to listed targets, since the platform's store declares them.
+    pub evacuates_listed: bool,
 }
 
 /// Path by which a target is reached.
@@ -121,6 +125,7 @@
     serving: HashMap<Served, Vec<String>>,
     /// Names of the targets of each model or service that this entry uses.
     subsets: HashMap<Served, Vec<String>>,
+    evacuations: Evacuations,
     members: Members,
     /// Connections to the agents of declared targets, by target.
     links: HashMap<String, PeerKey>,
@@ -176,6 +181,7 @@
             catalogue: Rc::default(),
             serving: HashMap::new(),
             subsets: HashMap::new(),
+            evacuations: Evacuations::default(),
             links: HashMap::new(),
             names: HashMap::new(),
             wanted_owners: BTreeMap::new(),
@@ -212,10 +218,13 @@
         &self.members
     }
 
-    /// Replaces the declarations.
-    pub fn set_catalogue(&mut self, catalogue: Rc<Catalogue>) {
+    /// Replaces the declarations. Returns the evacuations that began or ended with that, and the
+    /// targets that were released.
+    pub fn set_catalogue(&mut self, now: Millis, catalogue: Rc<Catalogue>) -> evacuation::Changes {
         self.catalogue = catalogue;
+        let changes = self.update_evacuations(now);
         self.rebuild_index();
+        changes
     }
 
     /// The processes to connect to: agents of the declared targets in use, and agents of listed
@@ -384,8 +393,8 @@
     }
 
     /// Records that a target failed a request. After several consecutive failures the target is
-    /// backed off, unless half of the targets of its service are backed off already. Returns the
-    /// back-off time, if it is backed off.
+    /// backed off, unless half of the targets of its service are backed off already, evacuated ones
+    /// left out. Returns the back-off time, if it is backed off.
     pub fn record_failure(&mut self, now: Millis, name: &str) -> Option<Millis> {
         let back_off = self.members.record_failure(name)?;
         let serves = self.listed.get(name)?.instance.serves.clone();
@@ -394,7 +403,8 @@
             let member = self.members.get(it);
             member.is_some_and(|it| now < it.backed_off_until)
         };
-        if names.iter().filter(backed_off).count() * 2 >= names.len() {
+        let names: Vec<&String> = self.without_evacuated(names).collect();
+        if names.iter().copied().filter(backed_off).count() * 2 >= names.len() {
             return None;
         }
         self.back_off(name, now + back_off);
--- a/crates/sablepass-entry/src/targets/eligibility.rs
+++ b/crates/sablepass-entry/src/targets/eligibility.rs
@@ -26,6 +26,8 @@
 pub enum Barrier {
     /// The target has left: it announced that it leaves, or its line was removed from the list.
     Left,
+    /// The target's data hall is evacuated.
+    Evacuated,
     /// The target requested a pause until this time.
     Paused(Millis),
     /// The target is outside the regions to which the request may be sent.
@@ -44,6 +46,9 @@
         if self.has_left(now, incarnation) {
             return Some(Barrier::Left);
         }
+        if self.is_evacuated(incarnation.name) {
+            return Some(Barrier::Evacuated);
+        }
         if let Some(until) = self.notices.paused_until(now, incarnation) {
             return Some(Barrier::Paused(until));
         }
@@ -55,6 +60,11 @@
         None
     }
 
+    /// Whether a target is in the regions to which a request may be sent.
+    pub(super) fn is_in_scope(&self, name: &str, scope: &Scope) -> bool {
+        scope.allows(self.region(name))
+    }
+
     /// Whether a target may get new work of this scope now, regardless of its limit.
     pub(super) fn is_available(&self, now: Millis, name: &str, scope: &Scope) -> bool {
         self.barrier(now, self.incarnation(name), scope).is_none()
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -40,12 +40,13 @@
 const LAG_SCALE: f64 = 1_000.0;
 
 impl Targets {
-    /// Whether a target of a service belongs to a closed group, one of whose ranks is missing.
+    /// Whether a target of a service that takes requests belongs to a closed group, one of whose
+    /// ranks is missing.
     pub fn has_closed_group(&self, now: Millis, served: &Served) -> bool {
         let names = self.serving.get(served);
         let closed =
             |name: &String| self.members.closed(now, name) || self.is_in_broken_group(name);
-        names.is_some_and(|it| it.iter().any(closed))
+        names.is_some_and(|it| self.without_evacuated(it).any(closed))
     }
 
     /// Whether all targets of a service are ranks of one group, so that the end of one target stops
@@ -91,11 +92,11 @@
         }
     }
 
-    /// This entry's share of all targets of a service, whether or not they may get work now. Its
-    /// load is 0.
+    /// This entry's share of all targets of a service that are not evacuated, whether or not they
+    /// may get work now. Its load is 0.
     pub fn total_share(&self, demand: Demand<'_>) -> Share {
         let names = self.serving.get(demand.served).map(Vec::as_slice).unwrap_or_default();
-        let current = names.iter().filter(|it| !self.replaced.contains(*it));
+        let current = self.without_evacuated(names).filter(|it| !self.replaced.contains(*it));
         let capacities = current.filter_map(|it| Some(self.listed.get(it)?.instance.capacity));
         let capacities: Vec<u32> = capacities.collect();
         let capacity = f64::from(capacities.iter().sum::<u32>()) / self.sharers.count() as f64;
@@ -112,8 +113,8 @@
         };
         let pass_ms = pause * PASS_TO_PAUSE_RATIO;
         let entries = self.entries_per_target(served);
-        let places = |share: &Share, lag: f64| {
-            let sequences = times.sequences(pass_ms, lag) * share.targets / entries;
+        let places = |share: &Share, lag: f64, taking: f64| {
+            let sequences = times.sequences_of_part(pass_ms, lag, taking) * share.targets / entries;
             sequences.clamp(share.capacity * MIN_PLACES_RATIO, share.capacity * MAX_PLACES_RATIO)
         };
         let shares = self.shares_by_group(now, demand);
@@ -121,7 +122,7 @@
             let (mut total, mut load) = (0.0, 0.0);
             for (group, share) in &shares {
                 let lag = self.lag(now, served, *group).unwrap_or(ASSUMED_LAG);
-                total += places(share, lag);
+                total += places(share, lag, self.taking_part(served, Some(*group)));
                 load += share.load;
             }
             let ranks: f64 = shares.values().map(|it| it.targets).sum();
@@ -132,7 +133,8 @@
         }
         let Some(Opens { within, sure }) = self.opens(now, served) else { return Room::Closed };
         let share = self.total_share(demand);
-        Room::Opens { within, places: places(&share, INITIAL_LAG), sure }
+        let taking = self.taking_part(served, None);
+        Room::Opens { within, places: places(&share, INITIAL_LAG, taking), sure }
     }
 
     /// Lag of a group's map, relative to a balanced one, as its planner reported it recently.
@@ -152,17 +154,22 @@
         self.opens(now, served).is_some()
     }
 
-    /// When the first of a service's closed groups is expected to become ready; none if unknown.
+    /// When the first of a service's closed groups that take requests is expected to become ready;
+    /// none if unknown.
     fn opens(&self, now: Millis, served: &Served) -> Option<Opens> {
         let times =
             Times { form: self.forming_time(served).unwrap_or(0), stall: self.options.group_stall };
         let groups = self.groups.get(served)?;
-        groups.values().filter_map(|it| it.opens(now, times)).min()
+        let taking = groups.iter().filter(|it| self.group_takes_requests(served, *it.0));
+        taking.filter_map(|it| it.1.opens(now, times)).min()
     }
 
-    /// Whether a group of a service is closed by the reports of its ranks.
+    /// Whether a group of a service that takes requests is closed by the reports of its ranks.
     fn is_forming(&self, served: &Served) -> bool {
-        self.groups.get(served).is_some_and(|it| it.values().any(Forming::is_closed))
+        let is_forming = |(group, forming): (&u32, &Forming)| {
+            forming.is_closed() && self.group_takes_requests(served, *group)
+        };
+        self.groups.get(served).is_some_and(|it| it.iter().any(is_forming))
     }
 
     /// Whether this process received its first instance list so recently that the state of ranks
@@ -233,11 +240,12 @@
     }
 
     /// Whether so few targets of a service are severely degraded that the others can take over
-    /// their requests.
+    /// their requests. Evacuated targets are left out.
     pub fn can_take_over(&self, served: &Served) -> bool {
         let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
         let degraded =
             |it: &&String| self.members.get(it).is_some_and(|it| it.report.pace == Pace::Crawling);
-        names.iter().filter(degraded).count() * CRAWLING_DIVISOR < names.len()
+        let names: Vec<&String> = self.without_evacuated(names).collect();
+        names.iter().copied().filter(degraded).count() * CRAWLING_DIVISOR < names.len()
     }
 }
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -220,6 +220,18 @@
             let chosen = balance::subset(&self.options.me, self.options.subset, names);
             chosen.into_iter().map(str::to_owned).collect::<Vec<String>>()
         };
+        // Targets outside the evacuated halls are used in place of the evacuated ones, whose
+        // connections stay for the requests that run there.
+        let subset = |names: &Vec<String>| {
+            let mut chosen = subset(names);
+            if self.has_evacuations() {
+                let others = subset(&self.without_evacuated(names).cloned().collect());
+                chosen.extend(
+                    others.into_iter().filter(|it| !chosen.contains(it)).collect::<Vec<_>>(),
+                );
+            }
+            chosen
+        };
         self.subsets = self.serving.iter().map(|(it, names)| (it.clone(), subset(names))).collect();
     }
 }
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -99,18 +99,19 @@
     }
 
     /// When the first target of a service accepts requests again, if none is available now and at
-    /// least one of them requested a pause; none otherwise.
+    /// least one of them requested a pause; none otherwise. Evacuated targets are left out.
     pub fn pause_ends_at(&self, now: Millis, demand: Demand<'_>) -> Option<Millis> {
-        let names = self.subsets.get(demand.served)?;
+        let names: Vec<&String> =
+            self.without_evacuated(self.subsets.get(demand.served)?).collect();
         let paused_until = |it: &String| self.notices.paused_until(now, self.incarnation(it));
         let is_paused =
             |it: &String| paused_until(it).is_some() || self.is_paused_behind_agent(now, it);
-        if !names.iter().any(is_paused)
+        if !names.iter().copied().any(is_paused)
             || names.iter().any(|it| self.is_available(now, it, demand.scope))
         {
             return None;
         }
-        let present = names.iter().filter(|it| !self.has_left(now, self.incarnation(it)));
+        let present = names.into_iter().filter(|it| !self.has_left(now, self.incarnation(it)));
         present
             .filter_map(|it| Some(self.available_at(now, it)?.max(paused_until(it).unwrap_or(0))))
             .min()
--- a/crates/sablepass-entry/src/targets/shares.rs
+++ b/crates/sablepass-entry/src/targets/shares.rs
@@ -56,10 +56,11 @@
         shares
     }
 
-    /// Mean number of entries that share a target of a model or service.
+    /// Mean number of entries that share a target of a model or service, evacuated ones left out.
     pub(super) fn entries_per_target(&self, served: &Served) -> f64 {
-        let subset = self.subsets.get(served).map_or(0, Vec::len) as f64;
-        let all = self.serving.get(served).map_or(1, Vec::len).max(1) as f64;
+        let count = |names: &Vec<String>| self.without_evacuated(names).count();
+        let subset = self.subsets.get(served).map_or(0, count) as f64;
+        let all = self.serving.get(served).map_or(1, count).max(1) as f64;
         (self.sharers.count() as f64 * subset / all).max(1.0)
     }
 }
--- a/crates/sablepass-entry/src/ticks.rs
+++ b/crates/sablepass-entry/src/ticks.rs
@@ -37,6 +37,7 @@
             self.apply_pending_limits(now);
             self.update_target_metrics();
         }
+        self.refuse_evacuated(cx, now);
         self.start_waiting(cx);
         self.send_suspects();
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
@@ -59,6 +60,7 @@
             ("usable", counts.usable),
             ("resting", counts.paused),
             ("limited", counts.limited),
+            ("evacuated", counts.evacuated),
         ];
         for (state, count) in values {
             self.metrics.targets.with_label_values(&[state]).set(count as i64);
--- a/crates/sablepass-entry/src/turns.rs
+++ b/crates/sablepass-entry/src/turns.rs
@@ -53,6 +53,14 @@
 }
 
 impl PendingTurn {
+    /// The target at which the turn is requested or reserved.
+    fn target(&self) -> &str {
+        match self {
+            Self::Requested { target, .. } => target,
+            Self::Granted(turn) => &turn.target,
+        }
+    }
+
     /// The turn, if one is reserved.
     pub(crate) fn granted(self) -> Option<GrantedTurn> {
         match self {
@@ -242,8 +250,10 @@
             Some(PendingTurn::Requested { until, .. }) => *until,
             None => return,
         };
-        if now >= due {
-            if matches!(open.slot, Some(PendingTurn::Requested { .. })) {
+        // A turn at an evacuated target is of no use.
+        let target = open.slot.as_ref().map_or("", PendingTurn::target);
+        if now >= due || self.targets.is_evacuated(target) {
+            if now >= due && matches!(open.slot, Some(PendingTurn::Requested { .. })) {
                 self.metrics.turns.with_label_values(&["unanswered"]).inc();
             }
             self.place(cx, id);
