--- a/crates/sablepass-stand/tests/evacuation_path.rs
+++ b/crates/sablepass-stand/tests/evacuation_path.rs
@@ -108,19 +108,20 @@
         thread::spawn(move || ask.send(&addr))
     };
     let pending: Vec<_> = (0..12).map(pending).collect();
-    thread::sleep(Duration::from_millis(200));
+    thread::sleep(Duration::from_millis(50));
     assert!(pending.iter().any(|it| !it.is_finished()), "no request waits for its connection");
 
     // An item whose value cannot be decoded.
     site.store.put_raw("op/evacuate/a/b", "%");
     wait_for_hall(&site, "a/b", true);
-    let evacuated_at = Instant::now();
     for it in pending {
         let answer = it.join().expect("a caller does not panic");
         assert_eq!(answer.status, 200, "{answer:?}");
         assert_eq!(site.runs(&answer.id), 1);
     }
-    assert!(evacuated_at.elapsed() < Duration::from_millis(500), "{:?}", evacuated_at.elapsed());
+    // They were withdrawn, rather than tried elsewhere after a timeout.
+    let admin = site.entries[0].addr("admin");
+    assert!(metric(&admin, "sablepass_retries_total", "reason=\"target-rests\"") > 0.0);
     thread::sleep(Duration::from_millis(100));
     let before = evacuated.arrivals().len();
     let answers = use_all("during");
