--- a/crates/sablepass-ctl/src/show.rs
+++ b/crates/sablepass-ctl/src/show.rs
@@ -110,6 +110,7 @@
             write!(notes, "; lagging: {}", unaware.join(", "))?;
         }
         let Revision { era, number } = newest;
+        let hall = hall.escape_debug().to_string();
         writeln!(out, "{hall:<28} {since:<30} {era:>4} {number:>9}  {notes}")?;
     }
     Ok(())
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -344,7 +344,7 @@
 /// Converts an item of the store into a document. Replicas become lines of the instance list. A
 /// replica that cannot be decoded is treated as removed, after a watch as well as after a full
 /// read. A declaration that cannot be decoded becomes a refused one: the last accepted version
-/// stays in force.
+/// stays in force. Evacuations need no decoding.
 fn to_document(kind: StoreKind, era: u64, change: store::Change) -> (Document, Option<Problem>) {
     let (key, revision) = (change.key, Revision::new(era, change.revision));
     let body = change.value.and_then(|value| match (kind, value) {
--- a/crates/sablepass-stand/tests/evacuation_path.rs
+++ b/crates/sablepass-stand/tests/evacuation_path.rs
@@ -7,11 +7,13 @@
 mod common;
 
 use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use sablepass_stand::client::{Answer, Ask, control, metric, wait_for};
 use sablepass_stand::fleet::{Fleet, Serves, Timers};
+use sablepass_stand::process;
 use sablepass_stand::replica::Replica;
 use sablepass_stand::site::{Site, ask};
 use socket2::{Domain, Socket, Type};
@@ -201,6 +203,13 @@
     let own = |it: &&serde_json::Value| it["partner"] == "tatranska" && it["hall"] == "x";
     assert_eq!(status["evacuations"].as_array().expect("a list").iter().filter(own).count(), 1);
 
+    let program = process::program("sablepassctl");
+    let shown = Command::new(program).args(["status", "-p", &fleet.admin(0)]).output();
+    let shown = String::from_utf8(shown.expect("the program starts").stdout).expect("text");
+    let line = shown.lines().find(|it| it.starts_with("x ") && it.contains("by tatranska"));
+    let line = line.unwrap_or_else(|| panic!("no evacuated hall: {shown}"));
+    assert!(line.contains("GMT") && line.contains(&revision.to_string()), "{line}");
+
     let revision = fleet.publish("tatranska/out.toml", "");
     fleet.settle(2, revision);
     wait_for("the hall is used again", || {
