--- a/crates/sablepass-core/src/catalogue.rs
+++ b/crates/sablepass-core/src/catalogue.rs
@@ -155,6 +155,12 @@
         }
     }
 
+    /// Whether a route or a customer is restricted to regions.
+    pub fn has_regions(&self) -> bool {
+        self.routes.all().any(|it| !it.regions.is_empty())
+            || self.customers.values().any(|it| !it.resource.regions.is_empty())
+    }
+
     /// Names of the targets that serve `serves`, the qualified name of a model or service.
     pub fn serving(&self, kind: Kind, serves: &str) -> Vec<String> {
         let fits = |it: &Declared<Target>| {
--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -201,6 +201,9 @@
     /// Maximum number of concurrent requests at one entry. 1 to 100,000.
     #[serde(default = "default_streams")]
     pub streams: u32,
+    /// Regions to which its requests may be sent; if empty, all.
+    #[serde(default)]
+    pub regions: Vec<String>,
 }
 
 fn default_streams() -> u32 {
@@ -412,7 +415,8 @@
     Ok(declarations)
 }
 
-fn is_name(text: &str) -> bool {
+/// Whether a text is a valid name of a resource or a region.
+pub fn is_name(text: &str) -> bool {
     let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
     !text.is_empty() && text.len() <= 64 && text.chars().all(fits)
 }
@@ -436,6 +440,9 @@
         }
         for customer in &declarations.customer {
             self.name("customer", &customer.name)?;
+            for region in &customer.regions {
+                self.name("customer region", region)?;
+            }
         }
         for grant in &declarations.grant {
             self.name("grant", &grant.serves)?;
@@ -449,6 +456,9 @@
         }
         for route in &declarations.route {
             self.name("route", &route.name)?;
+            for region in &route.regions {
+                self.name("route region", region)?;
+            }
             for share in &route.shares {
                 self.name("route share", &share.service)?;
             }
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -143,6 +143,8 @@
         TargetsLimited = 53, "targets-limited";
         /// The target has reached its request limit.
         TargetLimited = 54, "target-limited";
+        /// No target that may run the request is in the regions to which it may be sent.
+        OutsideRegions = 56, "outside-regions";
         /// The headers exceed the size limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -229,6 +231,7 @@
             | Self::TargetRests
             | Self::TargetsLimited
             | Self::TargetLimited
+            | Self::OutsideRegions
             | Self::TargetFull
             | Self::Misdirected
             | Self::ProcessLimit
--- a/crates/sablepass-core/src/route.rs
+++ b/crates/sablepass-core/src/route.rs
@@ -68,6 +68,9 @@
     /// late.
     #[serde(default)]
     pub pause: Option<Millis>,
+    /// Regions to which its requests may be sent; if empty, all.
+    #[serde(default)]
+    pub regions: Vec<String>,
     /// Services among which the requests are distributed.
     pub shares: Vec<Share>,
 }
@@ -122,6 +125,25 @@
         prefixes.is_some_and(|it| it.contains_key(prefix))
     }
 
+    /// Finds the current version of a route: the one of the same name at the same host and prefix,
+    /// or else the only one of that name. None if there is none, or if several partners declare
+    /// the name.
+    pub fn current(&self, route: &Route) -> Option<&Rc<Route>> {
+        let prefixes = self.hosts.get(&route.host.to_ascii_lowercase());
+        let same_place = prefixes.and_then(|it| it.get(&route.prefix));
+        if let Some(found) = same_place.filter(|it| it.name == route.name) {
+            return Some(found);
+        }
+        let mut named = self.all().filter(|it| it.name == route.name);
+        let found = named.next()?;
+        named.next().is_none().then_some(found)
+    }
+
+    /// All routes, in no particular order.
+    pub fn all(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.hosts.values().flat_map(HashMap::values)
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.count
