Requests are sent only to targets in their regions

The scope of a request is set at its admission and again when a new configuration arrives; every dispatch point asks the eligibility check with it. Capacity, shares, waits and closed groups count only targets in scope.

One start queue per service holds streams of different scopes: a stream starts only after those of its own scope that go before it, but passes those of scopes whose capacity is used up. Without restrictions its decisions are those of before.

--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -276,6 +276,11 @@
         self.state == State::Sent && now >= self.last_heard + SILENCE_THRESHOLD
     }
 
+    /// Returns whether no attempt is in progress and the request waits for a target.
+    pub fn is_choosing(&self) -> bool {
+        self.state == State::Choosing
+    }
+
     /// Returns whether the caller got its final answer or failure.
     pub fn is_ended(&self) -> bool {
         self.state == State::Ended
--- a/crates/sablepass-core/src/starts.rs
+++ b/crates/sablepass-core/src/starts.rs
@@ -14,6 +14,7 @@
 use std::collections::VecDeque;
 
 use crate::id::{Millis, RequestId};
+use crate::scope::Scope;
 
 /// Factor on the median time to the first event, so that a stream that waited as long as possible
 /// is usually still in time.
@@ -72,7 +73,7 @@
 }
 
 /// A stream that requests to start.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct StartRequest {
     /// Id of its request.
     pub id: RequestId,
@@ -84,6 +85,8 @@
     pub patience: Millis,
     /// Whether it was interrupted on another target, so that it is late already.
     pub resumed: bool,
+    /// Regions to which it may be sent.
+    pub scope: Scope,
 }
 
 /// Decision on when a stream may start.
@@ -100,6 +103,9 @@
 
 /// Queue of a service's streams that wait to start, in order of arrival, with the estimates on
 /// which decisions are based.
+///
+/// Streams of different scopes have different capacity. A stream starts only after those of its own
+/// scope that go before it, but passes those of other scopes whose capacity is used up.
 #[derive(Clone, Debug)]
 pub struct StartQueue {
     waiting: VecDeque<StartRequest>,
@@ -129,13 +135,15 @@
 }
 
 impl StartQueue {
-    /// Decides when a stream may start. One that has to wait is added to the queue.
+    /// Decides when a stream may start, with the capacity of its scope. One that has to wait is
+    /// added to the queue. The caller has started the waiting streams of other scopes for which
+    /// there is capacity.
     pub fn request(&mut self, now: Millis, stream: &StartRequest, room: Room) -> StartDecision {
         self.record_arrival(now, f64::from(u8::from(!stream.resumed)));
         let decision = self.decide(now, stream, room);
         match decision {
             StartDecision::Now => self.record_start(now),
-            StartDecision::Wait(_) => self.waiting.push_back(*stream),
+            StartDecision::Wait(_) => self.waiting.push_back(stream.clone()),
             StartDecision::Refuse(_) => {}
         }
         decision
@@ -149,7 +157,7 @@
                 self.decide_before_ready(now, stream, within, places, sure)
             }
             Room::Open { .. }
-                if self.ahead(now, stream) == 0 && self.can_start(now, stream, room) =>
+                if !self.has_ahead_in_scope(now, stream) && self.can_start(now, stream, room) =>
             {
                 StartDecision::Now
             }
@@ -176,7 +184,8 @@
         places: f64,
         sure: bool,
     ) -> StartDecision {
-        let total = self.waiting.len() as f64 + 1.0 + self.reserved_places();
+        let waiting = self.waiting.iter().filter(|it| it.scope.overlaps(&stream.scope)).count();
+        let total = waiting as f64 + 1.0 + self.reserved_places();
         let beyond = (total - places).max(0.0);
         let wait = within as f64 + beyond * self.duration_ms / places.max(1.0);
         if beyond <= 0.0 && self.in_time(now, stream, wait, stream.patience) {
@@ -285,10 +294,20 @@
             || waited + self.first_event_ms * FIRST_EVENT_FACTOR > stream.objective as f64
     }
 
-    /// Number of waiting streams that go before this one: those in time before late ones.
+    /// Number of waiting streams that go before this one and can use the same capacity.
     fn ahead(&self, now: Millis, stream: &StartRequest) -> usize {
+        self.before(now, stream).filter(|it| it.scope.overlaps(&stream.scope)).count()
+    }
+
+    /// Whether a waiting stream of the same scope goes before this one.
+    fn has_ahead_in_scope(&self, now: Millis, stream: &StartRequest) -> bool {
+        self.before(now, stream).any(|it| it.scope == stream.scope)
+    }
+
+    /// Waiting streams that go before this one: those in time before late ones.
+    fn before(&self, now: Millis, stream: &StartRequest) -> impl Iterator<Item = &StartRequest> {
         let late = self.is_late(now, stream);
-        self.waiting.iter().filter(|it| late || !self.is_late(now, it)).count()
+        self.waiting.iter().filter(move |it| late || !self.is_late(now, it))
     }
 
     /// Removes the waiting streams for which `waits` returns false.
@@ -296,20 +315,37 @@
         self.waiting.retain(|it| waits(&it.id));
     }
 
+    /// Replaces the scopes of the waiting streams for which `current` returns one.
+    pub fn update_scopes(&mut self, current: impl Fn(&RequestId) -> Option<Scope>) {
+        for stream in &mut self.waiting {
+            if let Some(scope) = current(&stream.id) {
+                stream.scope = scope;
+            }
+        }
+    }
+
     /// Whether no stream waits.
     pub fn is_idle(&self) -> bool {
         self.waiting.is_empty()
     }
 
-    /// The stream that starts next: the first one that is in time, or else the first one.
-    pub fn front(&self, now: Millis) -> Option<StartRequest> {
-        let in_time = self.waiting.iter().find(|it| !self.is_late(now, it));
-        in_time.or(self.waiting.front()).copied()
+    /// The stream of each scope that starts next: the first one that is in time, or else the first
+    /// one. Those that go first come first.
+    pub fn fronts(&self, now: Millis) -> Vec<StartRequest> {
+        let (in_time, late): (Vec<_>, Vec<_>) =
+            self.waiting.iter().partition(|it| !self.is_late(now, it));
+        let mut fronts: Vec<StartRequest> = Vec::new();
+        for stream in in_time.into_iter().chain(late) {
+            if fronts.iter().all(|it| it.scope != stream.scope) {
+                fronts.push(stream.clone());
+            }
+        }
+        fronts
     }
 
-    /// Removes and returns the stream that starts next, if there is capacity for it.
-    pub fn next(&mut self, now: Millis, room: Room) -> Option<RequestId> {
-        let stream = self.front(now)?;
+    /// Removes and returns the stream of this scope that starts next, if there is capacity for it.
+    pub fn next(&mut self, now: Millis, scope: &Scope, room: Room) -> Option<RequestId> {
+        let stream = self.fronts(now).into_iter().find(|it| it.scope == *scope)?;
         if !self.can_start(now, &stream, room) {
             return None;
         }
@@ -318,14 +354,20 @@
         Some(stream.id)
     }
 
-    /// Removes and returns a stream that cannot start before its caller gives up, with the
-    /// estimated milliseconds until a start would be possible.
-    pub fn give_up(&mut self, now: Millis, room: Room) -> Option<(RequestId, Option<Millis>)> {
+    /// Removes and returns a stream of this scope that cannot start before its caller gives up,
+    /// with the estimated milliseconds until a start would be possible.
+    pub fn give_up(
+        &mut self,
+        now: Millis,
+        scope: &Scope,
+        room: Room,
+    ) -> Option<(RequestId, Option<Millis>)> {
         let too_late = |it: &StartRequest| {
             let waited = now.saturating_sub(it.arrived) as f64;
             waited + self.first_event_ms * FIRST_EVENT_FACTOR > it.patience as f64
         };
-        let at = self.waiting.iter().position(|it| room == Room::Closed || too_late(it))?;
+        let ends = |it: &StartRequest| it.scope == *scope && (room == Room::Closed || too_late(it));
+        let at = self.waiting.iter().position(ends)?;
         let stream = self.waiting.remove(at)?;
         let retry_after = match room {
             Room::Opens { within, sure: true, .. } => Some(within),
--- a/crates/sablepass-core/tests/starts.rs
+++ b/crates/sablepass-core/tests/starts.rs
@@ -5,11 +5,19 @@
 
 use sablepass_core::id::{Millis, RequestId};
 use sablepass_core::pass::{Steps, Times};
+use sablepass_core::scope::Scope;
 use sablepass_core::starts::{Room, StartDecision, StartQueue, StartRequest};
 
 /// A stream that arrives at this time, in milliseconds.
 fn stream(id: u128, arrived: Millis) -> StartRequest {
-    StartRequest { id: RequestId(id), arrived, objective: 500, patience: 2_000, resumed: false }
+    StartRequest {
+        id: RequestId(id),
+        arrived,
+        objective: 500,
+        patience: 2_000,
+        resumed: false,
+        scope: Scope::ANY,
+    }
 }
 
 /// Capacity for this many streams besides the 20 active ones.
@@ -35,10 +43,10 @@
     );
     // There would be capacity, but another stream came first.
     assert_eq!(starts.request(0, &stream(2, 0), room(1.5)), StartDecision::Wait(200));
-    assert_eq!(starts.next(0, room(0.5)), None, "no capacity");
-    assert_eq!(starts.next(0, room(2.0)), Some(RequestId(1)));
-    assert_eq!(starts.next(0, room(2.0)), Some(RequestId(2)));
-    assert_eq!(starts.next(0, room(2.0)), None);
+    assert_eq!(starts.next(0, &Scope::ANY, room(0.5)), None, "no capacity");
+    assert_eq!(starts.next(0, &Scope::ANY, room(2.0)), Some(RequestId(1)));
+    assert_eq!(starts.next(0, &Scope::ANY, room(2.0)), Some(RequestId(2)));
+    assert_eq!(starts.next(0, &Scope::ANY, room(2.0)), None);
 }
 
 #[test]
@@ -59,7 +67,7 @@
     starts.request(0, &stream(1, 0), room(1.0));
     starts.request(0, &stream(2, 0), room(1.0));
     starts.retain(|it| *it != RequestId(1));
-    assert_eq!(starts.front(0).map(|it| it.id), Some(RequestId(2)));
+    assert_eq!(starts.fronts(0).first().map(|it| it.id), Some(RequestId(2)));
 }
 
 /// A group becomes ready with a backlog: streams that waited for it, or that were interrupted when
@@ -78,12 +86,16 @@
     let turns: Vec<StartDecision> =
         (90..98).map(|id| starts.request(660, &stream(id, 660), opening)).collect();
     assert!(matches!(turns[7], StartDecision::Refuse(Some(601..))), "{turns:?}");
-    assert_eq!(starts.next(699, opening), None, "no stream starts before the group is ready");
+    assert_eq!(
+        starts.next(699, &Scope::ANY, opening),
+        None,
+        "no stream starts before the group is ready"
+    );
     // The group is ready. Streams in time start first, whenever they arrived, and late ones after
     // them.
     let open = |load| Room::Open { places: 20.0, load, reads: 30.0 };
     let mut started = Vec::new();
-    while let Some(RequestId(id)) = starts.next(700, open(started.len() as f64)) {
+    while let Some(RequestId(id)) = starts.next(700, &Scope::ANY, open(started.len() as f64)) {
         started.push(id);
     }
     let in_time = started.iter().take_while(|it| (90..98).contains(*it)).count();
@@ -112,9 +124,9 @@
         StartDecision::Now,
         "a stream in time does not wait"
     );
-    assert_eq!(starts.next(100, room), None, "five prompts are being read");
-    assert_eq!(starts.next(205, room), Some(RequestId(4)));
-    assert_eq!(starts.next(205, room), Some(RequestId(5)));
+    assert_eq!(starts.next(100, &Scope::ANY, room), None, "five prompts are being read");
+    assert_eq!(starts.next(205, &Scope::ANY, room), Some(RequestId(4)));
+    assert_eq!(starts.next(205, &Scope::ANY, room), Some(RequestId(5)));
 }
 
 #[test]
@@ -133,8 +145,8 @@
     // A waiting stream is refused when the group is lost again.
     let opening = Room::Opens { within: 600, places: 20.0, sure: true };
     assert_eq!(starts.request(0, &stream(3, 0), opening), StartDecision::Wait(600));
-    assert_eq!(starts.give_up(100, opening), None);
-    assert_eq!(starts.give_up(100, Room::Closed), Some((RequestId(3), None)));
+    assert_eq!(starts.give_up(100, &Scope::ANY, opening), None);
+    assert_eq!(starts.give_up(100, &Scope::ANY, Room::Closed), Some((RequestId(3), None)));
     assert!(starts.is_idle());
 }
 
@@ -148,7 +160,7 @@
     for id in 0..60 {
         let now = u64::try_from(id).expect("small") * 100;
         starts.request(now, &stream(id, now), full);
-        starts.next(now, Room::Free);
+        starts.next(now, &Scope::ANY, Room::Free);
     }
     let interrupted = StartRequest { resumed: true, ..stream(100, 6_000) };
     assert!(matches!(starts.request(6_000, &interrupted, full), StartDecision::Refuse(Some(_))));
@@ -159,8 +171,9 @@
     let mut starts = StartQueue::default();
     let interrupted = StartRequest { resumed: true, ..stream(1, 0) };
     assert_eq!(starts.request(0, &interrupted, room(-3.0)), StartDecision::Wait(400 + 100));
-    assert_eq!(starts.give_up(1_700, room(-3.0)), None);
-    let (id, turn) = starts.give_up(1_900, room(-3.0)).expect("its caller is about to give up");
+    assert_eq!(starts.give_up(1_700, &Scope::ANY, room(-3.0)), None);
+    let (id, turn) =
+        starts.give_up(1_900, &Scope::ANY, room(-3.0)).expect("its caller is about to give up");
     assert_eq!((id, turn), (RequestId(1), Some(100)));
 }
 
@@ -191,3 +204,77 @@
     steps.watch(1_200, 8, false);
     assert!(!steps.is_stalled(9_000), "an idle group makes no steps");
 }
+
+fn scope(regions: &[&str]) -> Scope {
+    let names: Vec<String> = regions.iter().map(|it| (*it).to_owned()).collect();
+    Scope::intersection([names.as_slice()])
+}
+
+/// A stream that may run in these regions only.
+fn restricted(id: u128, arrived: Millis, regions: &[&str]) -> StartRequest {
+    StartRequest { scope: scope(regions), objective: 1_000, ..stream(id, arrived) }
+}
+
+/// The streams that start when the scopes have this capacity.
+fn start_all(starts: &mut StartQueue, now: Millis, room_of: impl Fn(&Scope) -> Room) -> Vec<u128> {
+    let mut started = Vec::new();
+    loop {
+        let fronts = starts.fronts(now);
+        let next = fronts.iter().find_map(|it| starts.next(now, &it.scope, room_of(&it.scope)));
+        let Some(id) = next else { return started };
+        started.push(id.0);
+    }
+}
+
+/// Guards against head-of-line blocking: the targets in one region are at capacity, and the stream
+/// that waits for them is first in the queue.
+#[test]
+fn verify_a_scope_without_capacity_does_not_block_the_streams_behind() {
+    let (north, south) = (scope(&["north"]), scope(&["south"]));
+    let mut starts = StartQueue::default();
+    for (id, regions) in [(1, ["north"]), (2, ["south"]), (3, ["north"]), (4, ["south"])] {
+        let decision = starts.request(0, &restricted(id, 0, &regions), room(1.0));
+        assert!(matches!(decision, StartDecision::Wait(_)), "stream {id}: {decision:?}");
+    }
+    let only = |free: &Scope, it: &Scope| if it == free { room(2.0) } else { room(0.5) };
+    assert_eq!(start_all(&mut starts, 0, |_| room(0.5)), [] as [u128; 0], "no capacity");
+    assert_eq!(start_all(&mut starts, 0, |it| only(&south, it)), [2, 4], "in order of arrival");
+    // A new stream of the region with capacity starts at once, one of the other region waits
+    // behind those of its own scope.
+    let decision = starts.request(0, &restricted(5, 0, &["south"]), room(2.0));
+    assert_eq!(decision, StartDecision::Now);
+    let decision = starts.request(0, &restricted(6, 0, &["north"]), room(2.0));
+    assert!(matches!(decision, StartDecision::Wait(_)), "{decision:?}");
+    assert_eq!(start_all(&mut starts, 0, |it| only(&north, it)), [1, 3, 6]);
+    assert!(starts.is_idle());
+}
+
+/// Guards against an estimate that leaves out streams which compete for the same targets, so that
+/// a stream waits in vain.
+#[test]
+fn verify_the_expected_wait_counts_streams_of_overlapping_scopes() {
+    let mut starts = StartQueue::default();
+    assert_eq!(starts.request(0, &stream(1, 0), room(1.0)), StartDecision::Wait(100));
+    let wait = |starts: &StartQueue, regions: &[&str]| {
+        starts.clone().request(0, &restricted(9, 0, regions), room(1.0))
+    };
+    assert_eq!(wait(&starts, &["north"]), StartDecision::Wait(200), "1 may use any region");
+    assert_eq!(
+        starts.request(0, &restricted(2, 0, &["south"]), room(1.0)),
+        StartDecision::Wait(200)
+    );
+    assert_eq!(wait(&starts, &["north"]), StartDecision::Wait(200), "2 is in another region");
+    assert_eq!(wait(&starts, &["north", "south"]), StartDecision::Wait(300));
+}
+
+/// Guards against a stream that is counted in a scope that a new configuration has replaced.
+#[test]
+fn verify_a_waiting_stream_gets_its_new_scope() {
+    let mut starts = StartQueue::default();
+    starts.request(0, &restricted(1, 0, &["north"]), room(1.0));
+    starts.request(0, &restricted(2, 0, &["north"]), room(1.0));
+    starts.update_scopes(|it| (*it == RequestId(1)).then(|| scope(&["south"])));
+    assert_eq!(starts.next(0, &scope(&["south"]), room(2.0)), Some(RequestId(1)));
+    assert_eq!(starts.give_up(0, &scope(&["south"]), Room::Closed), None);
+    assert_eq!(starts.give_up(0, &scope(&["north"]), Room::Closed), Some((RequestId(2), None)));
+}
--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -17,6 +17,7 @@
 mod openai;
 mod peers;
 mod pool;
+mod regions;
 mod router;
 mod routes;
 mod settings;
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -36,6 +36,7 @@
                 self.targets.set_catalogue(catalogue);
                 self.update_wanted_peers(cx);
                 self.send_bounds();
+                self.update_scopes(cx);
             }
             mesh::Event::Instances(list) => {
                 let changes = self.targets.apply_list(clock::now(), &list);
@@ -230,16 +231,18 @@
     /// Moves the requests of a severely degraded target to other targets, if those can take them
     /// over: while they run there, all ranks of the group are as slow as this one.
     fn move_requests(&mut self, cx: CX![], target: &str) {
-        let is_assigned = |it: &&OpenRequest| it.flight.target() == Some(target);
-        let Some(served) = self.requests.values().find(is_assigned).map(|it| it.served.clone())
-        else {
+        let ids = self.requests_at(target);
+        if ids.is_empty() {
             return;
+        }
+        let can_move = |id: &RequestId| {
+            let open = self.requests.get(id);
+            open.is_some_and(|it| self.targets.can_take_over(it.demand()))
         };
-        let ids = self.requests_at(target);
-        let moved = self.targets.can_take_over(&served);
+        let moved: Vec<RequestId> = ids.iter().copied().filter(can_move).collect();
         slog::warn!(self.log, "target crawls"; "target" => target, "requests" => ids.len(),
-            "moved" => moved);
-        for id in ids.into_iter().filter(|_| moved) {
+            "moved" => !moved.is_empty());
+        for id in moved {
             self.handle_event(cx, id, 0, Event::TargetDegraded);
         }
     }
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -108,6 +108,7 @@
             group_stall: settings.stands,
             drain: settings.drain,
             agent_port: settings.agent_port,
+            regions: settings.regions.clone(),
         };
         let policy = Policy::parse(&settings.policy).unwrap_or_default();
         let mut router = Self {
@@ -140,10 +141,14 @@
 
     // Sending.
 
-    /// Sends a request to a target, unless it is blocked as a suspect or its start is deferred.
+    /// Sends a request to a target, unless it is blocked as a suspect, no target is in its regions,
+    /// or its start is deferred.
     pub(crate) fn dispatch(&mut self, cx: CX![], id: RequestId) {
         let now = clock::now();
-        if !self.refuse_if_blocked(cx, now, id) && !self.defer_start(cx, now, id) {
+        if !self.refuse_if_blocked(cx, now, id)
+            && !self.refuse_if_outside(cx, id)
+            && !self.defer_start(cx, now, id)
+        {
             self.place(cx, id);
         }
     }
@@ -151,7 +156,7 @@
     /// Chooses a target for a request and sends it there, without asking the start queue.
     pub(crate) fn place(&mut self, cx: CX![], id: RequestId) {
         let now = clock::now();
-        if self.refuse_if_blocked(cx, now, id) {
+        if self.refuse_if_blocked(cx, now, id) || self.refuse_if_outside(cx, id) {
             return;
         }
         let Some(open) = self.requests.get_mut(&id) else {
@@ -220,7 +225,7 @@
                 "service" => &open.served.1, "after" => now.saturating_sub(open.run.arrived));
             return;
         }
-        let reason = match (&open.owner, self.targets.has_closed_group(now, &open.served)) {
+        let reason = match (&open.owner, self.targets.has_closed_group(now, open.demand())) {
             (Some(_), _) => Refusal::OwnerAway,
             (None, true) => Refusal::GroupClosed,
             (None, false) => Refusal::NoTarget,
@@ -234,11 +239,13 @@
         let Some(open) = self.requests.get(&id) else { return false };
         if !open.may_wait_for_group(now)
             || open.owner.is_some()
-            || !self.targets.opens_soon(now, &open.served)
+            || !self.targets.opens_soon(now, open.demand())
         {
             return false;
         }
-        let waits_too = |it: &&OpenRequest| it.waiting_since.is_some() && it.served == open.served;
+        let waits_too = |it: &&OpenRequest| {
+            it.waiting_since.is_some() && it.served == open.served && it.scope.overlaps(&open.scope)
+        };
         let max_waiting = self.targets.total_share(open.demand()).capacity * MAX_WAITING_FRACTION;
         (self.requests.values().filter(waits_too).count() as f64) < max_waiting
     }
--- a/crates/sablepass-entry/src/routes.rs
+++ b/crates/sablepass-entry/src/routes.rs
@@ -114,7 +114,10 @@
     }
     Some(match failure.reason {
         Refusal::GroupClosed => RETRY_AFTER_GROUP_S,
-        Refusal::NoTarget | Refusal::NoConfiguration | Refusal::Stopping => RETRY_AFTER_NO_TARGET_S,
+        Refusal::NoTarget
+        | Refusal::OutsideRegions
+        | Refusal::NoConfiguration
+        | Refusal::Stopping => RETRY_AFTER_NO_TARGET_S,
         _ => RETRY_AFTER_FULL_S,
     })
 }
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -3,11 +3,12 @@
 
 //! Settings of an entry, read from its file at start-up and again on SIGHUP.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use sablepass_core::balance::Policy;
 use sablepass_core::sharers::Sharers;
-use sablepass_core::{admit, budget, flight};
+use sablepass_core::{admit, budget, declaration, flight};
 use sablepass_edge::settings::{self, Checker, Error};
 use serde::Deserialize;
 
@@ -88,8 +89,17 @@
     /// Number of requests whose traces are kept. Default 10,000.
     #[serde(default = "default_stories")]
     pub stories: usize,
+    /// Region of each data hall. A request that is restricted to regions is not sent to a hall
+    /// that is not listed here. Default none.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
 }
 
+/// Maximum number of data halls in the table of regions; known deployments have three.
+const MAX_HALLS: usize = 1_024;
+/// Maximum length of the name of a data hall in bytes.
+const MAX_HALL_BYTES: usize = 256;
+
 fn default_stories() -> usize {
     10_000
 }
@@ -187,6 +197,14 @@
         checker.ensure("stop_wait", wait, wait <= 3_600_000, "0 to 3600000")?;
         let stories = self.stories;
         checker.ensure("stories", stories, (1..=1_000_000).contains(&stories), "1 to 1000000")?;
+        let halls = self.regions.len();
+        checker.ensure("regions", halls, halls <= MAX_HALLS, "at most 1024 halls")?;
+        for (hall, region) in &self.regions {
+            let fits = (1..=MAX_HALL_BYTES).contains(&hall.len());
+            checker.ensure("regions", hall, fits, "halls with names of 1 to 256 bytes")?;
+            let fits = declaration::is_name(region);
+            checker.ensure("regions", region, fits, "1 to 64 letters, digits, '-', '_' and '.'")?;
+        }
         let spans = [
             ("silence", self.silence),
             ("stop_lead", self.stop_lead),
--- a/crates/sablepass-entry/src/starts.rs
+++ b/crates/sablepass-entry/src/starts.rs
@@ -6,6 +6,7 @@
 
 use sablepass_core::id::{Millis, RequestId};
 use sablepass_core::reason::Refusal;
+use sablepass_core::scope::Scope;
 use sablepass_core::starts::{self, Room, StartDecision, StartRequest};
 use sablepass_edge::clock;
 use stakker::CX;
@@ -24,8 +25,11 @@
         let (arrived, resumed) = (open.run.arrived, open.run.resumed);
         let left = open.flight.request().deadline.saturating_sub(arrived);
         let patience = starts::patience(route.objective, pause).min(left);
-        let request = StartRequest { id, arrived, objective: route.objective, patience, resumed };
-        let served = open.served.clone();
+        let (served, scope) = (open.served.clone(), open.scope.clone());
+        let objective = route.objective;
+        let request = StartRequest { id, arrived, objective, patience, resumed, scope };
+        self.start_other_scopes(cx, &served, &request.scope);
+        let Some(open) = self.requests.get(&id) else { return true };
         let mut room = self.targets.start_room(now, open.demand(), pause as f64);
         if matches!(room, Room::Opens { .. } | Room::Closed) {
             // The state of groups is updated at each tick; a report may have arrived since.
@@ -74,25 +78,43 @@
         }
     }
 
+    /// Starts the waiting streams of other scopes for which there is capacity, so that a new stream
+    /// does not take capacity from streams that arrived before it.
+    fn start_other_scopes(&mut self, cx: CX![], served: &Served, scope: &Scope) {
+        let starts = self.start_queues.get(served);
+        let fronts = starts.map(|it| it.fronts(clock::now())).unwrap_or_default();
+        if fronts.iter().any(|it| it.scope != *scope) {
+            self.start_waiting_of(cx, served);
+        }
+    }
+
     fn start_waiting_of(&mut self, cx: CX![], served: &Served) {
-        while let Some(room) = self.room_for_next(served) {
-            let Some(starts) = self.start_queues.get_mut(served) else { return };
-            let now = clock::now();
-            if let Some(id) = starts.next(now, room) {
+        while self.start_or_refuse_one(cx, served) {}
+    }
+
+    /// Starts or refuses the first waiting stream of a service that can start or has to be refused.
+    /// Returns false if there is none.
+    fn start_or_refuse_one(&mut self, cx: CX![], served: &Served) -> bool {
+        let now = clock::now();
+        let starts = self.start_queues.get(served);
+        for front in starts.map(|it| it.fronts(now)).unwrap_or_default() {
+            let Some(room) = self.room_for(now, front.id) else { continue };
+            let Some(starts) = self.start_queues.get_mut(served) else { return false };
+            if let Some(id) = starts.next(now, &front.scope, room) {
                 self.place(cx, id);
-            } else if let Some((id, retry_after)) = starts.give_up(now, room) {
+                return true;
+            }
+            if let Some((id, retry_after)) = starts.give_up(now, &front.scope, room) {
                 self.refuse_start(cx, id, retry_after, room);
-            } else {
-                return;
+                return true;
             }
         }
+        false
     }
 
-    /// Capacity of a service for the waiting stream that starts next; none if no stream waits.
-    fn room_for_next(&self, served: &Served) -> Option<Room> {
-        let now = clock::now();
-        let starts = self.start_queues.get(served)?;
-        let open = self.requests.get(&starts.front(now)?.id)?;
+    /// Capacity of its service for a waiting stream.
+    fn room_for(&self, now: Millis, id: RequestId) -> Option<Room> {
+        let open = self.requests.get(&id)?;
         let pause = open.route.as_ref()?.pause?;
         Some(self.targets.start_room(now, open.demand(), pause as f64))
     }
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -67,6 +67,8 @@
     pub drain: Millis,
     /// Port of the agents on the machines of listed targets; none if there are no such agents.
     pub agent_port: Option<u16>,
+    /// Region of each data hall.
+    pub regions: BTreeMap<String, String>,
 }
 
 /// Path by which a target is reached.
--- a/crates/sablepass-entry/src/targets/eligibility.rs
+++ b/crates/sablepass-entry/src/targets/eligibility.rs
@@ -47,12 +47,34 @@
         if let Some(until) = self.notices.paused_until(now, incarnation) {
             return Some(Barrier::Paused(until));
         }
-        (!scope.allows(self.region(incarnation.name))).then_some(Barrier::OutsideRegions)
+        (!self.is_in_scope(incarnation.name, scope)).then_some(Barrier::OutsideRegions)
     }
 
-    /// Region of a target's data hall; none if it is unknown.
-    fn region(&self, _name: &str) -> Option<&str> {
-        None
+    /// Region of the data hall of a listed or declared target; none if it is unknown.
+    pub(super) fn region(&self, name: &str) -> Option<&str> {
+        let hall = match self.listed.get(name) {
+            Some(listed) => &listed.instance.hall,
+            None => &self.catalogue.targets.get(name)?.resource.hall,
+        };
+        self.options.regions.get(hall).map(String::as_str)
+    }
+
+    /// Whether a target is in the regions to which a request may be sent.
+    pub fn is_in_scope(&self, name: &str, scope: &Scope) -> bool {
+        scope.is_any() || scope.allows(self.region(name))
+    }
+
+    /// Whether any target of a service, available or not, is in the regions to which a request may
+    /// be sent. A request without restriction is never outside.
+    pub fn has_target_in_scope(&self, demand: Demand<'_>) -> bool {
+        demand.scope.is_any() || self.in_scope(demand).next().is_some()
+    }
+
+    /// Names of all targets of a service, available or not, that are in the regions to which a
+    /// request may be sent.
+    pub(super) fn in_scope<'a>(&'a self, demand: Demand<'a>) -> impl Iterator<Item = &'a String> {
+        let names = self.serving.get(demand.served).map(Vec::as_slice).unwrap_or_default();
+        names.iter().filter(move |it| self.is_in_scope(it, demand.scope))
     }
 
     /// Whether a target may get new work of this scope now, regardless of its limit.
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -40,12 +40,12 @@
 const LAG_SCALE: f64 = 1_000.0;
 
 impl Targets {
-    /// Whether a target of a service belongs to a closed group, one of whose ranks is missing.
-    pub fn has_closed_group(&self, now: Millis, served: &Served) -> bool {
-        let names = self.serving.get(served);
+    /// Whether a target that may run a request belongs to a closed group, one of whose ranks is
+    /// missing.
+    pub fn has_closed_group(&self, now: Millis, demand: Demand<'_>) -> bool {
         let closed =
             |name: &String| self.members.closed(now, name) || self.is_in_broken_group(name);
-        names.is_some_and(|it| it.iter().any(closed))
+        self.in_scope(demand).any(closed)
     }
 
     /// Whether all targets of a service are ranks of one group, so that the end of one target stops
@@ -94,8 +94,7 @@
     /// This entry's share of all targets of a service, whether or not they may get work now. Its
     /// load is 0.
     pub fn total_share(&self, demand: Demand<'_>) -> Share {
-        let names = self.serving.get(demand.served).map(Vec::as_slice).unwrap_or_default();
-        let current = names.iter().filter(|it| !self.replaced.contains(*it));
+        let current = self.in_scope(demand).filter(|it| !self.replaced.contains(*it));
         let capacities = current.filter_map(|it| Some(self.listed.get(it)?.instance.capacity));
         let capacities: Vec<u32> = capacities.collect();
         let capacity = f64::from(capacities.iter().sum::<u32>()) / self.sharers.count() as f64;
@@ -111,7 +110,7 @@
             return Room::Free;
         };
         let pass_ms = pause * PASS_TO_PAUSE_RATIO;
-        let entries = self.entries_per_target(served);
+        let entries = self.entries_per_target(demand);
         let places = |share: &Share, lag: f64| {
             let sequences = times.sequences(pass_ms, lag) * share.targets / entries;
             sequences.clamp(share.capacity * MIN_PLACES_RATIO, share.capacity * MAX_PLACES_RATIO)
@@ -127,10 +126,10 @@
             let ranks: f64 = shares.values().map(|it| it.targets).sum();
             return Room::Open { places: total, load, reads: ranks / entries };
         }
-        if !self.has_closed_group(now, served) && !self.is_forming(served) {
+        if !self.has_closed_group(now, demand) && !self.is_forming(demand) {
             return Room::Free;
         }
-        let Some(Opens { within, sure }) = self.opens(now, served) else { return Room::Closed };
+        let Some(Opens { within, sure }) = self.opens(now, demand) else { return Room::Closed };
         let share = self.total_share(demand);
         Room::Opens { within, places: places(&share, INITIAL_LAG), sure }
     }
@@ -148,21 +147,34 @@
 
     /// Whether requests for a service with closed groups should wait, since one of the groups is
     /// expected to become ready soon.
-    pub fn opens_soon(&self, now: Millis, served: &Served) -> bool {
-        self.opens(now, served).is_some()
+    pub fn opens_soon(&self, now: Millis, demand: Demand<'_>) -> bool {
+        self.opens(now, demand).is_some()
     }
 
     /// When the first of a service's closed groups is expected to become ready; none if unknown.
-    fn opens(&self, now: Millis, served: &Served) -> Option<Opens> {
-        let times =
-            Times { form: self.forming_time(served).unwrap_or(0), stall: self.options.group_stall };
-        let groups = self.groups.get(served)?;
-        groups.values().filter_map(|it| it.opens(now, times)).min()
+    fn opens(&self, now: Millis, demand: Demand<'_>) -> Option<Opens> {
+        let form = self.forming_time(demand.served).unwrap_or(0);
+        let times = Times { form, stall: self.options.group_stall };
+        self.groups_in_scope(demand).filter_map(|it| it.opens(now, times)).min()
     }
 
     /// Whether a group of a service is closed by the reports of its ranks.
-    fn is_forming(&self, served: &Served) -> bool {
-        self.groups.get(served).is_some_and(|it| it.values().any(Forming::is_closed))
+    fn is_forming(&self, demand: Demand<'_>) -> bool {
+        self.groups_in_scope(demand).any(Forming::is_closed)
+    }
+
+    /// The groups of a service with a rank that may run a request. Ranks that have not reported yet
+    /// may belong to any group.
+    fn groups_in_scope<'a>(&'a self, demand: Demand<'a>) -> impl Iterator<Item = &'a Forming> {
+        let groups = self.groups.get(demand.served).into_iter().flatten();
+        let in_scope = move |group: u32| {
+            let may_belong = |name: &String| {
+                let member = self.members.get(name);
+                member.is_some_and(|it| !it.reported || it.report.group == group)
+            };
+            demand.scope.is_any() || self.in_scope(demand).any(may_belong)
+        };
+        groups.filter(move |(group, _)| in_scope(**group)).map(|(_, forming)| forming)
     }
 
     /// Whether this process received its first instance list so recently that the state of ranks
@@ -232,12 +244,12 @@
         }
     }
 
-    /// Whether so few targets of a service are severely degraded that the others can take over
-    /// their requests.
-    pub fn can_take_over(&self, served: &Served) -> bool {
-        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
+    /// Whether so few targets that may run a request are severely degraded that the others can
+    /// take it over.
+    pub fn can_take_over(&self, demand: Demand<'_>) -> bool {
         let degraded =
             |it: &&String| self.members.get(it).is_some_and(|it| it.report.pace == Pace::Crawling);
-        names.iter().filter(degraded).count() * CRAWLING_DIVISOR < names.len()
+        let count = self.in_scope(demand).filter(degraded).count();
+        count * CRAWLING_DIVISOR < self.in_scope(demand).count()
     }
 }
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -4,7 +4,7 @@
 //! Applies the instance list to the target table: which targets exist, which have restarted or
 //! left, and which target an address belongs to.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use sablepass_core::balance;
@@ -215,11 +215,29 @@
             let served = (Kind::Service, listed.instance.serves.clone());
             self.serving.entry(served).or_default().push(name.clone());
         }
-        let subset = |names: &Vec<String>| {
-            let names = names.iter().map(String::as_str);
-            let chosen = balance::subset(&self.options.me, self.options.subset, names);
-            chosen.into_iter().map(str::to_owned).collect::<Vec<String>>()
-        };
+        let by_region = self.catalogue.has_regions();
+        let subset = |names| self.subset(names, by_region);
         self.subsets = self.serving.iter().map(|(it, names)| (it.clone(), subset(names))).collect();
     }
+
+    /// The targets of a service that this entry uses. With `by_region`, they include as many of
+    /// each region: otherwise none may be left for a request that is restricted to regions.
+    fn subset<'a>(&self, names: &'a [String], by_region: bool) -> Vec<String> {
+        let mut groups: Vec<Vec<&'a str>> = vec![names.iter().map(String::as_str).collect()];
+        if by_region && names.len() > self.options.subset {
+            let mut regions: BTreeMap<&str, Vec<&'a str>> = BTreeMap::new();
+            for name in names {
+                if let Some(region) = self.region(name) {
+                    regions.entry(region).or_default().push(name);
+                }
+            }
+            groups.extend(regions.into_values());
+        }
+        let choose = |group: Vec<&'a str>| {
+            balance::subset(&self.options.me, self.options.subset, group.into_iter())
+        };
+        let mut seen = BTreeSet::new();
+        let chosen = groups.into_iter().flat_map(choose).filter(|it| seen.insert(*it));
+        chosen.map(str::to_owned).collect()
+    }
 }
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -102,10 +102,12 @@
     /// least one of them requested a pause; none otherwise.
     pub fn pause_ends_at(&self, now: Millis, demand: Demand<'_>) -> Option<Millis> {
         let names = self.subsets.get(demand.served)?;
+        let names: Vec<&String> =
+            names.iter().filter(|it| self.is_in_scope(it, demand.scope)).collect();
         let paused_until = |it: &String| self.notices.paused_until(now, self.incarnation(it));
         let is_paused =
             |it: &String| paused_until(it).is_some() || self.is_paused_behind_agent(now, it);
-        if !names.iter().any(is_paused)
+        if !names.iter().any(|it| is_paused(it))
             || names.iter().any(|it| self.is_available(now, it, demand.scope))
         {
             return None;
--- a/crates/sablepass-entry/src/targets/shares.rs
+++ b/crates/sablepass-entry/src/targets/shares.rs
@@ -7,8 +7,8 @@
 
 use sablepass_core::id::Millis;
 
+use crate::targets::Targets;
 use crate::targets::eligibility::Demand;
-use crate::targets::{Served, Targets};
 
 /// Share of an entry in the capacity and load of a model or service.
 #[derive(Clone, Copy, Debug, Default)]
@@ -39,7 +39,7 @@
         let Demand { served, scope } = demand;
         let mut shares: BTreeMap<u32, Share> = BTreeMap::new();
         let Some(subset) = self.subsets.get(served) else { return shares };
-        let entries = self.entries_per_target(served);
+        let entries = self.entries_per_target(demand);
         let available = subset.iter().filter(|it| self.is_available(now, it, scope)).collect();
         for name in self.prefer_responsive(available) {
             let (Some(candidate), Some(member)) =
@@ -57,9 +57,10 @@
     }
 
     /// Mean number of entries that share a target of a model or service.
-    pub(super) fn entries_per_target(&self, served: &Served) -> f64 {
-        let subset = self.subsets.get(served).map_or(0, Vec::len) as f64;
-        let all = self.serving.get(served).map_or(1, Vec::len).max(1) as f64;
+    pub(super) fn entries_per_target(&self, demand: Demand<'_>) -> f64 {
+        let subset = self.subsets.get(demand.served).map(Vec::as_slice).unwrap_or_default();
+        let subset = subset.iter().filter(|it| self.is_in_scope(it, demand.scope)).count() as f64;
+        let all = self.in_scope(demand).count().max(1) as f64;
         (self.sharers.count() as f64 * subset / all).max(1.0)
     }
 }
--- a/crates/sablepass-entry/src/ticks.rs
+++ b/crates/sablepass-entry/src/ticks.rs
@@ -77,7 +77,7 @@
             // A request that waits for its group has no target until the group is ready.
             let now = clock::now();
             let waits_for_group = !open.head_sent && open.may_wait_for_group(now);
-            if !waits_for_group || !self.targets.opens_soon(now, &open.served) {
+            if !waits_for_group || !self.targets.opens_soon(now, open.demand()) {
                 self.dispatch(cx, id);
             }
             return;
--- a/crates/sablepass-entry/src/turns.rs
+++ b/crates/sablepass-entry/src/turns.rs
@@ -53,6 +53,13 @@
 }
 
 impl PendingTurn {
+    /// The target at which a turn is reserved or requested.
+    pub(crate) fn target(&self) -> &str {
+        match self {
+            Self::Requested { target, .. } | Self::Granted(GrantedTurn { target, .. }) => target,
+        }
+    }
+
     /// The turn, if one is reserved.
     pub(crate) fn granted(self) -> Option<GrantedTurn> {
         match self {
