Tests of regions with declared targets, owners of keys and the template

They guard against an entry that keeps connections only to targets outside of a customer's regions, and against a keyed request that waits for or runs at an owner outside of them.

--- a/crates/sablepass-stand/tests/regions.rs
+++ b/crates/sablepass-stand/tests/regions.rs
@@ -9,7 +9,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use sablepass_stand::client::{Answer, metric, wait_for};
+use common::FARM;
+use sablepass_stand::client::{Answer, Ask, metric, wait_for};
+use sablepass_stand::fleet::{Fleet, Serves, Timers};
 use sablepass_stand::replica::{Mode, Replica, all_events};
 use sablepass_stand::site::{self, Site};
 use serde_json::{Value, json};
@@ -286,3 +288,106 @@
         assert!(message.contains(named), "{message}");
     }
 }
+
+/// Configuration of two declared targets in two regions, and of a customer restricted to one.
+fn declared(region: &str) -> String {
+    let target = |name: &str, hall: &str| {
+        format!(
+            "[[target]]\nname = {name:?}\nserves = \"triage\"\nhall = {hall:?}\ncapacity = 16\n"
+        )
+    };
+    let customer = format!(
+        "[[customer]]\nname = \"farm\"\nkey = {FARM:?}\nshare = 10\nregions = [{region:?}]\n"
+    );
+    target("t1", HALLS[0]) + &target("t2", HALLS[1]) + &customer
+}
+
+/// Starts two declared targets in two regions and an entry that uses one target of each service, or
+/// one in each region if there are restrictions.
+fn declared_fleet() -> Fleet {
+    let mut fleet = Fleet::open(Timers::default());
+    let revision = fleet.publish("tatranska/main.toml", &declared("south"));
+    fleet.add_target("tatranska/t1", HALLS[0], Serves::Model(4), false);
+    fleet.add_target("tatranska/t2", HALLS[1], Serves::Model(4), false);
+    fleet.add_entry("entry-1", HALLS[0], &format!("subset = 1\n{REGIONS}"));
+    fleet.settle(2, revision);
+    fleet
+}
+
+fn chat(fleet: &Fleet, word: &str) -> Answer {
+    Ask::chat(FARM, "triage", word, 4, false).send(&fleet.http(0))
+}
+
+/// Guards against an entry that uses only targets outside the regions of a customer.
+#[test]
+fn verify_customers_of_declared_targets_are_restricted() {
+    let fleet = declared_fleet();
+    let runs = || [fleet.targets[0].runs().len(), fleet.targets[1].runs().len()];
+    (0..4).for_each(|it| assert_eq!(chat(&fleet, &format!("south{it}")).status, 200));
+    assert_eq!(runs(), [0, 4]);
+    let revision = fleet.publish("tatranska/main.toml", &declared("north"));
+    fleet.settle(2, revision);
+    (0..4).for_each(|it| assert_eq!(chat(&fleet, &format!("north{it}")).status, 200));
+    assert_eq!(runs(), [4, 4]);
+    let revision = fleet.publish("tatranska/main.toml", &declared("west"));
+    fleet.settle(2, revision);
+    let answer = chat(&fleet, "west");
+    assert_eq!((answer.status, answer.reason().as_str()), (503, "outside-regions"), "{answer:?}");
+    assert_eq!((answer.ran.as_str(), runs()), ("not-run", [4, 4]));
+}
+
+/// Guards against a request that waits for, or runs at, the owner of its idempotency key although
+/// the owner is in an excluded region.
+#[test]
+fn verify_a_key_whose_owner_is_outside_the_regions_is_refused() {
+    let fleet = declared_fleet();
+    let send = |number: u32| {
+        let ask = Ask::chat(FARM, "triage", &format!("keyed{number}"), 4, false);
+        let ask = ask.only_once(&format!("key-{number}"));
+        ask.with("x-sablepass-key-issued", &common::now_text()).send(&fleet.http(0))
+    };
+    let mut numbers = 16..;
+    wait_for("an agent that has started accepts new keys", || {
+        numbers.next().is_some_and(|it| send(it).status == 200)
+    });
+    let before = fleet.targets[1].runs().len();
+    let start = Instant::now();
+    let answers: Vec<Answer> = (0..16).map(send).collect();
+    assert!(start.elapsed() < Duration::from_secs(2), "no request waits: {:?}", start.elapsed());
+    let (served, refused): (Vec<&Answer>, Vec<&Answer>) =
+        answers.iter().partition(|it| it.status == 200);
+    assert!(!served.is_empty() && !refused.is_empty(), "both targets own keys: {answers:?}");
+    for answer in &refused {
+        assert_eq!((answer.status, answer.ran.as_str()), (503, "not-run"), "{answer:?}");
+        assert_eq!(answer.reason(), "outside-regions");
+    }
+    assert_eq!(fleet.targets[0].runs().len(), 0);
+    assert_eq!(fleet.targets[1].runs().len(), before + served.len());
+}
+
+/// The settings template of the platform fills the table of regions from its field `zones`, whose
+/// values it inserts without escaping.
+#[test]
+fn verify_the_template_fills_the_regions() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../platform/entry.toml");
+    let template = std::fs::read_to_string(path).expect("the template is read");
+    let (before, rest) = template.split_once("{{#zones}}").expect("a section per hall");
+    let (line, _) = rest.split_once("{{/zones}}").expect("the end of the section");
+    assert!(before.ends_with("[regions]\n"), "the section is in its table");
+    let mut site = Site::open(0);
+    let render = |(hall, region): (&str, &str)| {
+        let (hall, region) = (format!("\"{hall}\""), format!("\"{region}\""));
+        line.replace("\"{{@}}\"", &hall).replace("\"{{.}}\"", &region)
+    };
+    let lines = [(HALLS[0], "north"), (HALLS[1], "south")].map(render);
+    let keys = lines.map(|it| format!("regions.{it}"));
+    assert_eq!(keys.concat().lines().count(), 2, "{keys:?}");
+    for hall in HALLS {
+        add_target(&mut site, hall);
+    }
+    site.add_entry(&keys.concat());
+    site.settle(2);
+    publish(&site, &configuration(2, &json!(["south"]), &json!(null)));
+    assert_all_served(&call(&site, "south"));
+    assert_eq!(arrived(&site, 0, "south"), 0);
+}
