--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -235,7 +235,7 @@
         if run.priority.is_some_and(|it| it > declared.resource.priority) {
             return Err(Refusal::NotGranted);
         }
-        let scope = Scope::intersection([declared.resource.regions.as_slice()]);
+        let scope = Scope::intersection([&declared.resource.regions[..]]);
         let room = self.targets.share(now, Demand { served: &served, scope: &scope });
         let ticket = self.admission.admit(&admit::Ask {
             customer: &customer,
@@ -273,8 +273,8 @@
         }
         let service = route.pick(self.rng.random()).ok_or(Refusal::NoTarget)?;
         let served = (Kind::Service, service.to_owned());
-        let customer = declared.as_ref().map(|(_, it)| it.resource.regions.as_slice());
-        let scope = Scope::intersection([route.regions.as_slice(), customer.unwrap_or_default()]);
+        let customer_regions = declared.as_ref().map(|(_, it)| it.resource.regions.as_slice());
+        let scope = Scope::intersection([&route.regions, customer_regions.unwrap_or_default()]);
         let room = self.targets.share(now, Demand { served: &served, scope: &scope });
         let priority = Priority::default();
         let (customer, partner, streams, share, forwarded_customer) = match &declared {
