--- a/crates/sablepass-stand/tests/regions.rs
+++ b/crates/sablepass-stand/tests/regions.rs
@@ -6,13 +6,15 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::FARM;
 use sablepass_stand::client::{Answer, Ask, metric, wait_for};
 use sablepass_stand::fleet::{Fleet, Serves, Timers};
-use sablepass_stand::replica::{Mode, Replica, all_events};
+use sablepass_stand::ranks;
+use sablepass_stand::replica::{Group, Mode, Replica, all_events};
 use sablepass_stand::site::{self, Site};
 use serde_json::{Value, json};
 
@@ -236,6 +238,60 @@
     assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
 }
 
+/// Guards against requests that wait for a group to become ready, in the start queue or without it,
+/// although none of its ranks may run them.
+#[test]
+fn verify_no_request_waits_for_a_group_outside_its_regions() {
+    let mut site = Site::open(0);
+    let machine = ranks::new_machine_address();
+    let replica = Replica::spawn_at("orders", machine).in_hall(HALLS[0]);
+    replica.report_group(Group { open: false, size: 1, steps: false });
+    site.list(&replica, "ready");
+    site.replicas.push(replica);
+    let configure = |site: &Site, version: u64, region: &str| {
+        let mut document = ranks::Group::configuration(version);
+        document["services"][0]["engine"]["form_ms"] = json!(4_000.0);
+        for route in document["routes"].as_array_mut().expect("a list of routes") {
+            route["timeoutMs"] = json!(60_000);
+            route["targetLatencyMs"] = json!(8_000);
+            route["allowedRegions"] = json!([region]);
+            if route["name"] == "once" {
+                // Without an aim for pauses, its requests are not in the start queue.
+                route["gap_aim_ms"] = json!(null);
+            }
+        }
+        publish(site, &document);
+    };
+    let port = ranks::free_port_at(&[machine]);
+    site.add_entry(&format!("agent_port = {port}\n{REGIONS}"));
+    let _agent = site.add_agent(SocketAddr::new(machine, port), site.replicas[0].addr);
+    configure(&site, 2, "north");
+    let admin = site.entries[0].addr("admin");
+    wait_for("the entry knows that the group is closed", || {
+        let targets = site.status(0)["targets"].clone();
+        let closed = targets.as_array().is_some_and(|it| it.iter().all(|it| it["usable"] == false));
+        closed && metric(&admin, "sablepass_link_messages_total", "kind=\"report\"") > 0.0
+    });
+    let ask = |route: &str, id: &str| {
+        let ask = site::ask("POST", &format!("/{route}/x"), id, "q");
+        ask.send(&site.http(0))
+    };
+    let answers = thread::scope(|scope| {
+        let waiting =
+            [scope.spawn(|| ask("stream", "queued")), scope.spawn(|| ask("once", "waiting"))];
+        wait_for("both requests wait", || metric(&admin, "sablepass_in_flight", "") >= 2.0);
+        configure(&site, 3, "south");
+        waiting.map(|it| it.join().expect("caller thread panicked"))
+    });
+    answers.iter().for_each(assert_outside);
+    for route in ROUTES {
+        let start = Instant::now();
+        assert_outside(&ask(route, &format!("later-{route}")));
+        assert!(start.elapsed() < Duration::from_millis(500), "{route}: {:?}", start.elapsed());
+    }
+    assert!(site.replicas[0].runs().is_empty());
+}
+
 /// Starts a stream that only targets in the north may run and that stops after two events, and
 /// calls `change` while it runs. Returns the answer and the target at which it started.
 fn change_under_way(site: &Site, id: &str, change: impl FnOnce(usize)) -> (Answer, usize) {
