--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -143,6 +143,8 @@
         TargetsLimited = 53, "targets-limited";
         /// The target has reached its request limit.
         TargetLimited = 54, "target-limited";
+        /// No target that may run the request is in the regions to which it may be sent.
+        OutsideRegions = 56, "outside-regions";
         /// All targets that could serve the request are in evacuated data halls.
         Evacuated = 60, "evacuated";
         /// The target is in a data hall that its partner evacuates.
@@ -234,6 +236,7 @@
             | Self::TargetRests
             | Self::TargetsLimited
             | Self::TargetLimited
+            | Self::OutsideRegions
             | Self::TargetFull
             | Self::Evacuated
             | Self::HallEvacuated
--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -18,6 +18,7 @@
 mod openai;
 mod peers;
 mod pool;
+mod regions;
 mod router;
 mod routes;
 mod settings;
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -110,6 +110,7 @@
             drain: settings.drain,
             agent_port: settings.agent_port,
             evacuates_listed: settings.node.form == Form::Keys,
+            regions: settings.regions.clone(),
         };
         let policy = Policy::parse(&settings.policy).unwrap_or_default();
         let mut router = Self {
@@ -142,10 +143,12 @@
 
     // Sending.
 
-    /// Sends a request to a target, unless it is blocked as a suspect or its start is deferred.
+    /// Sends a request to a target, unless it is blocked as a suspect, no target is in its regions,
+    /// or its start is deferred.
     pub(crate) fn dispatch(&mut self, cx: CX![], id: RequestId) {
         let now = clock::now();
         if !self.refuse_if_blocked(cx, now, id)
+            && !self.refuse_if_outside(cx, id)
             && !self.refuse_if_evacuated(cx, now, id)
             && !self.defer_start(cx, now, id)
         {
@@ -156,7 +159,7 @@
     /// Chooses a target for a request and sends it there, without asking the start queue.
     pub(crate) fn place(&mut self, cx: CX![], id: RequestId) {
         let now = clock::now();
-        if self.refuse_if_blocked(cx, now, id) {
+        if self.refuse_if_blocked(cx, now, id) || self.refuse_if_outside(cx, id) {
             return;
         }
         let Some(open) = self.requests.get_mut(&id) else {
@@ -229,7 +232,7 @@
             return;
         }
         let is_evacuated = self.targets.is_all_evacuated(now, open.demand(), open.owner());
-        let reason = match (&open.owner, self.targets.has_closed_group(now, &open.served)) {
+        let reason = match (&open.owner, self.targets.has_closed_group(now, open.demand())) {
             _ if is_evacuated => Refusal::Evacuated,
             (Some(_), _) => Refusal::OwnerAway,
             (None, true) => Refusal::GroupClosed,
@@ -244,11 +247,13 @@
         let Some(open) = self.requests.get(&id) else { return false };
         if !open.may_wait_for_group(now)
             || open.owner.is_some()
-            || !self.targets.opens_soon(now, &open.served)
+            || !self.targets.opens_soon(now, open.demand())
         {
             return false;
         }
-        let waits_too = |it: &&OpenRequest| it.waiting_since.is_some() && it.served == open.served;
+        let waits_too = |it: &&OpenRequest| {
+            it.waiting_since.is_some() && it.served == open.served && it.scope.overlaps(&open.scope)
+        };
         let max_waiting = self.targets.total_share(open.demand()).capacity * MAX_WAITING_FRACTION;
         (self.requests.values().filter(waits_too).count() as f64) < max_waiting
     }
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -71,6 +71,8 @@
     pub agent_port: Option<u16>,
     /// Whether evacuations apply to listed targets, since the platform's store declares them.
     pub evacuates_listed: bool,
+    /// Region of each data hall.
+    pub regions: BTreeMap<String, String>,
 }
 
 /// Path by which a target is reached.
--- a/crates/sablepass-entry/src/targets/evacuation.rs
+++ b/crates/sablepass-entry/src/targets/evacuation.rs
@@ -237,29 +237,18 @@
         names.iter().filter(|it| !self.is_evacuated(it))
     }
 
-    /// Whether a group of a service has a rank that may take requests. Ranks that have not reported
-    /// yet may belong to any group.
-    pub(super) fn group_takes_requests(&self, served: &Served, group: u32) -> bool {
-        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
-        let fits = |name: &String| {
-            let member = self.members.get(name);
-            member.is_none_or(|it| !it.reported || it.report.group == group)
-        };
-        !self.has_evacuations() || self.without_evacuated(names).any(fits)
-    }
-
     /// Part of the ranks of a service that take requests, in one group or in all groups that take
     /// any; above 0 and up to 1.
-    pub(super) fn taking_part(&self, served: &Served, group: Option<u32>) -> f64 {
+    pub(super) fn taking_part(&self, demand: Demand<'_>, group: Option<u32>) -> f64 {
         if !self.has_evacuations() {
             return 1.0;
         }
         let (mut taking, mut all) = (0.0, 0.0);
-        for name in self.serving.get(served).map(Vec::as_slice).unwrap_or_default() {
+        for name in self.serving.get(demand.served).map(Vec::as_slice).unwrap_or_default() {
             let Some(member) = self.members.get(name) else { continue };
             let fits = match group {
                 Some(group) => member.reported && member.report.group == group,
-                None => self.group_takes_requests(served, member.report.group),
+                None => self.is_group_permitted(demand, member.report.group),
             };
             if fits {
                 all += 1.0;
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -40,13 +40,12 @@
 const LAG_SCALE: f64 = 1_000.0;
 
 impl Targets {
-    /// Whether a target of a service that takes requests belongs to a closed group, one of whose
-    /// ranks is missing.
-    pub fn has_closed_group(&self, now: Millis, served: &Served) -> bool {
-        let names = self.serving.get(served);
+    /// Whether a target that may run a request belongs to a closed group, one of whose ranks is
+    /// missing.
+    pub fn has_closed_group(&self, now: Millis, demand: Demand<'_>) -> bool {
         let closed =
             |name: &String| self.members.closed(now, name) || self.is_in_broken_group(name);
-        names.is_some_and(|it| self.without_evacuated(it).any(closed))
+        self.permitted(demand).any(closed)
     }
 
     /// Whether all targets of a service are ranks of one group, so that the end of one target stops
@@ -95,8 +94,7 @@
     /// This entry's share of all targets of a service that are not evacuated, whether or not they
     /// may get work now. Its load is 0.
     pub fn total_share(&self, demand: Demand<'_>) -> Share {
-        let names = self.serving.get(demand.served).map(Vec::as_slice).unwrap_or_default();
-        let current = self.without_evacuated(names).filter(|it| !self.replaced.contains(*it));
+        let current = self.permitted(demand).filter(|it| !self.replaced.contains(*it));
         let capacities = current.filter_map(|it| Some(self.listed.get(it)?.instance.capacity));
         let capacities: Vec<u32> = capacities.collect();
         let capacity = f64::from(capacities.iter().sum::<u32>()) / self.sharers.count() as f64;
@@ -112,7 +110,7 @@
             return Room::Free;
         };
         let pass_ms = pause * PASS_TO_PAUSE_RATIO;
-        let entries = self.entries_per_target(served);
+        let entries = self.entries_per_target(demand);
         let places = |share: &Share, lag: f64, taking: f64| {
             let sequences = times.sequences_of_part(pass_ms, lag, taking) * share.targets / entries;
             sequences.clamp(share.capacity * MIN_PLACES_RATIO, share.capacity * MAX_PLACES_RATIO)
@@ -122,18 +120,18 @@
             let (mut total, mut load) = (0.0, 0.0);
             for (group, share) in &shares {
                 let lag = self.lag(now, served, *group).unwrap_or(ASSUMED_LAG);
-                total += places(share, lag, self.taking_part(served, Some(*group)));
+                total += places(share, lag, self.taking_part(demand, Some(*group)));
                 load += share.load;
             }
             let ranks: f64 = shares.values().map(|it| it.targets).sum();
             return Room::Open { places: total, load, reads: ranks / entries };
         }
-        if !self.has_closed_group(now, served) && !self.is_forming(served) {
+        if !self.has_closed_group(now, demand) && !self.is_forming(demand) {
             return Room::Free;
         }
-        let Some(Opens { within, sure }) = self.opens(now, served) else { return Room::Closed };
+        let Some(Opens { within, sure }) = self.opens(now, demand) else { return Room::Closed };
         let share = self.total_share(demand);
-        let taking = self.taking_part(served, None);
+        let taking = self.taking_part(demand, None);
         Room::Opens { within, places: places(&share, INITIAL_LAG, taking), sure }
     }
 
@@ -150,26 +148,39 @@
 
     /// Whether requests for a service with closed groups should wait, since one of the groups is
     /// expected to become ready soon.
-    pub fn opens_soon(&self, now: Millis, served: &Served) -> bool {
-        self.opens(now, served).is_some()
+    pub fn opens_soon(&self, now: Millis, demand: Demand<'_>) -> bool {
+        self.opens(now, demand).is_some()
     }
 
-    /// When the first of a service's closed groups that take requests is expected to become ready;
-    /// none if unknown.
-    fn opens(&self, now: Millis, served: &Served) -> Option<Opens> {
-        let times =
-            Times { form: self.forming_time(served).unwrap_or(0), stall: self.options.group_stall };
-        let groups = self.groups.get(served)?;
-        let taking = groups.iter().filter(|it| self.group_takes_requests(served, *it.0));
-        taking.filter_map(|it| it.1.opens(now, times)).min()
+    /// When the first of the closed groups that may run a request is expected to become ready; none
+    /// if unknown.
+    fn opens(&self, now: Millis, demand: Demand<'_>) -> Option<Opens> {
+        let form = self.forming_time(demand.served).unwrap_or(0);
+        let times = Times { form, stall: self.options.group_stall };
+        self.permitted_groups(demand).filter_map(|it| it.opens(now, times)).min()
     }
 
-    /// Whether a group of a service that takes requests is closed by the reports of its ranks.
-    fn is_forming(&self, served: &Served) -> bool {
-        let is_forming = |(group, forming): (&u32, &Forming)| {
-            forming.is_closed() && self.group_takes_requests(served, *group)
+    /// Whether a group that may run a request is closed by the reports of its ranks.
+    fn is_forming(&self, demand: Demand<'_>) -> bool {
+        self.permitted_groups(demand).any(Forming::is_closed)
+    }
+
+    /// The groups of a service that may run a request.
+    fn permitted_groups<'a>(&'a self, demand: Demand<'a>) -> impl Iterator<Item = &'a Forming> {
+        let groups = self.groups.get(demand.served).into_iter().flatten();
+        let permitted = groups.filter(move |it| self.is_group_permitted(demand, *it.0));
+        permitted.map(|(_, forming)| forming)
+    }
+
+    /// Whether a group of a service has a rank that may run a request. Ranks that have not reported
+    /// yet may belong to any group.
+    pub(super) fn is_group_permitted(&self, demand: Demand<'_>, group: u32) -> bool {
+        let may_belong = |name: &String| {
+            let member = self.members.get(name);
+            member.is_none_or(|it| !it.reported || it.report.group == group)
         };
-        self.groups.get(served).is_some_and(|it| it.iter().any(is_forming))
+        let unrestricted = demand.scope.is_any() && !self.has_evacuations();
+        unrestricted || self.permitted(demand).any(may_belong)
     }
 
     /// Whether this process received its first instance list so recently that the state of ranks
@@ -239,13 +250,12 @@
         }
     }
 
-    /// Whether so few targets of a service are severely degraded that the others can take over
-    /// their requests. Evacuated targets are left out.
-    pub fn can_take_over(&self, served: &Served) -> bool {
-        let names = self.serving.get(served).map(Vec::as_slice).unwrap_or_default();
+    /// Whether so few targets that may run a request are severely degraded that the others can
+    /// take it over.
+    pub fn can_take_over(&self, demand: Demand<'_>) -> bool {
         let degraded =
             |it: &&String| self.members.get(it).is_some_and(|it| it.report.pace == Pace::Crawling);
-        let names: Vec<&String> = self.without_evacuated(names).collect();
-        names.iter().copied().filter(degraded).count() * CRAWLING_DIVISOR < names.len()
+        let count = self.permitted(demand).filter(degraded).count();
+        count * CRAWLING_DIVISOR < self.permitted(demand).count()
     }
 }
--- a/crates/sablepass-entry/src/targets/notices.rs
+++ b/crates/sablepass-entry/src/targets/notices.rs
@@ -101,12 +101,13 @@
     /// When the first target of a service accepts requests again, if none is available now and at
     /// least one of them requested a pause; none otherwise. Evacuated targets are left out.
     pub fn pause_ends_at(&self, now: Millis, demand: Demand<'_>) -> Option<Millis> {
+        let names = self.subsets.get(demand.served)?;
         let names: Vec<&String> =
-            self.without_evacuated(self.subsets.get(demand.served)?).collect();
+            names.iter().filter(|it| self.is_permitted(it, demand.scope)).collect();
         let paused_until = |it: &String| self.notices.paused_until(now, self.incarnation(it));
         let is_paused =
             |it: &String| paused_until(it).is_some() || self.is_paused_behind_agent(now, it);
-        if !names.iter().copied().any(is_paused)
+        if !names.iter().any(|it| is_paused(it))
             || names.iter().any(|it| self.is_available(now, it, demand.scope))
         {
             return None;
--- a/crates/sablepass-entry/src/turns.rs
+++ b/crates/sablepass-entry/src/turns.rs
@@ -53,11 +53,10 @@
 }
 
 impl PendingTurn {
-    /// The target at which the turn is requested or reserved.
-    fn target(&self) -> &str {
+    /// The target at which a turn is reserved or requested.
+    pub(crate) fn target(&self) -> &str {
         match self {
-            Self::Requested { target, .. } => target,
-            Self::Granted(turn) => &turn.target,
+            Self::Requested { target, .. } | Self::Granted(GrantedTurn { target, .. }) => target,
         }
     }
 
