Core: state of cold targets, and how entries share their rate

A cold target sustains a lower rate than later. The rate is shared as announced limits are: a few holders, and turns that other entries ask them for. The number of holders follows from the bound.

--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -312,6 +312,19 @@
     /// Parameters of its targets, if they are model engines.
     #[serde(default)]
     pub engine: Option<Engine>,
+    /// What its targets sustain for some time after their start, if that is less than later.
+    #[serde(default)]
+    pub cold: Option<ColdStart>,
+}
+
+/// What a cold target of a service sustains.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStart {
+    /// Requests per second from all entries together. Above 0, up to 1,000,000.
+    pub rate: f64,
+    /// How long a target usually stays cold, in milliseconds. Up to 600,000.
+    pub duration: Millis,
 }
 
 /// Limits on a caller's connection.
@@ -492,9 +505,20 @@
         for route in &declarations.route {
             self.route_ranges(route)?;
         }
+        for service in &declarations.service {
+            self.cold_ranges(service)?;
+        }
         Ok(())
     }
 
+    fn cold_ranges(&self, service: &Service) -> Result<()> {
+        let (name, Some(cold)) = (&service.name, service.cold) else { return Ok(()) };
+        let fits = cold.rate > 0.0 && cold.rate <= 1e6;
+        self.range("service", name, "cold.rate", cold.rate, fits, "above 0 and up to 1000000")?;
+        let fits = cold.duration <= 600_000;
+        self.range("service", name, "cold.duration", cold.duration, fits, "0 to 600000")
+    }
+
     fn route_ranges(&self, route: &Route) -> Result<()> {
         let name = &route.name;
         let fits = route.prefix.starts_with('/') && route.prefix.ends_with('/');
--- a/crates/sablepass-core/src/holders.rs
+++ b/crates/sablepass-core/src/holders.rs
@@ -91,16 +91,21 @@
 
     /// This entry's share of a limit; none if it is not a holder.
     pub fn share(&self, life: TargetIncarnation<'_>, limit: Rate) -> Option<Rate> {
+        let limit = limit.usable();
+        self.share_among(life, limit, max_holders(limit))
+    }
+
+    /// This entry's share of a rate that at most `max` entries hold; none if it is not a holder.
+    pub fn share_among(&self, life: TargetIncarnation<'_>, rate: Rate, max: usize) -> Option<Rate> {
         if !self.active {
             return None;
         }
-        let limit = limit.usable();
-        let holders = self.count(limit);
+        let holders = self.count(max);
         let key = key(life);
         let score = |name: &str| (rendezvous::score(&key, name), name.to_owned());
         let mine = score(&self.me);
         let higher = self.shared.iter().filter(|it| score(it) > mine).count();
-        (higher < holders).then(|| limit.part(holders))
+        (higher < holders).then(|| rate.part(holders))
     }
 
     /// Whether this entry, of all entries, owns `key`.
@@ -111,18 +116,29 @@
 
     /// The other entries that hold a share of a limit.
     pub fn other_holders(&self, life: TargetIncarnation<'_>, limit: Rate) -> Vec<&str> {
+        self.others_among(life, max_holders(limit.usable()))
+    }
+
+    /// The other entries that hold a share of a rate that at most `max` entries hold. The holders
+    /// of a target with a lower `max` are a subset of those with a higher one.
+    pub fn others_among(&self, life: TargetIncarnation<'_>, max: usize) -> Vec<&str> {
         let all = self.shared.iter().map(String::as_str).chain([self.me.as_str()]);
         let ranked = rendezvous::rank(&key(life), all);
-        let holders = ranked.into_iter().take(self.count(limit.usable()));
+        let holders = ranked.into_iter().take(self.count(max));
         holders.filter(|it| *it != self.me).collect()
     }
 
-    /// Number of entries that hold a limit.
-    fn count(&self, limit: Rate) -> usize {
-        ((limit.per_second() * BURST_SECONDS) as usize).clamp(1, self.shared.len() + 1)
+    /// Number of entries that hold a rate if at most `max` may.
+    fn count(&self, max: usize) -> usize {
+        max.clamp(1, self.shared.len() + 1)
     }
 }
 
+/// Maximum number of entries that hold a limit.
+pub fn max_holders(limit: Rate) -> usize {
+    (limit.per_second() * BURST_SECONDS) as usize
+}
+
 fn key(life: TargetIncarnation<'_>) -> String {
     format!("{}/{}", life.name, life.started_at)
 }
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod balance;
 pub mod budget;
 pub mod catalogue;
+pub mod cold;
 pub mod config;
 pub mod deaths;
 pub mod declaration;
--- a/crates/sablepass-core/src/limits.rs
+++ b/crates/sablepass-core/src/limits.rs
@@ -50,6 +50,11 @@
         Self(self.0.max(MIN_PER_SECOND))
     }
 
+    /// The lower of two rates.
+    pub fn min(self, other: Self) -> Self {
+        Self(self.0.min(other.0))
+    }
+
     /// One of `parts` equal parts.
     pub fn part(self, parts: usize) -> Self {
         Self(self.0 / parts.max(1) as f64)
@@ -92,6 +97,8 @@
     level_at: Millis,
     /// Smallest burst in requests, if the rate gives a lower one.
     min_burst: f64,
+    /// Largest burst in requests, if there is one.
+    max_burst: Option<f64>,
 }
 
 impl Bucket {
@@ -101,6 +108,11 @@
         Self { min_burst: AGENT_BURST_REQUESTS, ..Self::default() }
     }
 
+    /// Limits the burst, which is at least one request.
+    pub fn limit_burst(&mut self, max: f64) {
+        self.max_burst = Some(max.max(1.0));
+    }
+
     /// Sets the rate; none if this process has no share. The level stays: a process that takes over
     /// a share starts with an empty bucket.
     pub fn set(&mut self, now: Millis, part: Option<Rate>) {
@@ -112,7 +124,8 @@
 
     /// Capacity of the bucket in requests.
     fn capacity(&self) -> f64 {
-        (self.rate * 1_000.0 * BURST_SECONDS).max(1.0).max(self.min_burst)
+        let burst = (self.rate * 1_000.0 * BURST_SECONDS).max(1.0).max(self.min_burst);
+        self.max_burst.map_or(burst, |max| burst.min(max))
     }
 
     fn level(&self, now: Millis) -> f64 {
