Read and pass on how long targets are cold

Lines of the instance list state it only with node.list_cold, so that they are otherwise unchanged. Entries tell each other what responses state (Notices.cold).

--- a/crates/sablepass-edge/src/instance.rs
+++ b/crates/sablepass-edge/src/instance.rs
@@ -61,6 +61,9 @@
     /// Start time of this incarnation of a target; 0 if unknown.
     #[serde(default, skip_serializing_if = "is_none")]
     pub born: u64,
+    /// Remaining time for which the target is cold, in milliseconds, when its item was written.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub cold: u64,
     /// Revision of the instance list that contains this line. Not part of the line itself.
     #[serde(skip)]
     pub revision: Revision,
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -150,6 +150,8 @@
 pub struct Reader {
     kind: StoreKind,
     form: Form,
+    /// Whether lines state how long a target is cold.
+    list_cold: bool,
     owner: Fwd<Read>,
     metrics: Arc<Metrics>,
     caller: ActorOwn<Caller>,
@@ -161,7 +163,7 @@
     pub fn init(
         cx: CX![],
         kind: StoreKind,
-        form: Form,
+        (form, list_cold): (Form, bool),
         addr: SocketAddr,
         metrics: Arc<Metrics>,
         owner: Fwd<Read>,
@@ -169,7 +171,7 @@
         let caller = actor_new!(cx, Caller, ret_nop!());
         let answers = fwd_to!([cx], handle_answer() as (Result<Answer, caller::Error>));
         call!([caller], Caller::init(addr, MAX_ANSWER_BYTES, answers));
-        Some(Self { kind, form, owner, metrics, caller, pending: None })
+        Some(Self { kind, form, list_cold, owner, metrics, caller, pending: None })
     }
 
     /// Starts a read. A pending one is abandoned.
@@ -301,7 +303,7 @@
         let mut documents = Vec::new();
         let mut problems = Vec::new();
         for change in changes {
-            let (document, problem) = to_document(self.kind, revision.era, change);
+            let (document, problem) = to_document(self.kind, self.list_cold, revision.era, change);
             documents.push(document);
             problems.extend(problem);
         }
@@ -345,11 +347,16 @@
 /// replica that cannot be decoded is treated as removed, after a watch as well as after a full
 /// read. A declaration that cannot be decoded becomes a refused one: the last accepted version
 /// stays in force.
-fn to_document(kind: StoreKind, era: u64, change: store::Change) -> (Document, Option<Problem>) {
+fn to_document(
+    kind: StoreKind,
+    list_cold: bool,
+    era: u64,
+    change: store::Change,
+) -> (Document, Option<Problem>) {
     let (key, revision) = (change.key, Revision::new(era, change.revision));
     let body = change.value.and_then(|value| match (kind, value) {
         (StoreKind::Instances, Some(text)) => {
-            Ok(Some(list_line(replica::decode(&key, &text)?).text()))
+            Ok(Some(list_line(replica::decode(&key, &text)?, list_cold).text()))
         }
         (_, value) => Ok(value),
     });
@@ -369,7 +376,7 @@
     (Document { key: name, newest, removed, accepted: None }, problem)
 }
 
-fn list_line(replica: replica::Replica) -> Instance {
+fn list_line(replica: replica::Replica, list_cold: bool) -> Instance {
     Instance {
         role: Role::Target,
         hall: replica.hall,
@@ -378,6 +385,7 @@
         serves: replica.service,
         capacity: replica.slots,
         born: replica.started_at,
+        cold: if list_cold { replica.cold } else { 0 },
         revision: Revision::default(),
     }
 }
--- a/crates/sablepass-edge/src/settings.rs
+++ b/crates/sablepass-edge/src/settings.rs
@@ -133,6 +133,10 @@
     /// readers, in milliseconds. Default 20,000.
     #[serde(default = "default_watch")]
     pub watch_rest: u64,
+    /// Whether lines of the instance list state how long a target is cold. All processes of a fleet
+    /// must have the same value, since they compare the lines. Default false.
+    #[serde(default)]
+    pub list_cold: bool,
     /// Format of log lines.
     #[serde(default)]
     pub log: LogFormat,
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -176,7 +176,10 @@
         };
         let mut source = |kind, addr: SocketAddr| {
             let reader = actor_new!(core, Reader, ret_nop!());
-            call!([reader], Reader::init(kind, form, addr, metrics.clone(), to.clone()));
+            call!(
+                [reader],
+                Reader::init(kind, (form, node.list_cold), addr, metrics.clone(), to.clone())
+            );
             Source::open(Store::open_with(kind, check), reader, form == Form::Keys)
         };
         let declarations = source(StoreKind::Declarations, node.platform_addr());
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -83,6 +83,9 @@
     /// Requests sent beyond this entry's share of a limit. Always 0 unless this program has a
     /// fault.
     pub sent_over_limit: IntCounter,
+    /// Requests sent beyond this entry's share of the rate of a cold target. Always 0 unless this
+    /// program has a fault.
+    pub sent_over_cold_rate: IntCounter,
     /// Requests per second that targets with limits accept from all entries, and this entry's
     /// share.
     pub limits: GaugeVec,
@@ -190,6 +193,11 @@
                 "sent_over_limit_total",
                 "Requests sent over the part of a limit: a fault",
             )?,
+            sent_over_cold_rate: counter(
+                r,
+                "sent_over_cold_rate_total",
+                "Requests sent over the part of a cold target's rate: a fault",
+            )?,
             limits: float_gauges(r, "limits", "Requests a second under limits", &["whose"])?,
             turns: counters(r, "turns_total", "Turns at targets with limits", &["outcome"])?,
             limits_named: counters(
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -299,6 +299,20 @@
     pub notices: ::prost::alloc::vec::Vec<Notice>,
     #[prost(message, repeated, tag = "2")]
     pub limits: ::prost::alloc::vec::Vec<Limit>,
+    #[prost(message, repeated, tag = "3")]
+    pub cold: ::prost::alloc::vec::Vec<Cold>,
+}
+/// An incarnation of a target is cold.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Cold {
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+    /// Start time of the target's incarnation; 0 if unknown.
+    #[prost(fixed64, tag = "2")]
+    pub born: u64,
+    /// Remaining time in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub remaining: u32,
 }
 /// Instances that were removed from the instance list. Sent between entries, because a store that
 /// was restored from a backup may list them again.
--- a/crates/sablepass-wire/tests/wire.rs
+++ b/crates/sablepass-wire/tests/wire.rs
@@ -177,6 +177,7 @@
             (incarnation, Rate::new(0.25)),
             (TargetIncarnation { name: "i-2", started_at: 0 }, None),
         ],
+        cold: vec![(incarnation, 2_900)],
     };
     let Body::Notices(message) = sent.body() else { panic!("the body is notices") };
     assert_eq!(notices::parse(&message).expect("valid notices"), sent);
@@ -200,6 +201,9 @@
     };
     assert!(is_valid("i-1", Some(2.0)) && is_valid("i-1", None));
     assert!(!is_valid("", Some(2.0)), "a limit needs a target");
+    let cold = wire::Cold { target: String::new(), born: 1, remaining: 2 };
+    let message = wire::Notices { cold: vec![cold], ..Default::default() };
+    assert!(notices::parse(&message).is_err(), "a cold time needs a target");
     for rate in [-1.0, f64::NAN, f64::INFINITY] {
         assert!(!is_valid("i-1", Some(rate)), "{rate}");
         let report = wire::Report { entries: 1, limit: Some(rate), ..Default::default() };
