Entry: limit the requests to cold targets

The rate of a cold target is shared and spent where the limits of targets are: a target must satisfy both. Streams that wait to start leave the queue only for a turn; while there is none, one at a time asks for the next, and those that become too late are refused with its time.

Without the table [cold], or without a cold rate, no target is recorded as cold, and nothing changes.

--- a/crates/sablepass-core/src/starts.rs
+++ b/crates/sablepass-core/src/starts.rs
@@ -321,11 +321,8 @@
     /// Removes and returns a stream that cannot start before its caller gives up, with the
     /// estimated milliseconds until a start would be possible.
     pub fn give_up(&mut self, now: Millis, room: Room) -> Option<(RequestId, Option<Millis>)> {
-        let too_late = |it: &StartRequest| {
-            let waited = now.saturating_sub(it.arrived) as f64;
-            waited + self.first_event_ms * FIRST_EVENT_FACTOR > it.patience as f64
-        };
-        let at = self.waiting.iter().position(|it| room == Room::Closed || too_late(it))?;
+        let too_late = |it: &StartRequest| room == Room::Closed || self.is_too_late(now, it);
+        let at = self.waiting.iter().position(too_late)?;
         let stream = self.waiting.remove(at)?;
         let retry_after = match room {
             Room::Opens { within, sure: true, .. } => Some(within),
@@ -335,6 +332,29 @@
         Some((stream.id, retry_after))
     }
 
+    /// Whether a stream cannot start before its caller gives up.
+    fn is_too_late(&self, now: Millis, stream: &StartRequest) -> bool {
+        let waited = now.saturating_sub(stream.arrived) as f64;
+        waited + self.first_event_ms * FIRST_EVENT_FACTOR > stream.patience as f64
+    }
+
+    /// Returns a stream that [`Self::next`] released, and that could not be sent, to the front of
+    /// the queue. Returns false if it cannot start before its caller gives up.
+    pub fn put_back(&mut self, now: Millis, stream: StartRequest) -> bool {
+        // It counts as started, and its prompt as being read.
+        self.start_times.pop_back();
+        let useful = !self.is_too_late(now, &stream);
+        if useful {
+            self.waiting.push_front(stream);
+        }
+        useful
+    }
+
+    /// Whether a stream waits.
+    pub fn contains(&self, id: RequestId) -> bool {
+        self.waiting.iter().any(|it| it.id == id)
+    }
+
     /// Estimated median time from the start of a request to its first event, in milliseconds.
     pub fn time_to_first_event(&self) -> Millis {
         self.first_event_ms as Millis
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -163,6 +163,7 @@
             waiting_since: None,
             slot: None,
             turn_requested: false,
+            queued: None,
             counted_target: None,
             connection: None,
             head_sent: false,
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -133,6 +133,10 @@
             TargetIncarnation { name: &target, started_at },
             meta.limit,
         );
+        if let Some(remaining) = meta.cold.filter(|_| meta.proof != Proof::Misdirected) {
+            let incarnation = TargetIncarnation { name: &target, started_at };
+            self.cold_answered(now, in_flight, incarnation, remaining);
+        }
         if meta.pause != Pause::None || meta.proof != Proof::None {
             self.target_rejected(
                 now,
--- a/crates/sablepass-entry/src/notices.rs
+++ b/crates/sablepass-entry/src/notices.rs
@@ -2,9 +2,10 @@
 // SPDX-License-Identifier: Apache-2.0
 
 //! Notices that targets announce about themselves in responses, as part of the router: a requested
-//! pause, which binds this entry; that the target leaves, which applies to all entries; and the
-//! rate limit that it accepts from all entries together.
+//! pause, which binds this entry; that the target leaves, which applies to all entries; the rate
+//! limit that it accepts from all entries together; and how long it is cold.
 
+use sablepass_core::cold;
 use sablepass_core::id::{Millis, TargetIncarnation};
 use sablepass_core::limits::{Change, Rate};
 use sablepass_core::reason::Ignored;
@@ -226,6 +227,7 @@
         let notices = Announcements {
             leaving: self.targets.leaving_incarnations().collect(),
             limits: limits.collect(),
+            cold: self.targets.cold_targets(clock::now()).collect(),
         };
         if !notices.is_empty() {
             call!([self.mesh], send(peer, notices.body()));
@@ -258,6 +260,63 @@
             let change = self.targets.limit_reported_by_peer(now, incarnation, rate);
             self.log_limit_change(incarnation, change, None, "told");
         }
+        let mut new = Vec::new();
+        for (incarnation, remaining) in received.cold {
+            let change = self.targets.cold_reported_by_peer(now, incarnation, remaining);
+            self.log_cold_change(incarnation, change, cold::Source::Told);
+            if matches!(change, cold::Change::Began(_)) {
+                new.push((incarnation, remaining));
+            }
+        }
+        if !new.is_empty() {
+            // Forwarded for the same reason as notices of leaving targets.
+            self.broadcast(&Announcements { cold: new, ..Announcements::default() });
+        }
+    }
+
+    /// Processes the cold time that a target states with a response, and sends it to the other
+    /// entries if it is new.
+    pub(crate) fn cold_answered(
+        &mut self,
+        now: Millis,
+        carried: InFlightAttempt,
+        incarnation: TargetIncarnation<'_>,
+        remaining: Millis,
+    ) {
+        let open = self.requests.get(&carried.request);
+        let open = open.filter(|it| it.flight.attempt().number == carried.attempt);
+        let sent = open.map_or(0, |it| it.sent_at);
+        let change = self.targets.cold_answered(now, incarnation, sent, remaining);
+        self.log_cold_change(incarnation, change, cold::Source::Answer);
+        if let cold::Change::Began(remaining) = change {
+            let cold = vec![(incarnation, remaining)];
+            self.broadcast(&Announcements { cold, ..Announcements::default() });
+        }
+    }
+
+    /// Logs that a target became cold or no longer is.
+    pub(crate) fn log_cold_change(
+        &self,
+        incarnation: TargetIncarnation<'_>,
+        change: cold::Change,
+        source: cold::Source,
+    ) {
+        match change {
+            cold::Change::None | cold::Change::Moved(_) => {}
+            cold::Change::Began(remaining) => slog::info!(self.log, "target cold";
+                "target" => incarnation.name, "born" => incarnation.started_at,
+                "remaining" => remaining, "source" => source.label()),
+            cold::Change::Ended => slog::info!(self.log, "target no longer cold";
+                "target" => incarnation.name, "born" => incarnation.started_at,
+                "source" => source.label()),
+        }
+    }
+
+    /// Ends the cold times that are over.
+    pub(crate) fn expire_cold(&mut self, now: Millis) {
+        for (name, started_at) in self.targets.expire_cold(now) {
+            slog::info!(self.log, "target no longer cold"; "target" => &name, "born" => started_at);
+        }
     }
 
     /// Whether a notice about a target is kept; counts it as ignored if not.
--- a/crates/sablepass-entry/src/open.rs
+++ b/crates/sablepass-entry/src/open.rs
@@ -14,6 +14,7 @@
 use sablepass_core::revision::Revision;
 use sablepass_core::route::Route;
 use sablepass_core::scope::Scope;
+use sablepass_core::starts::StartRequest;
 use sablepass_edge::server::ExchangeKey;
 
 use crate::call::Run;
@@ -52,6 +53,9 @@
     pub(crate) slot: Option<PendingTurn>,
     /// Whether another entry was asked for a turn since the request was last sent.
     pub(crate) turn_requested: bool,
+    /// How the request was queued, if it was released from the queue of waiting streams to seek a
+    /// turn at a cold target, and was not sent since.
+    pub(crate) queued: Option<StartRequest>,
     /// The target whose load includes this request.
     pub(crate) counted_target: Option<String>,
     /// The connection in use, if the request was sent directly to its target.
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -6,9 +6,10 @@
 
 use std::time::Duration;
 
+use sablepass_core::cold;
 use sablepass_core::declaration::{Limits, Service};
 use sablepass_core::flight::Event;
-use sablepass_core::id::{AttemptId, RequestId};
+use sablepass_core::id::{AttemptId, RequestId, TargetIncarnation};
 use sablepass_core::reason::{Ignored, Refusal};
 use sablepass_core::revision::Revision;
 use sablepass_edge::instance::Role;
@@ -81,6 +82,11 @@
                 "born" => self.targets.started_at(target), "source" => "listed",
                 "era" => revision.era, "revision" => revision.number);
         }
+        for (target, change) in &changes.cold {
+            let started_at = self.targets.started_at(target);
+            let incarnation = TargetIncarnation { name: target, started_at };
+            self.log_cold_change(incarnation, *change, cold::Source::Listed);
+        }
         for target in &changes.pauses_ended {
             slog::info!(self.log, "target pause ended"; "target" => target, "why" => "restarted");
         }
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -36,6 +36,7 @@
 use crate::pool::{ConnectionKey, Destination, Pool};
 use crate::settings::Settings;
 use crate::suspects::SuspectTracker;
+use crate::targets::limits::Spent;
 use crate::targets::{self, Choice, Served, Targets, Via};
 use crate::trace::{Step, Traces};
 use crate::turns::PeerTurns;
@@ -108,6 +109,7 @@
             group_stall: settings.stands,
             drain: settings.drain,
             agent_port: settings.agent_port,
+            cold: settings.cold_bound(),
         };
         let policy = Policy::parse(&settings.policy).unwrap_or_default();
         let mut router = Self {
@@ -166,6 +168,7 @@
             self.targets.ended(&name);
         }
         let turn = open.slot.take().and_then(|it| it.granted());
+        let turn = turn.filter(|it| !it.is_void(now, &self.targets));
         let reserved =
             turn.and_then(|it| self.targets.choose_reserved(now, it.incarnation(), &open.scope));
         let choice = match &open.owner {
@@ -255,10 +258,21 @@
         open.sent_at = now;
         open.counted_target = Some(choice.name.clone());
         open.turn_requested = false;
-        if !choice.reserved && !self.targets.spend(now, &choice.name) {
-            self.metrics.sent_over_limit.inc();
-            slog::error!(self.log, "sent beyond this entry's part of a limit"; "id" => &open.run.label,
-                "target" => &choice.name);
+        open.queued = None;
+        let spent =
+            if choice.reserved { Spent::Within } else { self.targets.spend(now, &choice.name) };
+        match spent {
+            Spent::Within => {}
+            Spent::OverLimit => {
+                self.metrics.sent_over_limit.inc();
+                slog::error!(self.log, "sent beyond this entry's part of a limit";
+                    "id" => &open.run.label, "target" => &choice.name);
+            }
+            Spent::OverCold => {
+                self.metrics.sent_over_cold_rate.inc();
+                slog::error!(self.log, "sent beyond this entry's part of a cold target's rate";
+                    "id" => &open.run.label, "target" => &choice.name);
+            }
         }
         if !self.watch.suspects.is_empty() {
             self.log_suspect(now, id);
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use sablepass_core::balance::Policy;
+use sablepass_core::cold::Bound;
 use sablepass_core::sharers::Sharers;
 use sablepass_core::{admit, budget, flight};
 use sablepass_edge::settings::{self, Checker, Error};
@@ -88,6 +89,21 @@
     /// Number of requests whose traces are kept. Default 10,000.
     #[serde(default = "default_stories")]
     pub stories: usize,
+    /// Bound on the requests that all entries together send a cold target in a second. If absent,
+    /// cold targets are not limited.
+    #[serde(default)]
+    pub cold: Option<Cold>,
+}
+
+/// Bound on the requests to a cold target in a second, relative to its rate.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    /// Factor of the rate.
+    pub overshoot: f64,
+    /// Additional requests. Default 0.
+    #[serde(default)]
+    pub slack: f64,
 }
 
 fn default_stories() -> usize {
@@ -187,6 +203,12 @@
         checker.ensure("stop_wait", wait, wait <= 3_600_000, "0 to 3600000")?;
         let stories = self.stories;
         checker.ensure("stories", stories, (1..=1_000_000).contains(&stories), "1 to 1000000")?;
+        if let Some(Cold { overshoot, slack }) = self.cold {
+            let fits = (1.0..=100.0).contains(&overshoot);
+            checker.ensure("cold.overshoot", overshoot, fits, "1 to 100")?;
+            let fits = (0.0..=100_000.0).contains(&slack);
+            checker.ensure("cold.slack", slack, fits, "0 to 100000")?;
+        }
         let spans = [
             ("silence", self.silence),
             ("stop_lead", self.stop_lead),
@@ -213,6 +235,11 @@
         }
     }
 
+    /// Returns the bound on the requests to a cold target, if they are limited.
+    pub fn cold_bound(&self) -> Option<Bound> {
+        self.cold.map(|it| Bound { overshoot: it.overshoot, slack: it.slack })
+    }
+
     /// Returns the options of admission control.
     pub fn admission_options(&self) -> admit::Options {
         admit::Options { limit: self.exchanges, ..admit::Options::default() }
--- a/crates/sablepass-entry/src/starts.rs
+++ b/crates/sablepass-entry/src/starts.rs
@@ -10,6 +10,7 @@
 use sablepass_edge::clock;
 use stakker::CX;
 
+use crate::open::OpenRequest;
 use crate::router::Router;
 use crate::targets::Served;
 
@@ -75,19 +76,71 @@
     }
 
     fn start_waiting_of(&mut self, cx: CX![], served: &Served) {
+        let mut may_seek = true;
         while let Some(room) = self.room_for_next(served) {
-            let Some(starts) = self.start_queues.get_mut(served) else { return };
+            let Some(starts) = self.start_queues.get(served) else { return };
             let now = clock::now();
-            if let Some(id) = starts.next(now, room) {
+            let front = starts.front(now).filter(|_| may_seek);
+            let next = front.filter(|it| self.may_start(now, served, it));
+            let Some(starts) = self.start_queues.get_mut(served) else { return };
+            if let Some(id) = next.and_then(|_| starts.next(now, room)) {
+                if let Some(open) = self.requests.get_mut(&id)
+                    && self.targets.has_cold(now, open.demand())
+                {
+                    open.queued = next;
+                }
                 self.place(cx, id);
+                // One that found no turn waits until the next tick.
+                may_seek = self.start_queues.get(served).is_some_and(|it| !it.contains(id));
             } else if let Some((id, retry_after)) = starts.give_up(now, room) {
-                self.refuse_start(cx, id, retry_after, room);
+                self.give_up_start(cx, now, id, retry_after, room);
             } else {
                 return;
             }
         }
     }
 
+    /// Whether a waiting stream may leave the queue now. While the targets are cold and none of them
+    /// has a turn for it, one stream at a time leaves the queue, to wait for the next turn.
+    fn may_start(&self, now: Millis, served: &Served, stream: &StartRequest) -> bool {
+        let Some(open) = self.requests.get(&stream.id) else { return true };
+        let seeks =
+            |it: &OpenRequest| it.queued.is_some() && it.slot.is_some() && it.served == *served;
+        !self.targets.lacks_turns(now, open.demand()) || !self.requests.values().any(seeks)
+    }
+
+    /// Refuses a stream that cannot start before its caller gives up.
+    fn give_up_start(
+        &mut self,
+        cx: CX![],
+        now: Millis,
+        id: RequestId,
+        retry_after: Option<Millis>,
+        room: Room,
+    ) {
+        let Some(open) = self.requests.get(&id) else { return };
+        if self.targets.lacks_turns(now, open.demand()) {
+            let limited = self.targets.limited_targets(now, open.demand(), &[]);
+            self.refuse_limited(cx, now, id, &limited);
+        } else {
+            self.refuse_start(cx, id, retry_after, room);
+        }
+    }
+
+    /// Returns a stream that found no turn at a cold target to the queue that it came from, while
+    /// its caller still waits. Returns false if it did not come from there or is too late.
+    pub(crate) fn return_to_queue(&mut self, now: Millis, id: RequestId) -> bool {
+        let Some(open) = self.requests.get_mut(&id) else { return false };
+        let Some(stream) = open.queued.take() else { return false };
+        let Some(starts) = self.start_queues.get_mut(&open.served) else { return false };
+        if !starts.put_back(now, stream) {
+            return false;
+        }
+        open.waiting_since = None;
+        open.turn_requested = false;
+        true
+    }
+
     /// Capacity of a service for the waiting stream that starts next; none if no stream waits.
     fn room_for_next(&self, served: &Served) -> Option<Room> {
         let now = clock::now();
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -14,6 +14,7 @@
 use rand::rngs::StdRng;
 use sablepass_core::balance::{self, Candidate, Chooser};
 use sablepass_core::catalogue::Catalogue;
+use sablepass_core::cold::{Bound, ColdTargets};
 use sablepass_core::declaration::Kind;
 use sablepass_core::forming::Forming;
 use sablepass_core::gate;
@@ -40,9 +41,10 @@
 /// service.
 pub type Served = (Kind, String);
 
+mod cold;
 pub(crate) mod eligibility;
 mod groups;
-mod limits;
+pub(crate) mod limits;
 pub(crate) mod listing;
 mod notices;
 mod shares;
@@ -67,6 +69,9 @@
     pub drain: Millis,
     /// Port of the agents on the machines of listed targets; none if there are no such agents.
     pub agent_port: Option<u16>,
+    /// Bound on the requests that all entries together send a cold target in a second; none if cold
+    /// targets are not limited.
+    pub cold: Option<Bound>,
 }
 
 /// Path by which a target is reached.
@@ -132,6 +137,8 @@
     listed_leaving: Vec<String>,
     /// Notices that targets announced to this entry or its peers.
     notices: Notices,
+    /// Targets that are cold.
+    cold: ColdTargets,
     /// Targets of the instance list, which are reached directly, by name.
     listed: BTreeMap<String, Listed>,
     /// Listed targets whose address belongs to a later one: the list contains a target that died
@@ -181,6 +188,7 @@
             wanted_owners: BTreeMap::new(),
             listed_leaving: Vec::new(),
             notices: Notices::default(),
+            cold: ColdTargets::default(),
             listed: BTreeMap::new(),
             replaced: BTreeSet::new(),
             first_list_at: None,
--- a/crates/sablepass-entry/src/targets/limits.rs
+++ b/crates/sablepass-entry/src/targets/limits.rs
@@ -1,9 +1,11 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! Rate limits that targets announce: this entry's share of each limit, and the peers that hold the
-//! rest. The router reserves turns here, a turn being the permission to send one request.
+//! Rate limits that targets announce, and the rates of cold targets: this entry's share of each, and
+//! the peers that hold the rest. The router reserves turns here, a turn being the permission to send
+//! one request. A cold target that announced a limit must satisfy both.
 
+use sablepass_core::holders;
 use sablepass_core::id::{Millis, TargetIncarnation};
 use sablepass_core::limits::{Change, Limit, Rate, Turn};
 use sablepass_core::scope::Scope;
@@ -15,19 +17,36 @@
 /// slots: about the duration of a stream.
 const REQUEST_SECONDS: f64 = 2.0;
 
+/// Whether a request was within this entry's shares when it was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spent {
+    /// It was.
+    Within,
+    /// It exceeded the share of the limit that its target announced.
+    OverLimit,
+    /// It exceeded the share of its cold target's rate.
+    OverCold,
+}
+
 impl Targets {
     /// Updates the holders of limits from the number of entries.
     pub(super) fn update_holders(&mut self, now: Millis) {
         let count = self.sharers.is_known().then(|| self.sharers.count());
         if self.holders.watch(now, count) {
-            self.notices.update_shares(now, &self.holders);
+            self.update_shares(now);
         }
+        self.update_cold_plans(now);
+    }
+
+    fn update_shares(&mut self, now: Millis) {
+        self.notices.update_shares(now, &self.holders);
+        self.cold.update_shares(now, &self.holders);
     }
 
     /// Records that this process resumed after a suspension.
     pub fn resumed(&mut self, now: Millis) {
         self.holders.resumed(now);
-        self.notices.update_shares(now, &self.holders);
+        self.update_shares(now);
     }
 
     /// Processes the limit that a response announces, or that it announces none. The request was
@@ -88,20 +107,47 @@
         self.notices.limited(incarnation)
     }
 
-    /// Whether this entry may send a target one more request now, as far as its limit allows.
+    /// When this entry may send a target one more request; none if nothing limits the rate.
+    fn next(&self, now: Millis, incarnation: TargetIncarnation<'_>) -> Option<Turn> {
+        later(self.notices.next(now, incarnation), self.cold.next(now, incarnation))
+    }
+
+    /// Reserves one request under all that limits a target's rate; none if nothing does.
+    fn take(
+        &mut self,
+        now: Millis,
+        incarnation: TargetIncarnation<'_>,
+        max_wait: Millis,
+    ) -> Option<Turn> {
+        match self.next(now, incarnation)? {
+            Turn::In(wait) if wait > max_wait => Some(Turn::TooLate(wait)),
+            Turn::In(_) => {
+                let limit = self.notices.reserve(now, incarnation, max_wait);
+                later(limit, self.cold.reserve(now, incarnation, max_wait))
+            }
+            turn => Some(turn),
+        }
+    }
+
+    /// Whether this entry may send a target one more request now, as far as its rate is limited.
     pub(super) fn has_turn(&self, now: Millis, name: &str) -> bool {
-        matches!(self.notices.next(now, self.incarnation(name)), None | Some(Turn::In(0)))
+        matches!(self.next(now, self.incarnation(name)), None | Some(Turn::In(0)))
     }
 
-    /// Takes one request from this entry's share of a target's limit. Returns false if the share is
-    /// used up.
-    pub fn spend(&mut self, now: Millis, name: &str) -> bool {
+    /// Takes one request from this entry's share of a target's rate.
+    pub fn spend(&mut self, now: Millis, name: &str) -> Spent {
         let incarnation = self.incarnation(name);
-        matches!(self.notices.reserve(now, incarnation, 0), None | Some(Turn::In(_)))
+        let within_cold = matches!(self.cold.next(now, incarnation), None | Some(Turn::In(0)));
+        match self.take(now, incarnation, 0) {
+            None | Some(Turn::In(_)) => Spent::Within,
+            Some(_) if within_cold => Spent::OverLimit,
+            Some(_) => Spent::OverCold,
+        }
     }
 
     /// Whether a request may still be sent to a target for which it was assigned at `sent`. Takes
-    /// it from this entry's share if the target's limit became known since.
+    /// it from this entry's share if the target's limit became known since, or if the target is
+    /// cold and the turn no longer counts.
     pub fn admits(
         &mut self,
         now: Millis,
@@ -109,9 +155,10 @@
         scope: &Scope,
         sent: Millis,
     ) -> bool {
-        let later = self.limit(incarnation).is_some_and(|it| it.since() > sent);
+        let later = self.limit(incarnation).is_some_and(|it| it.since() > sent)
+            || self.is_void_turn(now, incarnation, sent, sent);
         self.barrier(now, incarnation, scope).is_none()
-            && (!later || self.spend(now, incarnation.name))
+            && (!later || self.spend(now, incarnation.name) == Spent::Within)
     }
 
     /// The targets that could serve a request now if they had no limits. Targets in `tried` are
@@ -132,17 +179,17 @@
         names.into_iter().cloned().collect()
     }
 
-    /// Milliseconds until this entry may send a target one more request; none if the target has no
-    /// limit, or this entry no share of it.
+    /// Milliseconds until this entry may send a target one more request; none if nothing limits the
+    /// rate, or this entry has no share of it.
     pub fn next_turn(&self, now: Millis, name: &str) -> Option<Millis> {
-        match self.notices.next(now, self.incarnation(name))? {
+        match self.next(now, self.incarnation(name))? {
             Turn::In(wait) => Some(wait),
             Turn::TooLate(_) | Turn::Never => None,
         }
     }
 
     /// Reserves one request, to be sent within `max_wait` milliseconds, from this entry's share of
-    /// a target's limit. Returns [`Turn::Never`] if the target may not get work. Its caller has
+    /// a target's rate. Returns [`Turn::Never`] if the target may not get work. Its caller has
     /// considered the scope of the request.
     pub fn reserve(
         &mut self,
@@ -155,14 +202,25 @@
         {
             return Turn::Never;
         }
-        self.notices.reserve(now, incarnation, max_wait).unwrap_or(Turn::Never)
+        self.take(now, incarnation, max_wait).unwrap_or(Turn::Never)
     }
 
-    /// Names of the other entries that hold a share of a target's limit.
-    pub fn limit_holders(&self, name: &str) -> Vec<&str> {
+    /// Names of the other entries that hold a share of all that limits a target's rate.
+    pub fn limit_holders(&self, now: Millis, name: &str) -> Vec<&str> {
         let incarnation = self.incarnation(name);
-        self.limit(incarnation)
-            .map_or_else(Vec::new, |it| self.holders.other_holders(incarnation, it.rate()))
+        let limit = self.limit(incarnation);
+        let limit = limit.map(|it| holders::max_holders(it.rate().usable()));
+        let cold = self.plan_if_cold(now, name).map(|it| it.holders);
+        let max = limit.into_iter().chain(cold).min();
+        max.map_or_else(Vec::new, |it| self.holders.others_among(incarnation, it))
+    }
+
+    /// Requests per second that all entries together may send a target; none if nothing limits
+    /// them.
+    pub fn allowed_rate(&self, now: Millis, name: &str) -> Option<Rate> {
+        let limit = self.limit(self.incarnation(name)).map(|it| it.rate().usable());
+        let cold = self.plan_if_cold(now, name).map(|it| it.rate);
+        limit.into_iter().chain(cold).reduce(Rate::min)
     }
 
     /// Whether this entry, of all entries, owns `key`.
@@ -170,9 +228,23 @@
         self.holders.owns(key)
     }
 
-    /// Number of slots of a target that its limit allows to fill, of the `capacity` that it has.
-    pub(super) fn limited_capacity(&self, name: &str, capacity: f64) -> f64 {
-        let limit = self.limit(self.incarnation(name));
-        limit.map_or(capacity, |it| capacity.min(it.rate().per_second() * REQUEST_SECONDS))
+    /// Number of slots of a target that its rate allows to fill, of the `capacity` that it has.
+    pub(super) fn limited_capacity(&self, now: Millis, name: &str, capacity: f64) -> f64 {
+        let limit = self.limit(self.incarnation(name)).map(Limit::rate);
+        let cold = self.plan_if_cold(now, name).map(|it| it.rate);
+        let rate = limit.into_iter().chain(cold).reduce(Rate::min);
+        rate.map_or(capacity, |it| capacity.min(it.per_second() * REQUEST_SECONDS))
+    }
+}
+
+/// The later of the turns under two bounds on a target's rate; none if there is no bound.
+fn later(one: Option<Turn>, other: Option<Turn>) -> Option<Turn> {
+    match (one, other) {
+        (None, turn) | (turn, None) => turn,
+        (Some(Turn::In(a)), Some(Turn::In(b))) => Some(Turn::In(a.max(b))),
+        (Some(Turn::Never), _) | (_, Some(Turn::Never)) => Some(Turn::Never),
+        (Some(Turn::TooLate(a) | Turn::In(a)), Some(Turn::TooLate(b) | Turn::In(b))) => {
+            Some(Turn::TooLate(a.max(b)))
+        }
     }
 }
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use sablepass_core::balance;
+use sablepass_core::cold;
 use sablepass_core::declaration::Kind;
 use sablepass_core::id::{Millis, TargetIncarnation};
 use sablepass_core::revision::Revision;
@@ -44,6 +45,8 @@
     pub leaving: Vec<String>,
     /// Targets that the list marked as leaving and now marks as ready, in the same incarnation.
     pub ready_again: Vec<String>,
+    /// Targets whose lines state that they became cold or no longer are.
+    pub cold: Vec<(String, cold::Change)>,
 }
 
 impl Options {
@@ -133,10 +136,15 @@
             }
             self.members.listed(now, name, instance.leaving);
             let misdirected = self.listed.get(name).is_some_and(|it| it.misdirected);
+            let known_line = self.listed.get(name).map(|it| it.instance.revision);
             let listed = Listed { instance: instance.clone(), missing: None, misdirected };
             if self.listed.insert(name.clone(), listed).is_none() && !first {
                 changes.added.push(name.clone());
             }
+            let change = self.cold_listed(now, name, instance, known_line);
+            if !matches!(change, cold::Change::None | cold::Change::Moved(_)) {
+                changes.cold.push((name.clone(), change));
+            }
         }
         let is_there = |name: &String| {
             instances.get(name).is_some_and(|it| !self.is_outdated(name, it, *first_read))
--- a/crates/sablepass-entry/src/targets/shares.rs
+++ b/crates/sablepass-entry/src/targets/shares.rs
@@ -48,7 +48,7 @@
                 continue;
             };
             let share = shares.entry(member.report.group).or_default();
-            let capacity = self.limited_capacity(name, f64::from(candidate.capacity));
+            let capacity = self.limited_capacity(now, name, f64::from(candidate.capacity));
             share.capacity += capacity / entries;
             share.load += member.share(entries).min(capacity);
             share.targets += 1.0;
--- a/crates/sablepass-entry/src/targets/watch.rs
+++ b/crates/sablepass-entry/src/targets/watch.rs
@@ -31,6 +31,8 @@
     pub paused: usize,
     /// Targets that announced a limit.
     pub limited: usize,
+    /// Targets whose rate is limited since they are cold.
+    pub cold: usize,
 }
 
 impl Targets {
@@ -68,6 +70,7 @@
             usable: self.listed.keys().filter(|it| self.is_available(now, it, &Scope::ANY)).count(),
             paused: self.paused_count(now),
             limited: self.limits().count(),
+            cold: self.cold_count(now),
         }
     }
 
--- a/crates/sablepass-entry/src/ticks.rs
+++ b/crates/sablepass-entry/src/ticks.rs
@@ -35,6 +35,7 @@
                 slog::warn!(self.log, "target unresponsive"; "target" => target);
             }
             self.apply_pending_limits(now);
+            self.expire_cold(now);
             self.update_target_metrics();
         }
         self.start_waiting(cx);
@@ -59,6 +60,7 @@
             ("usable", counts.usable),
             ("resting", counts.paused),
             ("limited", counts.limited),
+            ("cold", counts.cold),
         ];
         for (state, count) in values {
             self.metrics.targets.with_label_values(&[state]).set(count as i64);
--- a/crates/sablepass-entry/src/turns.rs
+++ b/crates/sablepass-entry/src/turns.rs
@@ -20,6 +20,7 @@
 use stakker::{CX, call};
 
 use crate::router::{RESUME_WAIT, Router};
+use crate::targets::Targets;
 use crate::trace::Step;
 
 /// How long an entry waits for a peer's answer: several one-way latencies between regions.
@@ -43,6 +44,8 @@
     started_at: Millis,
     /// When the request may be sent.
     at: Millis,
+    /// When the turn was reserved.
+    reserved_at: Millis,
 }
 
 impl GrantedTurn {
@@ -50,6 +53,11 @@
     pub(crate) fn incarnation(&self) -> TargetIncarnation<'_> {
         TargetIncarnation { name: &self.target, started_at: self.started_at }
     }
+
+    /// Whether the turn no longer counts at `now`.
+    pub(crate) fn is_void(&self, now: Millis, targets: &Targets) -> bool {
+        targets.is_void_turn(now, self.incarnation(), self.reserved_at, self.at)
+    }
 }
 
 impl PendingTurn {
@@ -112,6 +120,9 @@
         if self.requests.get(&id).is_some_and(|it| it.head_sent) {
             return false;
         }
+        if self.return_to_queue(now, id) {
+            return true;
+        }
         self.metrics.turns.with_label_values(&["refused"]).inc();
         self.refuse_limited(cx, now, id, &limited);
         true
@@ -126,7 +137,11 @@
         }
         let first_event =
             self.start_queues.get(&open.served).map_or(0, |it| it.time_to_first_event());
-        let objective = open.route.as_ref().map_or(0, |it| it.objective);
+        // A stream from the queue may be late already, but its caller still waits.
+        let objective = open.queued.map_or_else(
+            || open.route.as_ref().map_or(0, |it| it.objective),
+            |queued| queued.patience,
+        );
         deadline.min(open.run.arrived + objective).saturating_sub(now + first_event)
     }
 
@@ -145,7 +160,8 @@
         match self.targets.reserve(now, TargetIncarnation { name: &target, started_at }, max_wait) {
             Turn::In(wait) => {
                 self.metrics.turns.with_label_values(&["own"]).inc();
-                self.schedule_turn(now, id, GrantedTurn { target, started_at, at: now + wait });
+                let turn = GrantedTurn { target, started_at, at: now + wait, reserved_at: now };
+                self.schedule_turn(now, id, turn);
                 true
             }
             Turn::TooLate(_) | Turn::Never => false,
@@ -181,7 +197,7 @@
         };
         let mut candidates: Vec<(&String, PeerKey)> = Vec::new();
         for target in limited {
-            let holders = self.targets.limit_holders(target).into_iter();
+            let holders = self.targets.limit_holders(now, target).into_iter();
             let peers = holders.filter_map(|it| self.watch.entry(it));
             candidates.extend(peers.filter(|it| useful(target, it)).map(|it| (target, it)));
         }
@@ -210,13 +226,15 @@
     /// Refuses a request whose targets are all at their limits. Its retry delay is the time to the
     /// next known turn, or else the mean interval between requests, plus a random part of that
     /// interval so that callers do not come back together.
-    fn refuse_limited(&mut self, cx: CX![], now: Millis, id: RequestId, limited: &[String]) {
-        let target_rate = |it: &String| {
-            let incarnation =
-                TargetIncarnation { name: it, started_at: self.targets.started_at(it) };
-            let limit = self.targets.limit(incarnation)?;
-            Some(limit.rate().usable().per_second())
-        };
+    pub(crate) fn refuse_limited(
+        &mut self,
+        cx: CX![],
+        now: Millis,
+        id: RequestId,
+        limited: &[String],
+    ) {
+        let target_rate =
+            |it: &String| self.targets.allowed_rate(now, it).map(|rate| rate.per_second());
         let rate: f64 = limited.iter().filter_map(target_rate).sum();
         let interval = (MS_PER_SECOND / rate.max(f64::MIN_POSITIVE)).ceil() as Millis;
         let known =
@@ -284,7 +302,7 @@
                 self.schedule_turn(
                     now,
                     answer.request,
-                    GrantedTurn { target, started_at, at: now + wait },
+                    GrantedTurn { target, started_at, at: now + wait, reserved_at: now },
                 );
                 self.check_turn(cx, answer.request);
             }
