--- /dev/null
+++ b/crates/sablepass-stand/tests/cold_rate.rs
@@ -0,0 +1,134 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! A target that has just started sustains only a part of its later rate, and all entries together
+//! must not exceed it.
+//!
+//! Guards against entries that each send a cold target what its free slots allow, and against
+//! entries that leave it unused although callers are refused.
+
+mod common;
+
+use std::time::Duration;
+
+use sablepass_stand::client::{metric, wait_for};
+use sablepass_stand::process::Process;
+use sablepass_stand::replica::{Arrival, Replica};
+use sablepass_stand::site::{self, Site};
+use serde_json::json;
+
+const ENTRIES: usize = 3;
+const RATE: f64 = 4.0;
+/// Requests allowed in a second: the rate times 1.5, and 5 more.
+const BOUND: usize = 11;
+/// Time for which calls last, in seconds.
+const SECONDS: f64 = 6.0;
+/// Time after which the statement of a response must be known to all entries, in milliseconds.
+const GRACE_MS: u64 = 300;
+
+/// Starts an entry that limits the requests to cold targets.
+fn add_entry(site: &mut Site) {
+    let number = site.entries.len();
+    let seeds: Vec<String> = site.entries.iter().map(|it| it.addr("peers")).collect();
+    let text = format!(
+        "http = \"127.0.0.1:0\"\ndialect = \"routes\"\npolicy = \"even\"\nretry_slack = 90\n\
+         [cold]\novershoot = 1.5\nslack = 5\n\
+         [node]\nname = \"entry-{number}\"\nhall = \"ba-1\"\nlisten = \"127.0.0.1:0\"\n\
+         admin = \"127.0.0.1:0\"\nplatform = \"http://{}\"\nform = \"keys\"\nseeds = {seeds:?}\n\
+         list_every = 20\ndigest_every = 100\npatience = 200\nwatch = 1000\nlist_cold = true\n",
+        site.store.addr,
+    );
+    let name = format!("sablepass-cold-{}-{number}.toml", site.store.addr.port());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).expect("the settings file can be written");
+    site.entries.push(Process::spawn("sablepass-entry", &["--config", &path.to_string_lossy()]));
+    // The file was read by the time that the process announced its addresses.
+    let _ = std::fs::remove_file(&path);
+}
+
+/// Lists a replica with a remaining cold time.
+fn list(site: &Site, replica: &Replica, cold_ms: u64) {
+    let text = replica.entry("ready");
+    let mut item: serde_json::Value = serde_json::from_str(&text).expect("the entry is JSON");
+    item["coldRemainingMs"] = cold_ms.into();
+    site.store.put(&format!("servers/{}", replica.id), &item.to_string());
+}
+
+/// A site whose service has a cold rate; its replica is listed with a remaining cold time.
+fn site(cold_ms: u64) -> Site {
+    let mut site = Site::open(1);
+    let mut configuration = site::configuration(2);
+    configuration["services"][0]["coldPerS"] = json!(RATE);
+    configuration["services"][0]["coldStartS"] = json!(3);
+    site.configure(&configuration);
+    list(&site, &site.replicas[0], cold_ms);
+    for _ in 0..ENTRIES {
+        add_entry(&mut site);
+    }
+    site.settle(1);
+    // Entries use their shares once all have been known by name for a second.
+    std::thread::sleep(Duration::from_millis(1_500));
+    site
+}
+
+fn call(site: &Site, label: &str, entries: usize, seconds: f64) -> Vec<Arrival> {
+    let before = site.replicas[0].arrivals().len();
+    let callers = common::Callers { entries, each: 3, pause: Duration::from_millis(20) };
+    let answers = callers.call(site, label, Duration::from_secs_f64(seconds));
+    let refused = answers.iter().filter(|it| it.status == 503);
+    assert!(refused.clone().count() > 0, "more is requested than the target sustains");
+    for it in refused {
+        assert!(!it.retry_after.is_empty(), "the time of the next turn is stated: {it:?}");
+    }
+    site.replicas[0].arrivals().split_off(before)
+}
+
+/// Highest number of requests in any second.
+fn busiest_second(arrivals: &[Arrival]) -> usize {
+    let within = |start: u64| {
+        arrivals.iter().filter(|it| (start..start + 1_000).contains(&it.at)).count()
+    };
+    arrivals.iter().map(|it| within(it.at)).max().unwrap_or(0)
+}
+
+fn assert_kept_and_used(arrivals: &[Arrival], seconds: f64) {
+    let busiest = busiest_second(arrivals);
+    assert!(busiest <= BOUND, "{busiest} requests in a second");
+    let used = arrivals.len() as f64 / (RATE * seconds);
+    assert!(used >= 0.8, "{used} of the rate is used");
+}
+
+#[test]
+fn verify_a_target_listed_as_cold_gets_no_more_than_its_rate_and_no_less() {
+    let site = site(60_000);
+    for entries in [ENTRIES, 1] {
+        let arrivals = call(&site, &format!("at-{entries}"), entries, SECONDS);
+        assert_kept_and_used(&arrivals, SECONDS);
+    }
+    for entry in &site.entries {
+        let admin = entry.addr("admin");
+        assert_eq!(metric(&admin, "sablepass_targets", "state=\"cold\""), 1.0);
+        assert_eq!(metric(&admin, "sablepass_sent_over_cold_rate_total", ""), 0.0);
+    }
+    list(&site, &site.replicas[0], 0);
+    wait_for("no entry limits the target", || {
+        let cold = |it: &Process| metric(&it.addr("admin"), "sablepass_targets", "state=\"cold\"");
+        site.entries.iter().all(|it| cold(it) == 0.0)
+    });
+    let before = site.replicas[0].arrivals().len();
+    let callers = common::Callers { entries: 1, each: 3, pause: Duration::from_millis(20) };
+    callers.call(&site, "warm", Duration::from_secs(1));
+    let warm = site.replicas[0].arrivals().len() - before;
+    assert!(warm > 2 * BOUND, "the target is no longer limited: {warm}");
+}
+
+/// Only responses state that the target is cold; one entry receives the first of them.
+#[test]
+fn verify_a_cold_time_that_a_response_states_binds_all_entries() {
+    let site = site(0);
+    site.replicas[0].set_extra_header(Some("x-cold-ms: 3000"));
+    site::ask("POST", "/safe/x", "first", "q").send(&site.http(0));
+    std::thread::sleep(Duration::from_millis(GRACE_MS));
+    let arrivals = call(&site, "told", ENTRIES, SECONDS);
+    assert_kept_and_used(&arrivals, SECONDS);
+}
