Cold targets that got no requests start with staggered buckets; tests

With empty buckets, several holders of a low rate left a returned target unused for up to 1.5 s of its 3 s: with 6 holders of 4 requests a second, the first turn came after 1.5 s, and a queue whose callers wait for 1.24 s got none. Buckets of targets that are new, restarted or were evacuated start filled to evenly spread degrees, which the bound allows at any time.

--- a/crates/sablepass-core/src/cold.rs
+++ b/crates/sablepass-core/src/cold.rs
@@ -286,6 +286,18 @@
         }
     }
 
+    /// Records that a target which became cold got no requests lately, as after its start. The buckets
+    /// of its holders are then filled to different degrees, which the bound allows at any time: with
+    /// empty ones, several holders of a low rate would leave the target unused for more than a
+    /// second.
+    pub fn set_idle(&mut self, now: Millis, name: &str, holders: &Holders) {
+        if let Some(cold) = self.targets.get_mut(name) {
+            let life = TargetIncarnation { name, started_at: cold.born };
+            let max = cold.plan.map_or(1, |it| it.holders);
+            cold.bucket.fill(now, holders.position(life, max));
+        }
+    }
+
     /// Updates this entry's shares after the holders have changed.
     pub fn update_shares(&mut self, now: Millis, holders: &Holders) {
         for (name, cold) in &mut self.targets {
--- a/crates/sablepass-core/src/holders.rs
+++ b/crates/sablepass-core/src/holders.rs
@@ -101,11 +101,21 @@
             return None;
         }
         let holders = self.count(max);
+        (self.higher(life) < holders).then(|| rate.part(holders))
+    }
+
+    /// This entry's position among the holders of a rate that at most `max` entries hold, as a
+    /// fraction; evenly distributed over them.
+    pub fn position(&self, life: TargetIncarnation<'_>, max: usize) -> f64 {
+        ((self.higher(life) as f64 + 0.5) / self.count(max) as f64).min(1.0)
+    }
+
+    /// Number of entries that come before this one in the order in which they hold a target's rate.
+    fn higher(&self, life: TargetIncarnation<'_>) -> usize {
         let key = key(life);
         let score = |name: &str| (rendezvous::score(&key, name), name.to_owned());
         let mine = score(&self.me);
-        let higher = self.shared.iter().filter(|it| score(it) > mine).count();
-        (higher < holders).then(|| rate.part(holders))
+        self.shared.iter().filter(|it| score(it) > mine).count()
     }
 
     /// Whether this entry, of all entries, owns `key`.
--- a/crates/sablepass-core/src/limits.rs
+++ b/crates/sablepass-core/src/limits.rs
@@ -122,6 +122,14 @@
         self.level_at = now;
     }
 
+    /// Fills a fraction of the bucket, for a target that got no requests lately.
+    pub fn fill(&mut self, now: Millis, fraction: f64) {
+        if self.rate > 0.0 {
+            self.level = self.capacity() * fraction.clamp(0.0, 1.0);
+            self.level_at = now;
+        }
+    }
+
     /// Capacity of the bucket in requests.
     fn capacity(&self) -> f64 {
         let burst = (self.rate * 1_000.0 * BURST_SECONDS).max(1.0).max(self.min_burst);
--- a/crates/sablepass-entry/src/targets/cold.rs
+++ b/crates/sablepass-entry/src/targets/cold.rs
@@ -52,6 +52,9 @@
             self.cold.listed(now, life, line.cold)
         };
         self.update_cold_plan(now, name);
+        if known.is_none() && matches!(change, Change::Began(_)) {
+            self.cold.set_idle(now, name, &self.holders);
+        }
         change
     }
 
@@ -100,6 +103,9 @@
         let Some(ColdStart { duration, .. }) = self.cold_start(name) else { return Change::None };
         let change = self.cold.stated(now, self.incarnation(name), duration);
         self.update_cold_plan(now, name);
+        if matches!(change, Change::Began(_)) {
+            self.cold.set_idle(now, name, &self.holders);
+        }
         change
     }
 
--- a/crates/sablepass-stand/tests/cold_rate.rs
+++ b/crates/sablepass-stand/tests/cold_rate.rs
@@ -27,7 +27,7 @@
 const GRACE_MS: u64 = 300;
 
 /// Starts an entry that limits the requests to cold targets.
-fn add_entry(site: &mut Site) {
+fn add_entry(site: &mut Site, list_cold: bool) {
     let number = site.entries.len();
     let seeds: Vec<String> = site.entries.iter().map(|it| it.addr("peers")).collect();
     let text = format!(
@@ -35,7 +35,7 @@
          [cold]\novershoot = 1.5\nslack = 5\n\
          [node]\nname = \"entry-{number}\"\nhall = \"ba-1\"\nlisten = \"127.0.0.1:0\"\n\
          admin = \"127.0.0.1:0\"\nplatform = \"http://{}\"\nform = \"keys\"\nseeds = {seeds:?}\n\
-         list_every = 20\ndigest_every = 100\npatience = 200\nwatch = 1000\nlist_cold = true\n",
+         list_every = 20\ndigest_every = 100\npatience = 200\nwatch = 1000\nlist_cold = {list_cold}\n",
         site.store.addr,
     );
     let name = format!("sablepass-cold-{}-{number}.toml", site.store.addr.port());
@@ -55,7 +55,7 @@
 }
 
 /// A site whose service has a cold rate; its replica is listed with a remaining cold time.
-fn site(cold_ms: u64) -> Site {
+fn site(cold_ms: u64, list_cold: bool) -> Site {
     let mut site = Site::open(1);
     let mut configuration = site::configuration(2);
     configuration["services"][0]["coldPerS"] = json!(RATE);
@@ -63,7 +63,7 @@
     site.configure(&configuration);
     list(&site, &site.replicas[0], cold_ms);
     for _ in 0..ENTRIES {
-        add_entry(&mut site);
+        add_entry(&mut site, list_cold);
     }
     site.settle(1);
     // Entries use their shares once all have been known by name for a second.
@@ -85,9 +85,8 @@
 
 /// Highest number of requests in any second.
 fn busiest_second(arrivals: &[Arrival]) -> usize {
-    let within = |start: u64| {
-        arrivals.iter().filter(|it| (start..start + 1_000).contains(&it.at)).count()
-    };
+    let within =
+        |start: u64| arrivals.iter().filter(|it| (start..start + 1_000).contains(&it.at)).count();
     arrivals.iter().map(|it| within(it.at)).max().unwrap_or(0)
 }
 
@@ -100,7 +99,7 @@
 
 #[test]
 fn verify_a_target_listed_as_cold_gets_no_more_than_its_rate_and_no_less() {
-    let site = site(60_000);
+    let site = site(60_000, true);
     for entries in [ENTRIES, 1] {
         let arrivals = call(&site, &format!("at-{entries}"), entries, SECONDS);
         assert_kept_and_used(&arrivals, SECONDS);
@@ -115,17 +114,30 @@
         let cold = |it: &Process| metric(&it.addr("admin"), "sablepass_targets", "state=\"cold\"");
         site.entries.iter().all(|it| cold(it) == 0.0)
     });
+    assert_not_limited(&site);
+}
+
+fn assert_not_limited(site: &Site) {
     let before = site.replicas[0].arrivals().len();
     let callers = common::Callers { entries: 1, each: 3, pause: Duration::from_millis(20) };
-    callers.call(&site, "warm", Duration::from_secs(1));
-    let warm = site.replicas[0].arrivals().len() - before;
-    assert!(warm > 2 * BOUND, "the target is no longer limited: {warm}");
+    callers.call(site, "warm", Duration::from_secs(1));
+    let count = site.replicas[0].arrivals().len() - before;
+    assert!(count > 2 * BOUND, "the target is not limited: {count}");
+}
+
+/// Without the setting, lines are the same as those of processes that do not know cold targets.
+#[test]
+fn verify_without_the_setting_lines_do_not_state_cold_times() {
+    let site = site(60_000, false);
+    let admin = site.entries[0].addr("admin");
+    assert_eq!(metric(&admin, "sablepass_targets", "state=\"cold\""), 0.0);
+    assert_not_limited(&site);
 }
 
 /// Only responses state that the target is cold; one entry receives the first of them.
 #[test]
 fn verify_a_cold_time_that_a_response_states_binds_all_entries() {
-    let site = site(0);
+    let site = site(0, true);
     site.replicas[0].set_extra_header(Some("x-cold-ms: 3000"));
     site::ask("POST", "/safe/x", "first", "q").send(&site.http(0));
     std::thread::sleep(Duration::from_millis(GRACE_MS));
