Streams that wait for cold targets seek turns at all of them

A test with entries, a group that opens and targets of one request a second each: 5 to 7 of 8 possible streams started, since only one stream at a time waited for a turn of another entry. The free slots of a group are no longer reduced by the rates of its cold targets: at a low rate the targets counted as full, and no stream started (0 of 20). Extensions of a cold time that a response states are sent to the other entries.

--- a/crates/sablepass-core/src/cold.rs
+++ b/crates/sablepass-core/src/cold.rs
@@ -22,8 +22,8 @@
 /// than both were sent.
 const BUNCHED: f64 = 1.0;
 
-/// By how much a peer's statement must exceed the known cold time to count: statements of several
-/// peers differ by the time that messages take.
+/// By how much a statement must exceed the known cold time to be news for other entries, or to count
+/// if it is a peer's: statements differ by the time that messages take.
 const TOLERANCE: Millis = 100;
 
 /// Longest cold time that is accepted from any source, so that an erroneous statement does not
@@ -104,6 +104,8 @@
     Began(Millis),
     /// The target stays cold, for this many milliseconds from now on.
     Moved(Millis),
+    /// The same, and much longer than was known before.
+    Extended(Millis),
     /// The target is no longer cold.
     Ended,
 }
@@ -213,10 +215,11 @@
         if until <= cold.until && sent <= cold.stated_at {
             return Change::None;
         }
+        let extended = until > cold.until + TOLERANCE;
         cold.until = until;
         cold.listed = false;
         cold.stated_at = now;
-        self.moved(now, life.name)
+        if extended { Change::Extended(until - now) } else { self.moved(now, life.name) }
     }
 
     /// Processes a cold time that a peer states, or that is assumed. It extends other statements.
@@ -236,7 +239,7 @@
         cold.until = until;
         cold.listed = false;
         cold.stated_at = now;
-        Change::Moved(cold.remaining(now))
+        Change::Extended(until - now)
     }
 
     fn known(&mut self, now: Millis, life: TargetIncarnation<'_>) -> Option<&mut Cold> {
@@ -333,11 +336,6 @@
         over
     }
 
-    /// Removes a target that is known to have ended.
-    pub fn remove(&mut self, name: &str) {
-        self.targets.remove(name);
-    }
-
     /// The cold incarnations.
     pub fn iter(&self) -> impl Iterator<Item = (TargetIncarnation<'_>, &Cold)> {
         self.targets.iter().map(|(name, it)| (TargetIncarnation { name, started_at: it.born }, it))
--- a/crates/sablepass-entry/src/notices.rs
+++ b/crates/sablepass-entry/src/notices.rs
@@ -264,6 +264,8 @@
         for (incarnation, remaining) in received.cold {
             let change = self.targets.cold_reported_by_peer(now, incarnation, remaining);
             self.log_cold_change(incarnation, change, cold::Source::Told);
+            // An extension is not forwarded: two entries would extend the cold time of each other
+            // by the time that messages take.
             if matches!(change, cold::Change::Began(_)) {
                 new.push((incarnation, remaining));
             }
@@ -288,7 +290,7 @@
         let sent = open.map_or(0, |it| it.sent_at);
         let change = self.targets.cold_answered(now, incarnation, sent, remaining);
         self.log_cold_change(incarnation, change, cold::Source::Answer);
-        if let cold::Change::Began(remaining) = change {
+        if let cold::Change::Began(remaining) | cold::Change::Extended(remaining) = change {
             let cold = vec![(incarnation, remaining)];
             self.broadcast(&Announcements { cold, ..Announcements::default() });
         }
@@ -302,7 +304,7 @@
         source: cold::Source,
     ) {
         match change {
-            cold::Change::None | cold::Change::Moved(_) => {}
+            cold::Change::None | cold::Change::Moved(_) | cold::Change::Extended(_) => {}
             cold::Change::Began(remaining) => slog::info!(self.log, "target cold";
                 "target" => incarnation.name, "born" => incarnation.started_at,
                 "remaining" => remaining, "source" => source.label()),
--- a/crates/sablepass-entry/src/starts.rs
+++ b/crates/sablepass-entry/src/starts.rs
@@ -101,12 +101,22 @@
     }
 
     /// Whether a waiting stream may leave the queue now. While the targets are cold and none of them
-    /// has a turn for it, one stream at a time leaves the queue, to wait for the next turn.
+    /// has a turn for it, no more streams leave the queue than there are targets, to seek the next
+    /// turns.
     fn may_start(&self, now: Millis, served: &Served, stream: &StartRequest) -> bool {
         let Some(open) = self.requests.get(&stream.id) else { return true };
+        if !self.targets.lacks_turns(now, open.demand()) {
+            return true;
+        }
+        let limited = self.targets.limited_targets(now, open.demand(), &[]);
+        self.seeking(served) < limited.len()
+    }
+
+    /// Number of streams of a service that left the queue and wait for a turn at a cold target.
+    fn seeking(&self, served: &Served) -> usize {
         let seeks =
-            |it: &OpenRequest| it.queued.is_some() && it.slot.is_some() && it.served == *served;
-        !self.targets.lacks_turns(now, open.demand()) || !self.requests.values().any(seeks)
+            |it: &&OpenRequest| it.queued.is_some() && it.slot.is_some() && it.served == *served;
+        self.requests.values().filter(seeks).count()
     }
 
     /// Refuses a stream that cannot start before its caller gives up.
@@ -147,6 +157,12 @@
         let starts = self.start_queues.get(served)?;
         let open = self.requests.get(&starts.front(now)?.id)?;
         let pause = open.route.as_ref()?.pause?;
-        Some(self.targets.start_room(now, open.demand(), pause as f64))
+        let room = self.targets.start_room(now, open.demand(), pause as f64);
+        Some(match room {
+            Room::Open { places, load, reads } if self.targets.has_cold(now, open.demand()) => {
+                Room::Open { places, load: load + self.seeking(served) as f64, reads }
+            }
+            room => room,
+        })
     }
 }
--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -99,7 +99,7 @@
         let capacities = current.filter_map(|it| Some(self.listed.get(it)?.instance.capacity));
         let capacities: Vec<u32> = capacities.collect();
         let capacity = f64::from(capacities.iter().sum::<u32>()) / self.sharers.count() as f64;
-        Share { capacity, load: 0.0, targets: capacities.len() as f64 }
+        Share { capacity, slots: capacity, load: 0.0, targets: capacities.len() as f64 }
     }
 
     /// Capacity of a service for streams of this entry. Passes must leave callers no longer pause
@@ -114,7 +114,7 @@
         let entries = self.entries_per_target(served);
         let places = |share: &Share, lag: f64| {
             let sequences = times.sequences(pass_ms, lag) * share.targets / entries;
-            sequences.clamp(share.capacity * MIN_PLACES_RATIO, share.capacity * MAX_PLACES_RATIO)
+            sequences.clamp(share.slots * MIN_PLACES_RATIO, share.slots * MAX_PLACES_RATIO)
         };
         let shares = self.shares_by_group(now, demand);
         if !shares.is_empty() {
--- a/crates/sablepass-entry/src/targets/limits.rs
+++ b/crates/sablepass-entry/src/targets/limits.rs
@@ -228,12 +228,17 @@
         self.holders.owns(key)
     }
 
-    /// Number of slots of a target that its rate allows to fill, of the `capacity` that it has.
-    pub(super) fn limited_capacity(&self, now: Millis, name: &str, capacity: f64) -> f64 {
-        let limit = self.limit(self.incarnation(name)).map(Limit::rate);
-        let cold = self.plan_if_cold(now, name).map(|it| it.rate);
-        let rate = limit.into_iter().chain(cold).reduce(Rate::min);
-        rate.map_or(capacity, |it| capacity.min(it.per_second() * REQUEST_SECONDS))
+    /// Number of slots of a target that its limit allows to fill, of the `capacity` that it has.
+    pub(super) fn limited_capacity(&self, name: &str, capacity: f64) -> f64 {
+        let limit = self.limit(self.incarnation(name));
+        limit.map_or(capacity, |it| capacity.min(it.rate().per_second() * REQUEST_SECONDS))
+    }
+
+    /// Number of slots, of `capacity`, that the rate of a target allows to fill while it is cold.
+    /// That is a short time, in which the `used` slots take none of the rate.
+    pub(super) fn cold_capacity(&self, now: Millis, name: &str, capacity: f64, used: f64) -> f64 {
+        let cold = self.plan_if_cold(now, name);
+        cold.map_or(capacity, |it| capacity.min(used + it.rate.per_second() * REQUEST_SECONDS))
     }
 }
 
--- a/crates/sablepass-entry/src/targets/listing.rs
+++ b/crates/sablepass-entry/src/targets/listing.rs
@@ -142,7 +142,7 @@
                 changes.added.push(name.clone());
             }
             let change = self.cold_listed(now, name, instance, known_line);
-            if !matches!(change, cold::Change::None | cold::Change::Moved(_)) {
+            if matches!(change, cold::Change::Began(_) | cold::Change::Ended) {
                 changes.cold.push((name.clone(), change));
             }
         }
--- a/crates/sablepass-entry/src/targets/shares.rs
+++ b/crates/sablepass-entry/src/targets/shares.rs
@@ -15,6 +15,9 @@
 pub struct Share {
     /// Requests that may run at once.
     pub capacity: f64,
+    /// The same, regardless of the rates of cold targets: streams that wait to start need free slots
+    /// and turns, so that their number need not be limited twice.
+    pub slots: f64,
     /// Requests that run or are queued.
     pub load: f64,
     /// Number of targets counted, not divided among entries.
@@ -28,6 +31,7 @@
         let mut sum = Share::default();
         for share in self.shares_by_group(now, demand).into_values() {
             sum.capacity += share.capacity;
+            sum.slots += share.slots;
             sum.load += share.load;
             sum.targets += share.targets;
         }
@@ -48,7 +52,10 @@
                 continue;
             };
             let share = shares.entry(member.report.group).or_default();
-            let capacity = self.limited_capacity(now, name, f64::from(candidate.capacity));
+            let used = member.share(entries) * entries;
+            let slots = self.limited_capacity(name, f64::from(candidate.capacity));
+            let capacity = self.cold_capacity(now, name, slots, used);
+            share.slots += slots / entries;
             share.capacity += capacity / entries;
             share.load += member.share(entries).min(capacity);
             share.targets += 1.0;
--- a/crates/sablepass-entry/src/turns.rs
+++ b/crates/sablepass-entry/src/turns.rs
@@ -25,6 +25,9 @@
 
 /// How long an entry waits for a peer's answer: several one-way latencies between regions.
 const ANSWER_TIMEOUT: Millis = 150;
+/// Longest wait for a turn that is reserved for a stream from the queue of waiting streams. The queue
+/// seeks turns at all targets, so it reserves none that another target could give much sooner.
+const MAX_QUEUED_WAIT: Millis = 250;
 const MS_PER_SECOND: f64 = 1_000.0;
 
 /// State of a request that waits for its turn.
@@ -137,11 +140,12 @@
         }
         let first_event =
             self.start_queues.get(&open.served).map_or(0, |it| it.time_to_first_event());
-        // A stream from the queue may be late already, but its caller still waits.
-        let objective = open.queued.map_or_else(
-            || open.route.as_ref().map_or(0, |it| it.objective),
-            |queued| queued.patience,
-        );
+        if let Some(queued) = &open.queued {
+            // The stream may be late already, but its caller still waits.
+            let left = deadline.min(open.run.arrived + queued.patience);
+            return left.saturating_sub(now + first_event).min(MAX_QUEUED_WAIT);
+        }
+        let objective = open.route.as_ref().map_or(0, |it| it.objective);
         deadline.min(open.run.arrived + objective).saturating_sub(now + first_event)
     }
 
--- a/crates/sablepass-stand/tests/cold_rate.rs
+++ b/crates/sablepass-stand/tests/cold_rate.rs
@@ -9,12 +9,15 @@
 
 mod common;
 
+use std::thread;
 use std::time::Duration;
 
-use sablepass_stand::client::{metric, wait_for};
+use sablepass_stand::client::{Answer, metric, wait_for};
 use sablepass_stand::process::Process;
-use sablepass_stand::replica::{Arrival, Replica};
+use sablepass_stand::ranks;
+use sablepass_stand::replica::{Arrival, Group, Replica};
 use sablepass_stand::site::{self, Site};
+use sablepass_stand::site_with_agents::SiteWithAgents;
 use serde_json::json;
 
 const ENTRIES: usize = 3;
@@ -144,3 +147,56 @@
     let arrivals = call(&site, "told", ENTRIES, SECONDS);
     assert_kept_and_used(&arrivals, SECONDS);
 }
+
+/// All ranks of a group are cold, and streams wait at one entry for it to open. They must start as
+/// their targets can take them, rather than all at once or not at all, also at the targets whose rate
+/// another entry holds.
+#[test]
+fn verify_streams_that_wait_for_a_group_start_at_the_cold_rate() {
+    const RANKS: usize = 4;
+    const STREAMS: usize = 20;
+    let group = |open| Group { open, size: RANKS as u32, steps: open };
+    let mut beside = SiteWithAgents::spawn(RANKS);
+    let mut configuration = ranks::Group::configuration(3);
+    // With a bound of three requests in a second, each target's rate is held by one entry.
+    configuration["services"][0]["coldPerS"] = json!(1);
+    beside.site.configure(&configuration);
+    let more = format!("{}\n[cold]\novershoot = 1.5\nslack = 1.5", beside.more);
+    let [first, second] = [(); 2].map(|()| beside.site.add_entry(&more));
+    beside.site.settle(RANKS);
+    beside.wait_for_agents(first);
+    beside.wait_for_agents(second);
+    beside.site.entries.remove(0);
+    let site = &beside.site;
+    let admin = site.entries[0].addr("admin");
+    site.replicas.iter().for_each(|it| it.set_extra_header(Some("x-cold-ms: 60000")));
+    wait_for("all targets are known to be cold", || {
+        site::ask("POST", "/safe/x", "first", "q").send(&site.http(0));
+        metric(&admin, "sablepass_targets", "state=\"cold\"") == RANKS as f64
+    });
+    // The entries agree on their number and use their shares, whose buckets fill.
+    thread::sleep(Duration::from_millis(3_000));
+    site.replicas.iter().for_each(|it| it.report_group(group(false)));
+    wait_for("the group is closed", || {
+        metric(&admin, "sablepass_targets", "state=\"usable\"") == 0.0
+    });
+    let before: Vec<usize> = site.replicas.iter().map(|it| it.arrivals().len()).collect();
+    let answers: Vec<Answer> = thread::scope(|scope| {
+        let ask =
+            |it: usize| site::ask("POST", "/stream/x", &format!("w-{it}"), "q").send(&site.http(0));
+        let threads: Vec<_> = (0..STREAMS).map(|it| scope.spawn(move || ask(it))).collect();
+        thread::sleep(Duration::from_millis(300));
+        site.replicas.iter().for_each(|it| it.report_group(group(true)));
+        threads.into_iter().map(|it| it.join().expect("caller thread panicked")).collect()
+    });
+    let served = answers.iter().filter(|it| it.status == 200).count();
+    for (replica, before) in site.replicas.iter().zip(before) {
+        let arrivals = replica.arrivals().split_off(before);
+        let busiest = busiest_second(&arrivals);
+        assert!(busiest <= 2, "{busiest} streams in a second");
+    }
+    // More than a second is left to the callers when the group opens, so that each target can take
+    // two streams.
+    assert!(served >= 2 * RANKS - 1, "{served} streams started");
+    assert_eq!(metric(&admin, "sablepass_sent_over_cold_rate_total", ""), 0.0);
+}
