Cold times from lists that arrive before the configuration; test of the queue

A process that starts may receive the list before the configuration that states the cold rate. The cold time of a line is now kept until then.

--- a/crates/sablepass-core/tests/starts.rs
+++ b/crates/sablepass-core/tests/starts.rs
@@ -191,3 +191,25 @@
     steps.watch(1_200, 8, false);
     assert!(!steps.is_stalled(9_000), "an idle group makes no steps");
 }
+
+/// A stream that left the queue and found no turn at its target must not lose its place, nor count
+/// as one whose prompt is being read: the queue would block itself.
+#[test]
+fn verify_a_stream_that_could_not_be_sent_returns_to_the_front() {
+    let mut starts = StartQueue::default();
+    let resumed = |id| StartRequest { resumed: true, ..stream(id, 0) };
+    let room = Room::Open { places: 40.0, load: 20.0, reads: 1.0 };
+    let opens = Room::Opens { within: 0, places: 40.0, sure: true };
+    for id in 1..=2 {
+        assert!(matches!(starts.request(0, &resumed(id), opens), StartDecision::Wait(_)));
+    }
+    for now in [0, 25, 50] {
+        assert_eq!(starts.next(now, room), Some(RequestId(1)));
+        assert!(!starts.contains(RequestId(1)));
+        assert!(starts.put_back(now, resumed(1)), "its caller still waits");
+        assert!(starts.contains(RequestId(1)));
+    }
+    assert_eq!(starts.next(1_800, room), Some(RequestId(1)));
+    assert!(!starts.put_back(1_800, resumed(1)), "it can no longer start in time");
+    assert_eq!(starts.next(1_800, room), Some(RequestId(2)));
+}
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -35,6 +35,7 @@
                     call!([self.server], limit(server_limits(declared)));
                 }
                 self.targets.set_catalogue(catalogue);
+                self.targets.update_cold_plans(clock::now());
                 self.update_wanted_peers(cx);
                 self.send_bounds();
             }
--- a/crates/sablepass-entry/src/targets/cold.rs
+++ b/crates/sablepass-entry/src/targets/cold.rs
@@ -2,10 +2,10 @@
 // SPDX-License-Identifier: Apache-2.0
 
 //! Cold targets: which of the listed targets are cold, and the rate that all entries together may
-//! send them. Without the bound in the settings, or without a cold rate of the service, nothing is
-//! recorded.
+//! send them. Without the bound in the settings, nothing is recorded; without a cold rate of their
+//! service, targets are not limited.
 
-use sablepass_core::cold::{Change, Cold, Plan};
+use sablepass_core::cold::{Change, Plan};
 use sablepass_core::declaration::ColdStart;
 use sablepass_core::id::{Millis, TargetIncarnation};
 use sablepass_core::limits::Rate;
@@ -32,7 +32,8 @@
     }
 
     /// Processes a line of the instance list. `known` is the revision of the line that was known of
-    /// this incarnation.
+    /// this incarnation. Its cold time is kept, without an effect, also if the service has no cold
+    /// rate: a process that starts may receive the list before the configuration.
     pub(super) fn cold_listed(
         &mut self,
         now: Millis,
@@ -40,7 +41,7 @@
         line: &Instance,
         known: Option<Revision>,
     ) -> Change {
-        if self.cold_start(name).is_none() || known.is_some_and(|it| it >= line.revision) {
+        if self.options.cold.is_none() || known.is_some_and(|it| it >= line.revision) {
             return Change::None;
         }
         let life = TargetIncarnation { name, started_at: line.born };
@@ -55,7 +56,7 @@
         if known.is_none() && matches!(change, Change::Began(_)) {
             self.cold.set_idle(now, name, &self.holders);
         }
-        change
+        if self.cold_start(name).is_some() { change } else { Change::None }
     }
 
     /// Processes the cold time that a response to a request sent at `sent` states.
@@ -126,27 +127,21 @@
 
     /// Updates how the rates of all cold targets are shared, after the list or the configuration may
     /// have changed.
-    pub(super) fn update_cold_plans(&mut self, now: Millis) {
+    pub fn update_cold_plans(&mut self, now: Millis) {
         let names: Vec<String> = self.cold.iter().map(|it| it.0.name.to_owned()).collect();
         for name in names {
             self.update_cold_plan(now, &name);
         }
     }
 
-    /// The cold incarnations, with their remaining times in milliseconds.
+    /// The incarnations whose rate is limited since they are cold, with their remaining times in
+    /// milliseconds.
     pub fn cold_targets(
         &self,
         now: Millis,
     ) -> impl Iterator<Item = (TargetIncarnation<'_>, Millis)> {
-        let remaining = move |it: (_, &Cold)| (it.0, it.1.remaining(now));
-        self.cold.iter().map(remaining).filter(|it| it.1 > 0)
-    }
-
-    /// Number of listed targets whose rate is limited since they are cold.
-    pub(super) fn cold_count(&self, now: Millis) -> usize {
-        let limited =
-            |it: &(TargetIncarnation<'_>, &Cold)| it.1.plan().is_some() && it.1.remaining(now) > 0;
-        self.cold.iter().filter(limited).count()
+        let limited = self.cold.iter().filter(|it| it.1.plan().is_some());
+        limited.map(move |it| (it.0, it.1.remaining(now))).filter(|it| it.1 > 0)
     }
 
     /// How the rate of a target is shared, if it is cold.
--- a/crates/sablepass-entry/src/targets/watch.rs
+++ b/crates/sablepass-entry/src/targets/watch.rs
@@ -70,7 +70,7 @@
             usable: self.listed.keys().filter(|it| self.is_available(now, it, &Scope::ANY)).count(),
             paused: self.paused_count(now),
             limited: self.limits().count(),
-            cold: self.cold_count(now),
+            cold: self.cold_targets(now).count(),
         }
     }
 
