--- a/crates/sablepass-entry/src/evacuation.rs
+++ b/crates/sablepass-entry/src/evacuation.rs
@@ -4,6 +4,7 @@
 //! Evacuations of data halls, as part of the router: logs them, withdraws the requests that have
 //! not been sent to their targets yet, and refuses requests all of whose targets are evacuated.
 
+use sablepass_core::cold;
 use sablepass_core::flight::Event;
 use sablepass_core::id::{Millis, RequestId, TargetIncarnation};
 use sablepass_core::reason::Refusal;
@@ -23,10 +24,15 @@
 
 impl Router {
     /// Processes the evacuations that began or ended. Targets in `changes.released` get requests
-    /// again from now on.
+    /// again from now on; they may have turned cold meanwhile.
     pub(crate) fn evacuations_changed(&mut self, cx: CX![], changes: &Changes) {
         let now = clock::now();
         let held = self.targets.catalogue().revision;
+        for name in &changes.released {
+            let change = self.targets.assume_cold(now, name);
+            let incarnation = TargetIncarnation { name, started_at: self.targets.started_at(name) };
+            self.log_cold_change(incarnation, change, cold::Source::Evacuation);
+        }
         for it in &changes.began {
             let is_there = |open: &&OpenRequest| {
                 open.counted_target.as_ref().is_some_and(|name| it.targets.contains(name))
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use sablepass_core::cold;
 use sablepass_core::declaration::{Limits, Service};
 use sablepass_core::flight::Event;
 use sablepass_core::id::{AttemptId, RequestId, TargetIncarnation};
@@ -35,6 +36,7 @@
                     call!([self.server], limit(server_limits(declared)));
                 }
                 let changes = self.targets.set_catalogue(clock::now(), catalogue);
+                self.targets.update_cold_plans(clock::now());
                 self.update_wanted_peers(cx);
                 self.send_bounds();
                 self.update_scopes(cx);
@@ -84,6 +86,11 @@
                 "born" => self.targets.started_at(target), "source" => "listed",
                 "era" => revision.era, "revision" => revision.number);
         }
+        for (target, change) in &changes.cold {
+            let started_at = self.targets.started_at(target);
+            let incarnation = TargetIncarnation { name: target, started_at };
+            self.log_cold_change(incarnation, *change, cold::Source::Listed);
+        }
         for target in &changes.pauses_ended {
             slog::info!(self.log, "target pause ended"; "target" => target, "why" => "restarted");
         }
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -7,8 +7,9 @@
 use std::net::SocketAddr;
 
 use sablepass_core::balance::Policy;
+use sablepass_core::cold::Bound;
 use sablepass_core::sharers::Sharers;
-use sablepass_core::{admit, budget, declaration, flight};
+use sablepass_core::{admit, budget, flight};
 use sablepass_edge::settings::{self, Checker, Error};
 use serde::Deserialize;
 
@@ -93,11 +94,26 @@
     /// that is not listed here. Default none.
     #[serde(default)]
     pub regions: BTreeMap<String, String>,
+    /// Bound on the requests that all entries together send a cold target in a second. If absent,
+    /// cold targets are not limited.
+    #[serde(default)]
+    pub cold: Option<Cold>,
+}
+
+/// Bound on the requests to a cold target in a second, relative to its rate.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    /// Factor of the rate.
+    pub overshoot: f64,
+    /// Additional requests. Default 0.
+    #[serde(default)]
+    pub slack: f64,
 }
 
 /// Maximum number of data halls in the table of regions; known deployments have three.
 const MAX_HALLS: usize = 1_024;
-/// Maximum length of the name of a data hall in bytes.
+/// Maximum length of the name of a data hall or region in bytes.
 const MAX_HALL_BYTES: usize = 256;
 
 fn default_stories() -> usize {
@@ -202,8 +218,14 @@
         for (hall, region) in &self.regions {
             let fits = (1..=MAX_HALL_BYTES).contains(&hall.len());
             checker.ensure("regions", hall, fits, "halls with names of 1 to 256 bytes")?;
-            let fits = declaration::is_name(region);
-            checker.ensure("regions", region, fits, "1 to 64 letters, digits, '-', '_' and '.'")?;
+            let fits = (1..=MAX_HALL_BYTES).contains(&region.len());
+            checker.ensure("regions", region, fits, "regions with names of 1 to 256 bytes")?;
+        }
+        if let Some(Cold { overshoot, slack }) = self.cold {
+            let fits = (1.0..=100.0).contains(&overshoot);
+            checker.ensure("cold.overshoot", overshoot, fits, "1 to 100")?;
+            let fits = (0.0..=100_000.0).contains(&slack);
+            checker.ensure("cold.slack", slack, fits, "0 to 100000")?;
         }
         let spans = [
             ("silence", self.silence),
@@ -231,6 +253,11 @@
         }
     }
 
+    /// Returns the bound on the requests to a cold target, if they are limited.
+    pub fn cold_bound(&self) -> Option<Bound> {
+        self.cold.map(|it| Bound { overshoot: it.overshoot, slack: it.slack })
+    }
+
     /// Returns the options of admission control.
     pub fn admission_options(&self) -> admit::Options {
         admit::Options { limit: self.exchanges, ..admit::Options::default() }
--- a/crates/sablepass-entry/src/targets.rs
+++ b/crates/sablepass-entry/src/targets.rs
@@ -14,6 +14,7 @@
 use rand::rngs::StdRng;
 use sablepass_core::balance::{self, Candidate, Chooser};
 use sablepass_core::catalogue::Catalogue;
+use sablepass_core::cold::{Bound, ColdTargets};
 use sablepass_core::declaration::Kind;
 use sablepass_core::forming::Forming;
 use sablepass_core::gate;
@@ -41,10 +42,11 @@
 /// service.
 pub type Served = (Kind, String);
 
+mod cold;
 pub(crate) mod eligibility;
 pub(crate) mod evacuation;
 mod groups;
-mod limits;
+pub(crate) mod limits;
 pub(crate) mod listing;
 mod notices;
 mod shares;
@@ -73,6 +75,9 @@
     pub evacuates_listed: bool,
     /// Region of each data hall.
     pub regions: BTreeMap<String, String>,
+    /// Bound on the requests that all entries together send a cold target in a second; none if cold
+    /// targets are not limited.
+    pub cold: Option<Bound>,
 }
 
 /// Path by which a target is reached.
@@ -139,6 +144,8 @@
     listed_leaving: Vec<String>,
     /// Notices that targets announced to this entry or its peers.
     notices: Notices,
+    /// Targets that are cold.
+    cold: ColdTargets,
     /// Targets of the instance list, which are reached directly, by name.
     listed: BTreeMap<String, Listed>,
     /// Listed targets whose address belongs to a later one: the list contains a target that died
@@ -189,6 +196,7 @@
             wanted_owners: BTreeMap::new(),
             listed_leaving: Vec::new(),
             notices: Notices::default(),
+            cold: ColdTargets::default(),
             listed: BTreeMap::new(),
             replaced: BTreeSet::new(),
             first_list_at: None,
--- a/crates/sablepass-entry/src/targets/watch.rs
+++ b/crates/sablepass-entry/src/targets/watch.rs
@@ -33,6 +33,8 @@
     pub limited: usize,
     /// Targets in evacuated data halls.
     pub evacuated: usize,
+    /// Targets whose rate is limited since they are cold.
+    pub cold: usize,
 }
 
 impl Targets {
@@ -71,6 +73,7 @@
             paused: self.paused_count(now),
             limited: self.limits().count(),
             evacuated: self.evacuated_count(),
+            cold: self.cold_targets(now).count(),
         }
     }
 
--- a/crates/sablepass-entry/src/ticks.rs
+++ b/crates/sablepass-entry/src/ticks.rs
@@ -35,6 +35,7 @@
                 slog::warn!(self.log, "target unresponsive"; "target" => target);
             }
             self.apply_pending_limits(now);
+            self.expire_cold(now);
             self.update_target_metrics();
         }
         self.refuse_evacuated(cx, now);
@@ -61,6 +62,7 @@
             ("resting", counts.paused),
             ("limited", counts.limited),
             ("evacuated", counts.evacuated),
+            ("cold", counts.cold),
         ];
         for (state, count) in values {
             self.metrics.targets.with_label_values(&[state]).set(count as i64);
