--- a/crates/sablepass-stand/src/keys.rs
+++ b/crates/sablepass-stand/src/keys.rs
@@ -37,8 +37,18 @@
 #[derive(Clone, Debug)]
 struct Item {
     revision: u64,
-    /// Value in base64; `None` for a removed key, which is kept for watches.
-    value: Option<String>,
+    content: Content,
+}
+
+/// Content of an item.
+#[derive(Clone, Debug)]
+enum Content {
+    /// Value in base64.
+    Value(String),
+    /// The item exists, but has no value.
+    NoValue,
+    /// The key was removed; it is kept for watches.
+    Gone,
 }
 
 #[derive(Debug)]
@@ -132,24 +142,29 @@
 
     /// Writes a value in base64; returns its revision.
     pub fn put(&self, key: &str, value: &str) -> u64 {
-        self.change(key, Some(BASE64_STANDARD.encode(value)))
+        self.change(key, Content::Value(BASE64_STANDARD.encode(value)))
     }
 
     /// Writes a value without encoding it, for values that are not valid base64.
     pub fn put_raw(&self, key: &str, value: &str) -> u64 {
-        self.change(key, Some(value.to_owned()))
+        self.change(key, Content::Value(value.to_owned()))
+    }
+
+    /// Writes an item without a value; returns its revision.
+    pub fn put_without_value(&self, key: &str) -> u64 {
+        self.change(key, Content::NoValue)
     }
 
     /// Removes a key; returns the revision of the removal.
     pub fn remove(&self, key: &str) -> u64 {
-        self.change(key, None)
+        self.change(key, Content::Gone)
     }
 
-    fn change(&self, key: &str, value: Option<String>) -> u64 {
+    fn change(&self, key: &str, content: Content) -> u64 {
         let mut state = self.lock();
         state.revision += 1;
         let revision = state.revision;
-        state.items.insert(key.to_owned(), Item { revision, value });
+        state.items.insert(key.to_owned(), Item { revision, content });
         self.state.1.notify_all();
         revision
     }
@@ -272,7 +287,7 @@
     fn range(&self, prefix: &str, after: &str) -> Reply {
         let mut state = self.lock();
         let live = state.items.iter().filter(|(key, it)| {
-            key.starts_with(prefix) && key.as_str() > after && it.value.is_some()
+            key.starts_with(prefix) && key.as_str() > after && !matches!(it.content, Content::Gone)
         });
         let mut items: Vec<Value> = live.map(|(key, it)| item(key, it)).collect();
         let more = items.len() > state.page_items;
@@ -325,10 +340,13 @@
 }
 
 fn item(key: &str, it: &Item) -> Value {
-    match &it.value {
-        Some(value) => json!({
+    match &it.content {
+        Content::Value(value) => json!({
             "tlsKey": key, "value": value, "revision": it.revision, "made": it.revision, "lease": 0,
         }),
-        None => json!({ "tlsKey": key, "revision": it.revision, "gone": true }),
+        Content::NoValue => json!({
+            "tlsKey": key, "revision": it.revision, "made": it.revision, "lease": 0,
+        }),
+        Content::Gone => json!({ "tlsKey": key, "revision": it.revision, "gone": true }),
     }
 }
--- a/crates/sablepass-stand/src/limits.rs
+++ b/crates/sablepass-stand/src/limits.rs
@@ -1,7 +1,8 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! Checks of tests whether a target received more requests than the limit that it announced.
+//! Checks of tests whether a target received more requests than the limit that it announced, or
+//! than it can sustain while it is cold.
 
 use crate::replica::Arrival;
 
@@ -13,6 +14,10 @@
 pub const SLACK_REQUESTS: f64 = 5.0;
 /// Allowed rate in a window, as a multiple of the limit.
 const LIMIT_FACTOR: f64 = 1.5;
+/// Settings of an entry that limit the rate of cold targets, as the platform sets them.
+pub const COLD_SETTINGS: &str = "cold.overshoot = 1.5\ncold.slack = 5\n";
+/// Line of the section `[node]` without which instance lists state no cold times.
+pub const COLD_LIST_SETTING: &str = "list_cold = true\n";
 
 /// Highest number of requests in a window that starts at one of them, and the number allowed.
 ///
@@ -35,3 +40,15 @@
 pub fn allowed(limit: f64) -> f64 {
     LIMIT_FACTOR * limit * WINDOW_MS as f64 / 1_000.0 + SLACK_REQUESTS
 }
+
+/// Requests that a cold target may receive in any second with [`COLD_SETTINGS`].
+pub fn allowed_cold(per_second: f64) -> usize {
+    (1.5 * per_second + 5.0) as usize
+}
+
+/// Highest number of arrivals in a second that starts at one of them.
+pub fn busiest_second(arrivals: &[Arrival]) -> usize {
+    let count_from =
+        |start: u64| arrivals.iter().filter(|it| (start..start + 1_000).contains(&it.at)).count();
+    arrivals.iter().map(|it| count_from(it.at)).max().unwrap_or(0)
+}
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -89,6 +89,8 @@
     pub leaving_since: Option<u64>,
     /// Limit of the replica at the arrival, in requests per second.
     pub limit: Option<f64>,
+    /// Whether the replica was cold at the arrival.
+    pub cold: bool,
 }
 
 /// Highest number of requests of one sender that reached a replica in a pause that it requested.
@@ -111,6 +113,18 @@
     }
 }
 
+/// Where a cold replica states how long it stays cold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ColdNotice {
+    /// In its item of the instance list.
+    #[default]
+    Item,
+    /// In the `x-cold-ms` header of its responses.
+    Answers,
+    /// Nowhere.
+    Nowhere,
+}
+
 #[derive(Debug)]
 struct State {
     mode: Mode,
@@ -125,6 +139,10 @@
     limit_interval: u32,
     /// Responses since the last announcement of the limit.
     responses_without_limit: u32,
+    /// Time until which the replica is cold, in milliseconds since the Unix epoch, and where it
+    /// states this.
+    cold_until: u64,
+    cold_notice: ColdNotice,
     /// Line of an additional header of all responses.
     extra_header: Option<String>,
     /// Responses that announced that the replica leaves: request id, and time in milliseconds
@@ -149,6 +167,15 @@
     streams: Vec<Weak<TcpStream>>,
 }
 
+impl State {
+    /// Milliseconds for which the replica stays cold if it states them in this place; 0 if it does
+    /// not or is not cold.
+    fn stated_cold(&self, place: ColdNotice) -> u64 {
+        let remaining = self.cold_until.saturating_sub(clock::now());
+        if self.cold_notice == place { remaining } else { 0 }
+    }
+}
+
 /// Group of a rank, as given in its report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Group {
@@ -161,7 +188,7 @@
 }
 
 /// Data hall of replicas and entries, unless a test needs several.
-const DEFAULT_HALL: &str = "ba-1";
+pub const DEFAULT_HALL: &str = "ba-1";
 
 /// A replica. It serves until it crashes or the process ends; clones share its state.
 #[derive(Clone, Debug)]
@@ -210,6 +237,8 @@
             limit: None,
             limit_interval: 1,
             responses_without_limit: 0,
+            cold_until: 0,
+            cold_notice: ColdNotice::default(),
             extra_header: None,
             notices: Vec::new(),
             connections: 0,
@@ -352,6 +381,19 @@
         self.set_extra_header(Some(&format!("server-limit: {text}")));
     }
 
+    /// Makes the replica cold for `ms` milliseconds from now, which its item states when it is
+    /// written; 0 ends it.
+    pub fn set_cold(&self, ms: u64) {
+        self.set_cold_with(ms, ColdNotice::Item);
+    }
+
+    /// Like [`Self::set_cold`], stated in the given place.
+    pub fn set_cold_with(&self, ms: u64, notice: ColdNotice) {
+        let mut state = self.lock();
+        state.cold_until = clock::now() + ms;
+        state.cold_notice = notice;
+    }
+
     /// Adds a header line, `name: value`, to all responses; `None` removes it.
     pub fn set_extra_header(&self, line: Option<&str>) {
         self.lock().extra_header = line.map(str::to_owned);
@@ -385,9 +427,10 @@
 
     /// Entry of the replica in the store, with a state.
     pub fn entry(&self, state: &str) -> String {
+        let cold_remaining = self.lock().stated_cold(ColdNotice::Item);
         serde_json::json!({
             "service": self.service, "address": self.addr.to_string(), "zone": self.hall,
-            "version": "v1", "slots": 12, "state": state, "coldRemainingMs": 0, "seq": 4,
+            "version": "v1", "slots": 12, "state": state, "coldRemainingMs": cold_remaining, "seq": 4,
             "born": self.started_at,
         })
         .to_string()
@@ -449,8 +492,9 @@
         let pause_ms = if let Mode::Shed(it) = mode { Some(it) } else { None };
         let mut state = self.lock();
         let (leaving_since, limit) = (state.leaving_since, state.limit);
-        let arrival =
-            Arrival { id: run.id.clone(), at: clock::now(), pause_ms, leaving_since, limit };
+        let at = clock::now();
+        let cold = at < state.cold_until;
+        let arrival = Arrival { id: run.id.clone(), at, pause_ms, leaving_since, limit, cold };
         state.arrivals.push(arrival);
     }
 
@@ -556,8 +600,8 @@
         stream.set_read_timeout(None)
     }
 
-    /// Header lines that announce that the replica leaves and its limit, and the additional header,
-    /// as far as they apply to this response.
+    /// Header lines that announce that the replica leaves, its limit and that it is cold, and the
+    /// additional header, as far as they apply to this response.
     fn announcements(&self, run: &Run) -> String {
         let mut state = self.lock();
         let mut lines = String::new();
@@ -571,6 +615,10 @@
             state.responses_without_limit = 0;
             lines += &format!("server-limit: {limit}\r\n");
         }
+        let cold_remaining = state.stated_cold(ColdNotice::Answers);
+        if cold_remaining > 0 {
+            lines += &format!("x-cold-ms: {cold_remaining}\r\n");
+        }
         if let Some(line) = &state.extra_header {
             lines += &format!("{line}\r\n");
         }
--- a/crates/sablepass-stand/src/site.rs
+++ b/crates/sablepass-stand/src/site.rs
@@ -6,8 +6,12 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
 
+use sablepass_edge::clock;
 use serde_json::{Value, json};
 
 use crate::client::{Ask, wait_for};
@@ -57,6 +61,8 @@
     pub entries: Vec<Process>,
     /// Intervals of entries that are started later.
     pub pace: Pace,
+    /// Additional lines of the section `[node]` of entries that are started later.
+    pub node: String,
     /// Number of entries started, for their names.
     started: usize,
     dir: PathBuf,
@@ -74,6 +80,7 @@
             replicas: Vec::new(),
             entries: Vec::new(),
             pace: Pace::default(),
+            node: String::new(),
             started: 0,
             dir,
         };
@@ -92,7 +99,15 @@
 
     /// Starts a replica and lists it as ready; returns its index.
     pub fn add_replica(&mut self, service: &str) -> usize {
-        let replica = Replica::spawn(service);
+        self.add_replica_as(Replica::spawn(service))
+    }
+
+    /// Starts a replica in a data hall and lists it as ready; returns its index.
+    pub fn add_replica_in(&mut self, hall: &str, service: &str) -> usize {
+        self.add_replica_as(Replica::spawn(service).in_hall(hall))
+    }
+
+    fn add_replica_as(&mut self, replica: Replica) -> usize {
         self.list(&replica, "ready");
         self.replicas.push(replica);
         self.replicas.len() - 1
@@ -103,6 +118,47 @@
         self.store.put(&format!("servers/{}", replica.id), &replica.entry(state));
     }
 
+    /// Rewrites the items of these replicas at this interval, as ready, until the handle is dropped.
+    pub fn renew_items(&self, replicas: &[Replica], interval: Duration) -> Renewal {
+        let (store, replicas) = (self.store.clone(), replicas.to_vec());
+        let stopped = Arc::new(AtomicBool::new(false));
+        let renewal = Renewal { stopped: Arc::clone(&stopped) };
+        thread::spawn(move || {
+            while !stopped.load(Ordering::Relaxed) {
+                for replica in &replicas {
+                    store.put(&format!("servers/{}", replica.id), &replica.entry("ready"));
+                }
+                thread::sleep(interval);
+            }
+        });
+        renewal
+    }
+
+    /// Writes the item that evacuates a data hall. Returns the time of the store's acknowledgement,
+    /// in milliseconds since the Unix epoch.
+    pub fn evacuate(&self, hall: &str) -> u64 {
+        self.evacuate_with(hall, EvacuationItem::Object)
+    }
+
+    /// Like [`Self::evacuate`], with this content of the item.
+    pub fn evacuate_with(&self, hall: &str, item: EvacuationItem) -> u64 {
+        let key = evacuation_key(hall);
+        match item {
+            EvacuationItem::Object => self.store.put(&key, "{}"),
+            EvacuationItem::Text(text) => self.store.put(&key, text),
+            EvacuationItem::Raw(text) => self.store.put_raw(&key, text),
+            EvacuationItem::NoValue => self.store.put_without_value(&key),
+        };
+        clock::now()
+    }
+
+    /// Removes the item that evacuates a data hall. Returns the time of the store's
+    /// acknowledgement, in milliseconds since the Unix epoch.
+    pub fn release(&self, hall: &str) -> u64 {
+        self.store.remove(&evacuation_key(hall));
+        clock::now()
+    }
+
     /// Starts an entry with additional settings lines; returns its index. All earlier entries are
     /// its seeds, from which it reads when the store does not respond.
     pub fn add_entry(&mut self, more: &str) -> usize {
@@ -118,9 +174,10 @@
         let text = format!(
             "http = \"127.0.0.1:0\"\ndialect = \"routes\"\npolicy = \"even\"\nretry_slack = 90\n{more}\n\
              [node]\nname = {name:?}\nhall = \"ba-1\"\nlisten = \"127.0.0.1:0\"\n\
-             admin = \"127.0.0.1:0\"\nplatform = \"http://{}\"\nform = \"keys\"\nseeds = {seeds:?}\n{}",
+             admin = \"127.0.0.1:0\"\nplatform = \"http://{}\"\nform = \"keys\"\nseeds = {seeds:?}\n{}{}",
             self.store.addr,
-            self.pace.settings()
+            self.pace.settings(),
+            self.node
         );
         let path = self.dir.join(format!("{name}.toml"));
         std::fs::write(&path, text).expect("the settings file can be written");
@@ -175,6 +232,35 @@
     }
 }
 
+fn evacuation_key(hall: &str) -> String {
+    format!("op/evacuate/{hall}")
+}
+
+/// Content of the item that evacuates a data hall.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvacuationItem {
+    /// An empty JSON object in base64.
+    Object,
+    /// A text in base64.
+    Text(&'static str),
+    /// A text that is not encoded.
+    Raw(&'static str),
+    /// The item has no value, and is not marked gone.
+    NoValue,
+}
+
+/// Keeps rewriting the items of replicas until it is dropped.
+#[derive(Debug)]
+pub struct Renewal {
+    stopped: Arc<AtomicBool>,
+}
+
+impl Drop for Renewal {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+}
+
 fn status(admin: &str) -> Value {
     crate::client::control(admin, "GET", "/status", "")
 }
@@ -226,3 +312,11 @@
         "tenants": [{ "name": CUSTOMER, "apiKeys": [KEY] }],
     })
 }
+
+/// Adds to a configuration that a cold target of its first service sustains `per_second` requests a
+/// second, and that targets are cold for `start_s` seconds after an evacuation.
+pub fn with_cold(mut configuration: Value, per_second: f64, start_s: f64) -> Value {
+    configuration["services"][0]["coldPerS"] = per_second.into();
+    configuration["services"][0]["coldStartS"] = start_s.into();
+    configuration
+}
--- a/crates/sablepass-stand/src/site_with_agents.rs
+++ b/crates/sablepass-stand/src/site_with_agents.rs
@@ -9,7 +9,7 @@
 use crate::client::{metric, wait_for};
 use crate::process::Process;
 use crate::ranks;
-use crate::replica::Replica;
+use crate::replica::{self, Replica};
 use crate::site::Site;
 
 /// A site with its agents. All processes are killed when it is dropped.
@@ -27,16 +27,26 @@
     /// Starts `machines` replicas with their agents, and an entry; returns when the entry has
     /// received the reports of all agents.
     pub fn spawn(machines: usize) -> Self {
-        let mut site = Site::open(0);
-        let machines: Vec<IpAddr> = (0..machines).map(|_| ranks::new_machine_address()).collect();
-        for machine in &machines {
-            let replica = Replica::spawn_at("orders", *machine);
+        Self::spawn_in(&vec![replica::DEFAULT_HALL; machines])
+    }
+
+    /// Like [`Self::spawn`], with one replica in each of these data halls.
+    pub fn spawn_in(halls: &[&str]) -> Self {
+        Self::spawn_with(Site::open(0), halls, "")
+    }
+
+    /// Like [`Self::spawn_in`], in a site without processes, with additional settings lines of
+    /// entries.
+    pub fn spawn_with(mut site: Site, halls: &[&str], more: &str) -> Self {
+        let machines: Vec<IpAddr> = halls.iter().map(|_| ranks::new_machine_address()).collect();
+        for (machine, hall) in machines.iter().zip(halls) {
+            let replica = Replica::spawn_at("orders", *machine).in_hall(hall);
             site.list(&replica, "ready");
             site.replicas.push(replica);
         }
         let port = ranks::free_port_at(&machines);
         site.configure(&ranks::Group::configuration(2));
-        let more = format!("agent_port = {port}");
+        let more = format!("agent_port = {port}\n{more}");
         let mut started = Self { site, agents: Vec::new(), more };
         let entry = started.site.add_entry(&started.more);
         let addrs: Vec<SocketAddr> = started.site.replicas.iter().map(|it| it.addr).collect();
--- a/crates/sablepass-stand/tests/common/mod.rs
+++ b/crates/sablepass-stand/tests/common/mod.rs
@@ -6,7 +6,9 @@
 
 #![allow(dead_code, reason = "each test binary uses only some of the items")]
 
+pub mod load;
 pub mod running;
+pub mod waiting;
 
 use std::thread;
 use std::time::{Duration, Instant};
