--- a/crates/sablepass-stand/tests/evacuated.rs
+++ b/crates/sablepass-stand/tests/evacuated.rs
@@ -375,33 +375,34 @@
     });
 }
 
-/// Holds the targets of the hall within the second event of a stream, and sends streams until
-/// `count` of them are held there. Returns the ids and the callers of these.
+/// Sends `count` streams and holds those that run in the hall after their second event. Returns
+/// their ids and callers.
 fn hold_streams(site: &Site, count: usize) -> Vec<(String, thread::JoinHandle<Answer>)> {
-    let in_hall = || site.replicas.iter().filter(|it| it.hall == HALL);
-    in_hall().for_each(|it| it.set(replica::Mode::Hold(2)));
-    let mut held = Vec::new();
-    for number in 0.. {
+    site.replicas.iter().for_each(|it| it.set(replica::Mode::Hold(2)));
+    let start = |number: usize| {
         let id = format!("0-held-{number}");
-        let addr = site.http(0);
-        let caller = {
-            let id = id.clone();
-            thread::spawn(move || ask("POST", "/stream/x", &id, "q").send(&addr))
-        };
+        let (addr, asked) = (site.http(0), id.clone());
+        let caller = thread::spawn(move || ask("POST", "/stream/x", &asked, "q").send(&addr));
         wait_for("the stream runs", || site.runs(&id) == 1);
-        if in_hall().any(|it| it.runs().iter().any(|run| run.id == id)) {
-            held.push((id, caller));
-        }
-        if held.len() == count {
-            break;
-        }
-    }
+        (id, caller)
+    };
+    let held = (0..count).map(start).collect();
+    let (in_hall, others): (Vec<_>, Vec<_>) = site.replicas.iter().partition(|it| it.hall == HALL);
+    others.iter().for_each(|it| it.set(replica::Mode::Good));
+    assert!(in_hall.iter().all(|it| !it.runs().is_empty()), "all targets in the hall run streams");
     held
 }
 
-/// A site with one entry and no other callers.
+/// A site with one entry and no other callers, whose routes allow long pauses within a stream.
 fn quiet_site(halls: &[&str]) -> Site {
     let mut site = Site::open(0);
+    let mut configuration = site::configuration(2);
+    for route in configuration["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = 60_000.into();
+        route["targetLatencyMs"] = 8_000.into();
+        route["gap_aim_ms"] = 8_000.into();
+    }
+    site.configure(&configuration);
     for hall in halls {
         site.add_replica_in(hall, "orders");
     }
@@ -414,7 +415,7 @@
 #[test]
 fn verify_running_streams_go_on_to_their_end() {
     let site = quiet_site(&[HALL, HALL, OTHER]);
-    let held = hold_streams(&site, 3);
+    let held = hold_streams(&site, 6);
     let written = site.evacuate(HALL);
     sleep_until(written + QUICK_MS);
     let before = site.replicas[2].arrivals().len();
@@ -432,7 +433,7 @@
 #[test]
 fn verify_a_stream_that_breaks_resumes_in_another_hall() {
     let site = quiet_site(&[HALL, HALL, OTHER]);
-    let held = hold_streams(&site, 6);
+    let held = hold_streams(&site, 9);
     let written = site.evacuate(HALL);
     sleep_until(written + QUICK_MS);
     let broken = clock::now();
