--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -201,6 +201,8 @@
     pub service: String,
     /// Data hall in its item of the instance list.
     pub hall: String,
+    /// Number of requests that it runs at once, as stated in its item of the instance list.
+    pub slots: u32,
     /// Address at which callers reach it.
     pub addr: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
@@ -255,6 +257,7 @@
             started_at: clock::now(),
             service: service.to_owned(),
             hall: DEFAULT_HALL.to_owned(),
+            slots: 12,
             addr,
             state: Arc::new((Mutex::new(state), Condvar::new())),
         };
@@ -430,7 +433,7 @@
         let cold_remaining = self.lock().stated_cold(ColdNotice::Item);
         serde_json::json!({
             "service": self.service, "address": self.addr.to_string(), "zone": self.hall,
-            "version": "v1", "slots": 12, "state": state, "coldRemainingMs": cold_remaining, "seq": 4,
+            "version": "v1", "slots": self.slots, "state": state, "coldRemainingMs": cold_remaining, "seq": 4,
             "born": self.started_at,
         })
         .to_string()
--- a/crates/sablepass-stand/tests/cold.rs
+++ b/crates/sablepass-stand/tests/cold.rs
@@ -312,13 +312,16 @@
 fn verify_a_group_that_opens_with_a_full_queue_is_limited() {
     let mut site = Site::open(0);
     site.node = limits::COLD_LIST_SETTING.to_owned();
-    let spawned = SiteWithAgents::spawn_with(site, &[HALL, OTHER], limits::COLD_SETTINGS);
+    let mut spawned = SiteWithAgents::spawn_with(site, &[HALL, OTHER], limits::COLD_SETTINGS);
+    // The entry lets no more requests wait than the group has slots.
+    spawned.site.replicas.iter_mut().for_each(|it| it.slots = 100);
     let site = &spawned.site;
-    let configuration = site::with_cold(waiting::configuration(3), RATE, START_S);
-    let callers = waiting::wait_for_group(site, &configuration, 60);
+    let mut configuration = site::with_cold(waiting::configuration(3, 1_500), RATE, START_S);
+    configuration["services"][0]["engine"]["slots"] = 100.into();
     site.replicas.iter().for_each(|it| it.set_cold(COLD_MS));
     let _renewal = renew(site);
     thread::sleep(Duration::from_millis(KNOWN_MS));
+    let callers = waiting::wait_for_group(site, &configuration, 40);
     waiting::open_group(site);
     thread::sleep(Duration::from_secs(5));
     assert_bound_kept(site, |it| cold_arrivals(it, 0));
@@ -334,9 +337,7 @@
     let mut site = Site::open(0);
     site.node = limits::COLD_LIST_SETTING.to_owned();
     let mut spawned = SiteWithAgents::spawn_with(site, &[HALL; 3], limits::COLD_SETTINGS);
-    let mut configuration = site::with_cold(site::configuration(3), RATE, START_S);
-    let engine = sablepass_stand::ranks::Group::configuration(3);
-    configuration["services"][0]["engine"] = engine["services"][0]["engine"].clone();
+    let configuration = site::with_cold(waiting::configuration(3, 100), RATE, START_S);
     let revision = spawned.site.configure(&configuration);
     let more = spawned.more.clone();
     spawned.site.add_entry_with_seeds(&more, 1);
@@ -356,6 +357,10 @@
     let turned = clock::now();
     sleep_until(turned + COLD_MS);
     assert_bound_kept(site, |it| cold_arrivals(it, turned + KNOWN_MS));
+    let before = |it: &&Arrival| it.at < turned;
+    let used = site.replicas.iter().map(|it| it.arrivals().iter().filter(before).count());
+    let used: Vec<usize> = used.collect();
+    assert!(used.iter().all(|it| *it > 30), "warm targets got {used:?} requests");
     drop(load);
 }
 
--- a/crates/sablepass-stand/tests/common/waiting.rs
+++ b/crates/sablepass-stand/tests/common/waiting.rs
@@ -13,13 +13,14 @@
 use sablepass_stand::site::{Site, ask};
 use serde_json::Value;
 
-/// A configuration whose group takes some seconds to form, so that requests wait for it.
-pub fn configuration(version: u64) -> Value {
+/// A configuration whose group is expected to take `form_ms` to form, so that requests wait for it.
+pub fn configuration(version: u64, form_ms: u64) -> Value {
     let mut configuration = ranks::Group::configuration(version);
-    configuration["services"][0]["engine"]["form_ms"] = 4_000.0.into();
+    configuration["services"][0]["engine"]["form_ms"] = (form_ms as f64).into();
     for route in configuration["routes"].as_array_mut().expect("routes") {
         route["timeoutMs"] = 60_000.into();
         route["targetLatencyMs"] = 8_000.into();
+        route["gap_aim_ms"] = 4_000.into();
     }
     configuration
 }
--- a/crates/sablepass-stand/tests/evacuated.rs
+++ b/crates/sablepass-stand/tests/evacuated.rs
@@ -453,7 +453,7 @@
 #[test]
 fn verify_requests_that_wait_are_placed_elsewhere() {
     let SiteWithAgents { site, agents: _agents, .. } = SiteWithAgents::spawn_in(&[HALL, OTHER]);
-    let callers = waiting::wait_for_group(&site, &waiting::configuration(3), WAITING);
+    let callers = waiting::wait_for_group(&site, &waiting::configuration(3, 4_000), WAITING);
     let written = site.evacuate(HALL);
     sleep_until(written + QUICK_MS);
     waiting::open_group(&site);
@@ -469,7 +469,7 @@
 #[test]
 fn verify_requests_that_wait_are_refused_when_their_last_hall_is_evacuated() {
     let SiteWithAgents { site, agents: _agents, .. } = SiteWithAgents::spawn_in(&[HALL, HALL]);
-    let callers = waiting::wait_for_group(&site, &waiting::configuration(3), WAITING);
+    let callers = waiting::wait_for_group(&site, &waiting::configuration(3, 4_000), WAITING);
     let written = site.evacuate(HALL);
     for caller in callers {
         let answer = caller.join().expect("the caller ends");
