Soak: evacuated halls and halls that return cold

The judge compares what replicas received with the evacuations written to the store and with the bound of cold replicas. Earlier faults of a seed stay the same, since the new ones are drawn last.

--- a/crates/sablepass-stand/src/bin/sablepass-soak.rs
+++ b/crates/sablepass-stand/src/bin/sablepass-soak.rs
@@ -27,7 +27,11 @@
                 .help("Choose the first seed at random; overrides --first"),
         )
         .arg(number_arg("entries", "4", "Number of entries"))
-        .arg(number_arg("replicas", "6", "Number of replicas, each behind its own proxy"))
+        .arg(number_arg(
+            "replicas",
+            "6",
+            "Number of replicas in three data halls, each behind its own proxy",
+        ))
         .arg(number_arg("callers", "12", "Number of concurrent callers"))
         .arg(number_arg("length", "4000", "Period within which faults start, in milliseconds"))
         .arg(
--- a/crates/sablepass-stand/src/soak.rs
+++ b/crates/sablepass-stand/src/soak.rs
@@ -66,12 +66,12 @@
 pub fn run_with_unrecorded(
     options: &Options,
     plan: &[PlannedFault],
-    unrecorded: impl FnOnce(&Fleet),
+    unrecorded: impl FnOnce(&mut Fleet),
 ) -> Outcome {
     let mut fleet = Fleet::start(options);
     let callers = Callers::spawn(options.callers, fleet.directory());
     fleet.run_schedule(plan);
-    unrecorded(&fleet);
+    unrecorded(&mut fleet);
     std::thread::sleep(RECOVERY_TIME);
     let samples = callers.join();
     let observations = Observations::collect(&mut fleet, samples);
--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -15,9 +15,10 @@
 use serde_json::{Value, json};
 
 use crate::client;
+use crate::limits;
 use crate::process::Process;
 use crate::ranks::{self, Group};
-use crate::replica::{self, Replica};
+use crate::replica::{self, ColdNotice, Replica};
 use crate::site::{self, Pace, Site};
 use crate::soak::Options;
 use crate::soak::callers::Directory;
@@ -52,6 +53,38 @@
 /// Faults that take a replica away are skipped while no more than this many are ready.
 const MIN_READY_REPLICAS: usize = 2;
 
+/// Data halls of the replicas, which are assigned to them in turn.
+pub const HALLS: [&str; 3] = ["ba-1", "ba-2", "ba-3"];
+/// Requests per second that a cold replica sustains.
+pub const COLD_PER_S: f64 = 10.0;
+/// Time for which a replica is cold, and the interval at which it rewrites its item meanwhile, in
+/// milliseconds.
+pub const COLD_MS: u64 = 2_000;
+const COLD_RENEWAL_MS: u64 = 1_200;
+/// Longest time between two checks whether an item of a cold replica is to be rewritten.
+const RENEWAL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// An evacuation of a data hall. Times are in milliseconds since the Unix epoch.
+#[derive(Clone, Copy, Debug)]
+pub struct Evacuation {
+    /// Name of the hall.
+    pub hall: &'static str,
+    /// Time at which the store acknowledged it.
+    pub since: u64,
+    /// Time of its end, if it has ended.
+    pub until: Option<u64>,
+}
+
+/// Item of a cold replica that is rewritten until the replica is no longer cold.
+#[derive(Clone, Copy, Debug)]
+struct ColdItem {
+    replica: usize,
+    /// Revision at which it was last written. If it has another one, a fault has changed it.
+    revision: Option<u64>,
+    written_at: u64,
+    cold_until: u64,
+}
+
 /// A component that a fault affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Component {
@@ -100,6 +133,10 @@
     /// Backups of the store with their times, the oldest first.
     backups: Vec<(u64, keys::Backup)>,
     era: u64,
+    pub(super) evacuations: Vec<Evacuation>,
+    /// Ids of the replicas that lost power and have not restarted yet.
+    without_power: Vec<String>,
+    cold_items: Vec<ColdItem>,
     /// Numbers of the entries that didn't exit within [`STOP_TIMEOUT`].
     pub(super) stop_timeouts: Vec<usize>,
 }
@@ -109,6 +146,7 @@
     pub fn start(options: &Options) -> Self {
         let mut site = Site::open(0);
         site.pace = Pace::Platform;
+        site.node = limits::COLD_LIST_SETTING.to_owned();
         let mut fleet = Self {
             site,
             group: Group::spawn(RANKS),
@@ -125,6 +163,9 @@
             routes: Vec::new(),
             backups: Vec::new(),
             era: 1,
+            evacuations: Vec::new(),
+            without_power: Vec::new(),
+            cold_items: Vec::new(),
             stop_timeouts: Vec::new(),
         };
         fleet.site.configure(&fleet.configuration());
@@ -180,12 +221,13 @@
             route["pathPrefix"] = json!(format!("/added-{number}/"));
             routes.push(route);
         }
-        document
+        site::with_cold(document, COLD_PER_S, COLD_MS as f64 / 1_000.0)
     }
 
     fn add_entry(&mut self) {
         let port = self.agent_port;
-        let number = self.site.add_entry(&format!("agent_port = {port}"));
+        let number =
+            self.site.add_entry(&format!("agent_port = {port}\n{}", limits::COLD_SETTINGS));
         self.started_at.push(clock::now());
         self.running.push(number);
         self.update_directory();
@@ -197,7 +239,8 @@
     }
 
     fn add_replica(&mut self) {
-        self.list_replica(&Replica::spawn("orders"));
+        let hall = HALLS[self.site.replicas.len() % HALLS.len()];
+        self.list_replica(&Replica::spawn("orders").in_hall(hall));
     }
 
     /// Starts a proxy for a new replica and lists the replica at the proxy's address.
@@ -228,10 +271,73 @@
         let ended: Vec<usize> = ended;
         for index in ended {
             let next = self.site.replicas[index].new_incarnation();
+            let lost_power = self.without_power.iter().position(|it| *it == next.id);
+            if lost_power.is_some() {
+                next.set_cold(COLD_MS);
+            }
             self.list_replica(&next);
+            if let Some(position) = lost_power {
+                self.without_power.remove(position);
+                self.renew_while_cold(self.site.replicas.len() - 1);
+            }
         }
     }
 
+    /// Has the item of a replica that has just turned cold rewritten as long as it is cold.
+    fn renew_while_cold(&mut self, replica: usize) {
+        let written_at = clock::now();
+        let revision = self.item_revision(replica);
+        let cold_until = written_at + COLD_MS;
+        self.cold_items.push(ColdItem { replica, revision, written_at, cold_until });
+    }
+
+    fn item_revision(&self, replica: usize) -> Option<u64> {
+        self.site.store.key_revision(&format!("servers/{}", self.site.replicas[replica].id))
+    }
+
+    /// Rewrites the items of cold replicas that are due, a last time after their cold time.
+    fn renew_cold_items(&mut self) {
+        let now = clock::now();
+        let unchanged = |it: &ColdItem| self.item_revision(it.replica) == it.revision;
+        let mut items: Vec<ColdItem> = self.cold_items.iter().copied().filter(unchanged).collect();
+        for item in items.iter_mut().filter(|it| now >= it.written_at + COLD_RENEWAL_MS) {
+            self.site.list(&self.site.replicas[item.replica], "ready");
+            item.revision = self.item_revision(item.replica);
+            item.written_at = now;
+        }
+        items.retain(|it| it.written_at < it.cold_until);
+        self.cold_items = items;
+    }
+
+    /// Numbers of the replicas in a data hall that are listed as ready.
+    fn ready_in(&self, hall: &str) -> Vec<usize> {
+        let in_hall = |it: &usize| self.site.replicas[*it].hall == hall;
+        self.ready.iter().copied().filter(in_hall).collect()
+    }
+
+    /// Ends the evacuation of a data hall, whose replicas are cold afterwards.
+    fn release(&mut self, hall: &str) {
+        let replicas = self.ready_in(hall);
+        let open = self.evacuations.iter_mut().find(|it| it.hall == hall && it.until.is_none());
+        open.expect("the hall is evacuated").until = Some(clock::now());
+        for index in replicas.iter().copied() {
+            self.site.replicas[index].set_cold(COLD_MS);
+            self.site.list(&self.site.replicas[index], "ready");
+            self.renew_while_cold(index);
+        }
+        self.site.release(hall);
+    }
+
+    /// Records an evacuation that the store does not have, for tests of the checks.
+    pub fn record_unwritten_evacuation(&mut self, hall: &'static str) {
+        self.evacuations.push(Evacuation { hall, since: clock::now(), until: None });
+    }
+
+    /// Makes a replica cold without telling anyone, for tests of the checks.
+    pub fn turn_cold_untold(&self, replica: usize, span: Duration) {
+        self.site.replicas[replica].set_cold_with(span.as_millis() as u64, ColdNotice::Nowhere);
+    }
+
     /// Starts a thread that sends the fatal request to the running entries in turn for this time.
     fn repeat_fatal_request(&self, span: Duration) {
         let addrs: Vec<String> = self.running.iter().map(|it| self.site.http(*it)).collect();
@@ -275,7 +381,10 @@
         for (at, starts, number) in events {
             self.backups.push((clock::now(), self.site.store.backup()));
             let due = started + Duration::from_millis(at);
-            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            while let Some(left) = due.checked_duration_since(Instant::now()) {
+                self.renew_cold_items();
+                std::thread::sleep(left.min(RENEWAL_CHECK_INTERVAL));
+            }
             if starts {
                 affected[number] = self.start_fault(&plan[number]);
             } else if let Some(index) = affected[number] {
@@ -410,6 +519,28 @@
                 self.add_route();
                 None
             }
+            Fault::HallEvacuated => {
+                let index = planned.selector % HALLS.len();
+                let hall = HALLS[index];
+                if self.evacuations.iter().any(|it| it.hall == hall && it.until.is_none()) {
+                    return None;
+                }
+                let since = self.site.evacuate(hall);
+                self.evacuations.push(Evacuation { hall, since, until: None });
+                Some(index)
+            }
+            Fault::HallReturnsCold => {
+                let index = planned.selector % HALLS.len();
+                let lost = self.ready_in(HALLS[index]);
+                if self.ready.len() < lost.len() + MIN_READY_REPLICAS {
+                    return None;
+                }
+                for replica in lost {
+                    self.site.replicas[replica].crash();
+                    self.without_power.push(self.site.replicas[replica].id.clone());
+                }
+                Some(index)
+            }
         }
     }
 
@@ -439,7 +570,10 @@
                 let id = self.site.replicas[index].id.clone();
                 self.site.store.remove(&format!("servers/{id}"));
             }
-            Fault::ReplicaRestarted | Fault::FatalRequest => self.restart_replicas(),
+            Fault::ReplicaRestarted | Fault::FatalRequest | Fault::HallReturnsCold => {
+                self.restart_replicas()
+            }
+            Fault::HallEvacuated => self.release(HALLS[index]),
             Fault::ListItemCorrupted => {
                 // The replica may have ended or left since the fault's start.
                 if self.ready.contains(&index) {
@@ -474,6 +608,7 @@
         std::thread::sleep(REWRITE_DELAY);
         self.site.configure(&self.configuration());
         self.list_ranks();
+        self.rewrite_evacuations();
         for (index, replica) in self.site.replicas.iter().enumerate() {
             if self.ready.contains(&index) {
                 self.site.list(replica, "ready");
@@ -485,6 +620,21 @@
         }
     }
 
+    /// Writes the evacuations in force again, and ends again those that have ended: the backup may
+    /// lack either, or entries may not have seen the end before the restore.
+    fn rewrite_evacuations(&self) {
+        let in_force =
+            |hall: &str| self.evacuations.iter().any(|it| it.hall == hall && it.until.is_none());
+        for hall in HALLS {
+            if in_force(hall) {
+                self.site.evacuate(hall);
+            } else if self.evacuations.iter().any(|it| it.hall == hall) {
+                self.site.evacuate(hall);
+                self.site.release(hall);
+            }
+        }
+    }
+
     fn wait_for_exit(&mut self, index: usize) {
         let until = Instant::now() + STOP_TIMEOUT;
         while !self.site.entries[index].ended() {
--- a/crates/sablepass-stand/src/soak/judge.rs
+++ b/crates/sablepass-stand/src/soak/judge.rs
@@ -11,7 +11,9 @@
 use crate::limits;
 use crate::replica::{self, Arrival, Replica, max_in_pause};
 use crate::soak::callers::{Kind, Sample};
-use crate::soak::fleet::{Component, FATAL_BODY, FaultWindow, Fleet};
+use crate::soak::fleet::{
+    COLD_MS, COLD_PER_S, Component, Evacuation, FATAL_BODY, FaultWindow, Fleet,
+};
 
 /// Time after a fault in which its effects may still show, in milliseconds.
 pub const FAULT_GRACE_MS: u64 = 500;
@@ -31,6 +33,9 @@
 /// Requests from one entry that may still reach a target during a back-off that it asked for,
 /// as on the platform.
 const MAX_SENT_IN_BACKOFF: usize = 2;
+/// Time after the store's acknowledgement of an evacuation within which requests may still reach
+/// the hall, in milliseconds.
+const EVACUATE_MS: u64 = 5_000;
 /// Time within which a healthy group completes at least one step.
 const STEP_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -67,6 +72,11 @@
     LeaveNotice,
     /// All entries together stay within the request limit that a target announced.
     Limit,
+    /// No request reaches a replica in an evacuated data hall, except shortly after the
+    /// evacuation was written.
+    Evacuation,
+    /// All entries together stay within the bound of a cold replica.
+    ColdRate,
 }
 
 /// A violated guarantee with the observation that shows the violation.
@@ -117,6 +127,9 @@
     /// that it was leaving.
     arrivals: Vec<Vec<Arrival>>,
     notices: Vec<Vec<(String, u64)>>,
+    /// Data hall of each replica, and the evacuations.
+    halls: Vec<String>,
+    evacuations: Vec<Evacuation>,
 }
 
 impl Observations {
@@ -150,6 +163,8 @@
             stop_timeouts: fleet.stop_timeouts.clone(),
             arrivals: fleet.site.replicas.iter().map(Replica::arrivals).collect(),
             notices: fleet.site.replicas.iter().map(Replica::notices).collect(),
+            halls: fleet.site.replicas.iter().map(|it| it.hall.clone()).collect(),
+            evacuations: fleet.evacuations.clone(),
         }
     }
 
@@ -182,6 +197,14 @@
     violations.extend(
         (0..observed.arrivals.len()).filter_map(|replica| check_limit(observed, &sent, replica)),
     );
+    violations.extend(
+        (0..observed.arrivals.len())
+            .filter_map(|replica| check_evacuation(observed, &sent, replica)),
+    );
+    violations.extend(
+        (0..observed.arrivals.len())
+            .filter_map(|replica| check_cold_rate(observed, &sent, replica)),
+    );
     if !observed.split_steps.is_empty() {
         let seen = format!(
             "steps {:?} started with different expert maps at different ranks",
@@ -416,6 +439,76 @@
     })
 }
 
+/// Time until which requests of an entry may reach a hall that is evacuated since this time: the
+/// bound, and the faults that kept the entry from hearing of the evacuation.
+fn may_send_until(observed: &Observations, entry: usize, since: u64) -> u64 {
+    let hides = |it: &&FaultWindow| {
+        it.component == Component::Store || it.component == Component::Entry(entry)
+    };
+    let mut windows: Vec<&FaultWindow> = observed.fault_windows.iter().filter(hides).collect();
+    windows.sort_by_key(|it| it.from);
+    let (mut until, mut counted_until) = (since + EVACUATE_MS, since);
+    for window in windows {
+        let from = window.from.max(counted_until);
+        if window.from <= until && window.until > from {
+            until += window.until - from;
+            counted_until = window.until;
+        }
+    }
+    until
+}
+
+/// Whether a fault of the replica or the link to it may have delayed an arrival.
+fn may_be_delayed(observed: &Observations, replica: usize, arrival: &Arrival) -> bool {
+    let from = arrival.at.saturating_sub(FAULT_GRACE_MS);
+    observed.affected(Component::Replica(replica), from, arrival.at)
+}
+
+/// Checks that no request reached the replica while its data hall was evacuated and the entry had
+/// to know it.
+fn check_evacuation(observed: &Observations, sent: &Sent<'_>, replica: usize) -> Option<Violation> {
+    let evacuations =
+        || observed.evacuations.iter().filter(|it| it.hall == observed.halls[replica]);
+    let late = observed.arrivals[replica].iter().find_map(|arrival| {
+        let sample = sent.get(arrival.id.as_str())?;
+        let in_force = |it: &&Evacuation| {
+            arrival.at > may_send_until(observed, sample.entry, it.since)
+                && it.until.is_none_or(|until| arrival.at < until)
+        };
+        let evacuation = evacuations().find(in_force)?;
+        (!may_be_delayed(observed, replica, arrival)).then_some((arrival, sample, evacuation))
+    });
+    late.map(|(arrival, sample, evacuation)| {
+        let seen = format!(
+            "{} of entry {} reached replica {replica} in {} {} ms after its evacuation",
+            arrival.id,
+            sample.entry,
+            evacuation.hall,
+            arrival.at - evacuation.since
+        );
+        Violation { guarantee: Guarantee::Evacuation, seen }
+    })
+}
+
+/// Checks that all entries together kept the bound of the replica while it was cold. Requests of an
+/// entry that could not know of the evacuation after which the replica was cold are not counted.
+fn check_cold_rate(observed: &Observations, sent: &Sent<'_>, replica: usize) -> Option<Violation> {
+    let unaware = |arrival: &Arrival| {
+        let Some(sample) = sent.get(arrival.id.as_str()) else { return false };
+        observed.evacuations.iter().any(|it| {
+            let until = it.until.unwrap_or(u64::MAX);
+            it.hall == observed.halls[replica]
+                && (until..until.saturating_add(COLD_MS)).contains(&arrival.at)
+                && may_send_until(observed, sample.entry, it.since) > until
+        })
+    };
+    let counts = |it: &&Arrival| it.cold && !may_be_delayed(observed, replica, it) && !unaware(it);
+    let counted: Vec<Arrival> = observed.arrivals[replica].iter().filter(counts).cloned().collect();
+    let (count, allowed) = (limits::busiest_second(&counted), limits::allowed_cold(COLD_PER_S));
+    let seen = format!("{count} requests in a second to cold replica {replica}, allowed {allowed}");
+    (count > allowed).then_some(Violation { guarantee: Guarantee::ColdRate, seen })
+}
+
 /// Checks the common retry budget. A run of the soak is shorter than a window of the budget, so
 /// that the whole run counts as one window.
 fn check_retry_budget(observed: &Observations) -> Option<Violation> {
--- a/crates/sablepass-stand/src/soak/schedule.rs
+++ b/crates/sablepass-stand/src/soak/schedule.rs
@@ -61,6 +61,11 @@
     StoreRestored,
     /// A route is added to the configuration.
     RouteAdded,
+    /// A data hall is evacuated for the fault's duration; its replicas are cold afterwards.
+    HallEvacuated,
+    /// A data hall loses power: the processes of its replicas crash. They restart cold after the
+    /// fault's duration.
+    HallReturnsCold,
 }
 
 /// Fault that a proxy applies to a link.
@@ -182,6 +187,17 @@
         .with_fault(Fault::ReplicaLimits(limit))
 }
 
+/// Draws a fault of a data hall. An evacuation lasts longer than the time within which entries must
+/// comply.
+fn draw_hall_fault(rng: &mut StdRng, length: u64) -> PlannedFault {
+    let planned = draw_planned(rng, length, |_| Fault::HallReturnsCold);
+    if rng.random_bool(0.4) {
+        return planned;
+    }
+    let duration_ms = rng.random_range(5_500..8_000);
+    PlannedFault { duration_ms, ..planned }.with_fault(Fault::HallEvacuated)
+}
+
 fn store_restored(_: &mut StdRng) -> Fault {
     Fault::StoreRestored
 }
@@ -205,8 +221,9 @@
 
 /// Draws a schedule whose faults start within `length` milliseconds and may overlap, sorted by
 /// start time: 4 to 12 general faults, and up to 4 faults of replica processes, 4 notices of
-/// replicas, 2 announced limits, 2 restores of the store, and 2 replicas that are unlisted
-/// without notice.
+/// replicas, 2 announced limits, 2 restores of the store, 2 replicas that are unlisted without
+/// notice, and 2 faults of data halls. Kinds that were added later are drawn last, so that earlier
+/// faults of a seed stay the same.
 pub fn draw(seed: u64, length: u64) -> Vec<PlannedFault> {
     let mut rng = StdRng::seed_from_u64(seed);
     let count = rng.random_range(4..=12);
@@ -222,6 +239,8 @@
     schedule.extend((0..count).map(|_| draw_planned(&mut rng, length, store_restored)));
     let count = rng.random_range(0..=2);
     schedule.extend((0..count).map(|_| draw_planned(&mut rng, length, replica_unlisted)));
+    let count = rng.random_range(0..=2);
+    schedule.extend((0..count).map(|_| draw_hall_fault(&mut rng, length)));
     schedule.sort_by_key(|it| it.at);
     schedule
 }
--- a/crates/sablepass-stand/tests/soak.rs
+++ b/crates/sablepass-stand/tests/soak.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use sablepass_stand::soak::fleet::HALLS;
 use sablepass_stand::soak::judge::Guarantee;
 use sablepass_stand::soak::schedule::{self, Fault, PlannedFault};
 use sablepass_stand::soak::{self, Options};
@@ -44,6 +45,8 @@
     assert!(
         any_drawn(|it| matches!(it, Fault::StoreHistoryLost))
             && any_drawn(|it| *it == Fault::RouteAdded)
+            && any_drawn(|it| *it == Fault::HallEvacuated)
+            && any_drawn(|it| *it == Fault::HallReturnsCold)
     );
 }
 
@@ -58,3 +61,47 @@
             .violations;
     assert!(violations.iter().any(|it| it.guarantee == Guarantee::Timeout), "{violations:?}");
 }
+
+/// An evacuation during which entries are killed and suspended and the store is restored, and a
+/// hall that returns cold. The seeds above may draw none of these.
+#[test]
+fn verify_faults_of_halls_violate_no_guarantee() {
+    let options = Options { entries: 3, replicas: 6, callers: 12, length: 2_000 };
+    let planned =
+        |at, duration_ms, selector, fault| PlannedFault { at, duration_ms, selector, fault };
+    let plan = [
+        planned(100, 1_000, 1, Fault::HallReturnsCold),
+        planned(500, 7_500, 0, Fault::HallEvacuated),
+        planned(1_500, 500, 0, Fault::EntryKilled),
+        planned(2_200, 900, 1, Fault::EntryPaused),
+        planned(4_000, 500, 0, Fault::StoreRestored),
+        planned(6_800, 500, 0, Fault::EntryKilled),
+    ];
+    let outcome = soak::run(&options, &plan);
+    assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
+    assert!(outcome.answered > 0, "no request was answered with status 200");
+}
+
+/// Guards against checks that pass whatever happens: the store does not have the evacuation, so
+/// that requests reach the hall.
+#[test]
+fn verify_the_checks_report_requests_to_an_evacuated_hall() {
+    let options = Options { entries: 1, replicas: 3, callers: 4, length: 100 };
+    let violations = soak::run_with_unrecorded(&options, &[], |fleet| {
+        fleet.record_unwritten_evacuation(HALLS[0]);
+        std::thread::sleep(Duration::from_millis(3_000));
+    })
+    .violations;
+    assert!(violations.iter().any(|it| it.guarantee == Guarantee::Evacuation), "{violations:?}");
+}
+
+/// Guards against checks that pass whatever happens: nobody learns that a replica is cold.
+#[test]
+fn verify_the_checks_report_requests_over_a_cold_rate() {
+    let options = Options { entries: 1, replicas: 2, callers: 4, length: 100 };
+    let cold = Duration::from_secs(2);
+    let violations =
+        soak::run_with_unrecorded(&options, &[], |fleet| fleet.turn_cold_untold(0, cold))
+            .violations;
+    assert!(violations.iter().any(|it| it.guarantee == Guarantee::ColdRate), "{violations:?}");
+}
