Count bytes between processes by hall of the peer

Traffic between halls costs money, and no counter showed how much of each kind of message crosses halls. sablepass_mesh_bytes_total{kind,direction,hall} counts each frame with its length prefix; the peer's hall is taken from its Hello, which already has it. A peer whose hall is unknown counts as in another hall, so the Hello that opens a connection does, too. Looking up an existing counter allocates nothing, and the labels are bounded.

--- a/crates/sablepass-edge/src/link.rs
+++ b/crates/sablepass-edge/src/link.rs
@@ -77,6 +77,11 @@
     owner: Fwd<Event>,
     metrics: Arc<Metrics>,
     connected: bool,
+    /// Data hall of this process.
+    hall: String,
+    /// Whether the peer is in the same hall. False until the peer has introduced itself: frames
+    /// before that are a few bytes per connection.
+    same_hall: bool,
 }
 
 impl Link {
@@ -86,6 +91,7 @@
         stream: TcpStream,
         owner: Fwd<Event>,
         metrics: Arc<Metrics>,
+        hall: String,
     ) -> Option<Self> {
         let poll = cx.anymap_get::<MioPoll>();
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -97,7 +103,9 @@
                 tcp.init(source);
                 tcp.set_nodelay(true);
                 after!(CONNECT_TIMEOUT, [cx], check_connected());
-                Some(Self { tcp, codec: Codec::open(), owner, metrics, connected: false })
+                let codec = Codec::open();
+                let connected = false;
+                Some(Self { tcp, codec, owner, metrics, connected, hall, same_hall: false })
             }
             Err(source) => {
                 owner.fwd(Event::Closed(Cause::Socket { source }));
@@ -115,7 +123,9 @@
             self.close(cx, Cause::Frame { source });
             return;
         }
-        self.metrics.message(kind, "out", self.tcp.out.len() - before);
+        let size = self.tcp.out.len() - before;
+        self.metrics.message(kind, "out", size);
+        self.metrics.frame(kind, "out", self.same_hall, size);
         if self.tcp.out.len() > MAX_SEND_BUFFER_BYTES {
             self.close(cx, Cause::Stuck);
             return;
@@ -165,7 +175,12 @@
         self.codec.feed(&self.tcp.inp[self.tcp.rd..self.tcp.wr]);
         self.tcp.rd = self.tcp.wr;
         while let Some((body, size)) = self.codec.next_body()? {
-            self.metrics.message(frame::kind(&body), "in", size);
+            if let Body::Hello(it) = &body {
+                self.same_hall = it.hall == self.hall;
+            }
+            let kind = frame::kind(&body);
+            self.metrics.message(kind, "in", size);
+            self.metrics.frame(kind, "in", self.same_hall, size + frame::LENGTH_BYTES);
             self.owner.fwd(Event::Message(body));
         }
         Ok(())
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -301,7 +301,7 @@
         let key = PeerKey(self.next_peer);
         let events = fwd_to!([cx], link_event(key) as (link::Event));
         let link = actor_new!(cx, Link, ret_nop!());
-        call!([link], Link::init(stream, events, self.metrics.clone()));
+        call!([link], Link::init(stream, events, self.metrics.clone(), self.node.hall.clone()));
         let dialled = endpoint.as_ref().and_then(|it| self.endpoints.get(it));
         let for_replication = dialled.is_some_and(|it| it.for_replication);
         let hello = Body::Hello(wire::Hello {
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -26,6 +26,7 @@
     ignored: IntCounterVec,
     control_bytes: IntCounterVec,
     control_messages: IntCounterVec,
+    mesh_bytes: IntCounterVec,
     /// Requests admitted (entry) or started (agent).
     pub requests: IntCounter,
     /// Requests that were answered completely.
@@ -121,6 +122,12 @@
                 "Messages between processes",
                 &["kind", "direction"],
             )?,
+            mesh_bytes: counters(
+                r,
+                "mesh_bytes_total",
+                "Bytes between processes with frame overhead, by hall of the peer",
+                &["kind", "direction", "hall"],
+            )?,
             requests: counter(r, "requests_total", "Requests admitted or started")?,
             answered: counter(r, "answered_total", "Requests with a whole answer")?,
             in_flight: gauge(r, "in_flight", "Requests held")?,
@@ -243,6 +250,13 @@
         self.control_bytes.with_label_values(&[kind, direction]).inc_by(bytes as u64);
     }
 
+    /// Counts the bytes of a frame between processes by the peer's hall. Looking up a counter that
+    /// exists allocates nothing.
+    pub fn frame(&self, kind: &str, direction: &str, same_hall: bool, bytes: usize) {
+        let hall = if same_hall { "own" } else { "other" };
+        self.mesh_bytes.with_label_values(&[kind, direction, hall]).inc_by(bytes as u64);
+    }
+
     /// Renders the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/sablepass-wire/src/frame.rs
+++ b/crates/sablepass-wire/src/frame.rs
@@ -14,6 +14,9 @@
 /// size that the platform allows, in its newest and its accepted version, and the other fields.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Size in bytes of the length in front of each message.
+pub const LENGTH_BYTES: usize = 4;
+
 /// Error in reading or writing a frame.
 #[derive(Debug, Snafu)]
 pub enum Error {
