capacity kinds: traffic between processes by kind of message

Which kind of message sends most was known from calculations only. The new slope starts agents and entries with the intervals of the users' platform and prints bytes per second by kind, from sablepass_mesh_bytes_total.

--- a/crates/sablepass-load/src/capacity.rs
+++ b/crates/sablepass-load/src/capacity.rs
@@ -4,6 +4,8 @@
 //! The `capacity` subcommand: measures how resource usage grows with size, for docs/CAPACITY.md.
 //! Each slope is measured at three sizes, and each size prints a row.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
@@ -16,8 +18,11 @@
 use sablepass_core::id::{AttemptId, RequestId};
 use sablepass_core::once::{self, Table};
 use sablepass_core::revision::Revision;
-use sablepass_stand::client::{control, metric};
+use sablepass_stand::client::{control, lines, metric};
 use sablepass_stand::fleet::Fleet;
+use sablepass_stand::process::Process;
+use sablepass_stand::ranks;
+use sablepass_stand::site::{Pace, Site};
 
 use crate::bench::{self, Usage};
 use crate::traffic::{self, Plan, Stream};
@@ -35,6 +40,8 @@
     Spread,
     /// Control traffic between an entry and its targets' agents, by number of agents.
     Links,
+    /// Traffic between processes by kind of message, by number of agents and entries.
+    Kinds,
     /// Processor time and traffic of a group's planner and other members, by layers.
     Group,
     /// Memory and time of the at-most-once table, by attempts.
@@ -51,6 +58,7 @@
         Slope::Streams => [100, 300, 1_000].into_iter().for_each(streams),
         Slope::Spread => [5, 20, 60].into_iter().for_each(spread),
         Slope::Links => [4, 8, 16].into_iter().for_each(links),
+        Slope::Kinds => [(24, 6), (63, 17), (60, 40)].into_iter().for_each(kinds),
         Slope::Group => [15, 30, 60].into_iter().for_each(group),
         Slope::Once => [50_000, 100_000, 200_000].into_iter().for_each(once_table),
         Slope::Plan => [(8, 15), (16, 30), (32, 60)].into_iter().for_each(|it| plans(it.0, it.1)),
@@ -204,6 +212,76 @@
     );
 }
 
+/// Traffic of an idle fleet with the intervals of the users' platform, whose agents belong to the
+/// ranks of one group: bytes per second of each kind of message, on average over the processes of a
+/// role and for the process that sends most of it. All entries are seeds.
+fn kinds((agents, entries): (usize, usize)) {
+    let mut site = Site::open(0);
+    site.pace = Pace::Platform;
+    let group = ranks::Group::spawn(agents);
+    for rank in 0..agents {
+        site.store.put(&format!("servers/m-{rank}"), &group.entry(rank));
+    }
+    site.configure(&ranks::Group::configuration(2));
+    let port = ranks::free_port(agents);
+    for _ in 0..entries {
+        site.add_entry(&format!("agent_port = {port}\nsubset = 1024"));
+    }
+    let add_agent = |rank: usize| {
+        let addr = SocketAddr::new(ranks::loopback(rank), port);
+        site.add_agent_with(addr, group.addrs[rank], ("heartbeat = 200", ""))
+    };
+    let agents: Vec<Process> = (0..agents).map(add_agent).collect();
+    std::thread::sleep(Duration::from_secs(20));
+    let roles = [("entry", &site.entries), ("agent", &agents)];
+    let read = || roles.map(|it| it.1.iter().map(mesh_bytes).collect::<Vec<_>>());
+    let (before, start) = (read(), Instant::now());
+    std::thread::sleep(Duration::from_secs(20));
+    let (after, elapsed) = (read(), start.elapsed().as_secs_f64());
+    for (role, (name, _)) in roles.iter().enumerate() {
+        let mut totals: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut by_kind: BTreeMap<(&str, &str), (f64, f64)> = BTreeMap::new();
+        for (now, then) in after[role].iter().zip(&before[role]) {
+            let mut sums: BTreeMap<&str, f64> = BTreeMap::new();
+            for ((direction, kind), bytes) in now {
+                let before = then.get(&(direction.clone(), kind.clone())).unwrap_or(&0.0);
+                let rate = (bytes - before) / elapsed;
+                *sums.entry(direction).or_default() += rate;
+                let entry = by_kind.entry((direction, kind)).or_default();
+                *entry = (entry.0 + rate / after[role].len() as f64, entry.1.max(rate));
+            }
+            for (direction, sum) in sums {
+                let most = totals.entry(direction).or_default();
+                *most = most.max(sum);
+            }
+        }
+        println!(
+            "kinds {}+{entries} {name}: at most {:.0} B/s out, {:.0} B/s in",
+            agents.len(),
+            totals.get("out").unwrap_or(&0.0),
+            totals.get("in").unwrap_or(&0.0)
+        );
+        for ((direction, kind), (mean, most)) in by_kind.iter().filter(|it| it.1.1 >= 1.0) {
+            println!("  {direction} {kind}: mean {mean:.0} B/s, most {most:.0} B/s");
+        }
+    }
+}
+
+/// Bytes that a process sent and received, by direction and kind of message.
+fn mesh_bytes(process: &Process) -> BTreeMap<(String, String), f64> {
+    let lines = lines(&process.addr("admin"), "sablepass_mesh_bytes_total{");
+    let label = |line: &str, name: &str| {
+        let value = line.split_once(&format!("{name}=\"")).map(|it| it.1);
+        value.and_then(|it| it.split_once('"')).map_or(String::new(), |it| it.0.to_owned())
+    };
+    let mut bytes = BTreeMap::new();
+    for line in &lines {
+        let count: f64 = line.rsplit(' ').next().and_then(|it| it.parse().ok()).unwrap_or(0.0);
+        *bytes.entry((label(line, "direction"), label(line, "kind"))).or_default() += count;
+    }
+    bytes
+}
+
 /// Processor time and ballot traffic of a group of four members while the popularity of experts
 /// changes in a wave every 10 s.
 fn group(layers: usize) {
--- a/crates/sablepass-load/src/cli.rs
+++ b/crates/sablepass-load/src/cli.rs
@@ -89,6 +89,7 @@
                             "streams",
                             "spread",
                             "links",
+                            "kinds",
                             "group",
                             "once",
                             "plan",
@@ -191,7 +192,7 @@
 
 /// Parses the slopes of `capacity`; all if none are given.
 pub fn slopes(matches: &ArgMatches) -> Vec<Slope> {
-    let all = ["once", "plan", "catalogue", "links", "group", "spread", "streams"];
+    let all = ["once", "plan", "catalogue", "links", "kinds", "group", "spread", "streams"];
     let given: Vec<&str> =
         matches.get_many::<String>("slope").into_iter().flatten().map(String::as_str).collect();
     let names = if given.is_empty() { all.to_vec() } else { given };
@@ -199,6 +200,7 @@
         "streams" => Slope::Streams,
         "spread" => Slope::Spread,
         "links" => Slope::Links,
+        "kinds" => Slope::Kinds,
         "group" => Slope::Group,
         "once" => Slope::Once,
         "plan" => Slope::Plan,
--- a/crates/sablepass-stand/src/client.rs
+++ b/crates/sablepass-stand/src/client.rs
@@ -209,6 +209,13 @@
 
 /// Sum of the lines of `/metrics` that start with `name` and contain `label`.
 pub fn metric(admin: &str, name: &str, label: &str) -> f64 {
+    let lines = lines(admin, name);
+    let values = lines.iter().filter(|it| it.contains(label));
+    values.filter_map(|it| it.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+/// Lines of `/metrics` that start with `name`.
+pub fn lines(admin: &str, name: &str) -> Vec<String> {
     let ask = Ask {
         method: "GET".into(),
         path: "/metrics".into(),
@@ -216,8 +223,7 @@
         body: String::new(),
     };
     let text = ask.send(admin).body;
-    let lines = text.lines().filter(|it| it.starts_with(name) && it.contains(label));
-    lines.filter_map(|it| it.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+    text.lines().filter(|it| it.starts_with(name)).map(str::to_owned).collect()
 }
 
 /// Polls a condition until it is true; panics with `what` after `TIMEOUT`.
--- a/crates/sablepass-stand/src/site.rs
+++ b/crates/sablepass-stand/src/site.rs
@@ -131,12 +131,22 @@
 
     /// Starts an agent for `target` that listens on `at`.
     pub fn add_agent(&self, at: SocketAddr, target: SocketAddr) -> Process {
+        self.add_agent_with(at, target, ("heartbeat = 100", "digest_every = 100"))
+    }
+
+    /// Like [`Self::add_agent`], with these settings lines before the `[node]` table and in it.
+    pub fn add_agent_with(
+        &self,
+        at: SocketAddr,
+        target: SocketAddr,
+        (more, node): (&str, &str),
+    ) -> Process {
         let seeds: Vec<String> = self.entries.iter().map(|it| it.addr("peers")).collect();
         let name = format!("agent-{}", at.ip());
         let text = format!(
-            "target = \"http://{target}\"\ngate = false\nheartbeat = 100\n\
+            "target = \"http://{target}\"\ngate = false\n{more}\n\
              [node]\nname = {name:?}\nhall = \"ba-1\"\nlisten = \"{at}\"\nadmin = \"{}:0\"\n\
-             platform = \"http://{}\"\nform = \"keys\"\nseeds = {seeds:?}\ndigest_every = 100\n",
+             platform = \"http://{}\"\nform = \"keys\"\nseeds = {seeds:?}\n{node}\n",
             at.ip(),
             self.store.addr
         );
