Short forms of heartbeats and digests in fleets of more than 36 entries

Every agent sends a heartbeat to every entry five times a second, and every process a digest to its replication peers each second, so this traffic grows with the product of agents and entries. Almost always only the load or some times differ from the message before. In fleets of more than 36 entries such a message is sent in a short form (LoadUpdate 9 instead of 20 bytes, AgeUpdate 17 instead of 87), at the same interval. Links shorten and restore, so agents and entries read the same messages as before. A process announces in its digests that it accepts short forms, only if it knows more than 36 entries; older processes never announce it and get full messages.

--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod flight;
 pub mod forming;
 pub mod gate;
+pub mod heartbeat;
 pub mod holders;
 pub mod id;
 pub mod limits;
--- a/crates/sablepass-edge/src/link.rs
+++ b/crates/sablepass-edge/src/link.rs
@@ -7,8 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sablepass_core::reason::Ignored;
 use sablepass_wire::frame::{self, Codec};
 use sablepass_wire::generated::frame::Body;
+use sablepass_wire::short_form::{Restorer, Shortener};
 use snafu::Snafu;
 use stakker::{CX, Fwd, after, fwd_to, stop};
 use stakker_mio::mio::Interest;
@@ -82,6 +84,8 @@
     /// Whether the peer is in the same hall. False until the peer has introduced itself: frames
     /// before that are a few bytes per connection.
     same_hall: bool,
+    shortener: Shortener,
+    restorer: Restorer,
 }
 
 impl Link {
@@ -105,7 +109,17 @@
                 after!(CONNECT_TIMEOUT, [cx], check_connected());
                 let codec = Codec::open();
                 let connected = false;
-                Some(Self { tcp, codec, owner, metrics, connected, hall, same_hall: false })
+                Some(Self {
+                    tcp,
+                    codec,
+                    owner,
+                    metrics,
+                    connected,
+                    hall,
+                    same_hall: false,
+                    shortener: Shortener::default(),
+                    restorer: Restorer::default(),
+                })
             }
             Err(source) => {
                 owner.fwd(Event::Closed(Cause::Socket { source }));
@@ -117,6 +131,7 @@
 
     /// Sends a message.
     pub fn send(&mut self, cx: CX![], body: Body) {
+        let body = self.shortener.shorten(body);
         let before = self.tcp.out.len();
         let kind = frame::kind(&body);
         if let Err(source) = self.codec.encode(body, &mut self.tcp.out) {
@@ -175,13 +190,18 @@
         self.codec.feed(&self.tcp.inp[self.tcp.rd..self.tcp.wr]);
         self.tcp.rd = self.tcp.wr;
         while let Some((body, size)) = self.codec.next_body()? {
-            if let Body::Hello(it) = &body {
-                self.same_hall = it.hall == self.hall;
+            match &body {
+                Body::Hello(it) => self.same_hall = it.hall == self.hall,
+                Body::Digest(it) if it.short_forms => self.shortener.accept(),
+                _ => {}
             }
             let kind = frame::kind(&body);
             self.metrics.message(kind, "in", size);
             self.metrics.frame(kind, "in", self.same_hall, size + frame::LENGTH_BYTES);
-            self.owner.fwd(Event::Message(body));
+            match self.restorer.restore(body) {
+                Some(body) => self.owner.fwd(Event::Message(body)),
+                None => self.metrics.ignored(Ignored::BadFrame),
+            }
         }
         Ok(())
     }
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -21,6 +21,7 @@
 use sablepass_core::config::{Compare, Delta, Digest, Document, Store, StoreKind};
 use sablepass_core::declaration;
 use sablepass_core::duty;
+use sablepass_core::heartbeat;
 use sablepass_core::id::Millis;
 use sablepass_core::outage::Availability;
 use sablepass_core::reason::Ignored;
@@ -295,6 +296,7 @@
     pub fn digest(&self, now: Millis) -> wire::Digest {
         let declarations = self.declarations.store.digest();
         let instances = self.list.store.digest();
+        let own = usize::from(self.role == Role::Entry);
         wire::Digest {
             revision: declarations.revision.number,
             hash: declarations.hash,
@@ -308,6 +310,7 @@
             list_began: self.list.store.first_read().number,
             list_began_era: self.list.store.first_read().era,
             available: self.available(now),
+            short_forms: heartbeat::is_large_fleet(self.entries.len() + own),
         }
     }
 
--- a/crates/sablepass-wire/src/frame.rs
+++ b/crates/sablepass-wire/src/frame.rs
@@ -114,5 +114,7 @@
         Body::TurnAsk(_) => "turn-ask",
         Body::TurnAnswer(_) => "turn-answer",
         Body::Removals(_) => "removals",
+        Body::LoadUpdate(_) => "load-update",
+        Body::AgeUpdate(_) => "age-update",
     }
 }
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -63,6 +63,10 @@
         TurnAnswer(super::TurnAnswer),
         #[prost(message, tag = "26")]
         Removals(super::Removals),
+        #[prost(message, tag = "27")]
+        LoadUpdate(super::LoadUpdate),
+        #[prost(message, tag = "28")]
+        AgeUpdate(super::AgeUpdate),
     }
 }
 /// First message in each direction of a connection.
@@ -264,6 +268,18 @@
     #[prost(double, optional, tag = "15")]
     pub limit: ::core::option::Option<f64>,
 }
+/// Short form of a Report that differs from the latest Report on the same connection in the load
+/// only. Sent to peers that announced in a Digest that they accept short forms.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LoadUpdate {
+    #[prost(uint32, tag = "1")]
+    pub in_flight: u32,
+    /// Absent if equal to in_flight.
+    #[prost(uint32, optional, tag = "2")]
+    pub engine_load: ::core::option::Option<u32>,
+    #[prost(uint32, tag = "3")]
+    pub load_age: u32,
+}
 /// Evidence about requests that may crash their targets. Sent between entries, and between entries
 /// and agents, which keep the evidence when entries restart.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -415,6 +431,22 @@
     pub list_began_era: u64,
     #[prost(message, optional, tag = "12")]
     pub available: ::core::option::Option<Available>,
+    /// The sender accepts LoadUpdate in place of Report, and AgeUpdate in place of Digest. Set in
+    /// large fleets only, so that the traffic of smaller ones is unchanged.
+    #[prost(bool, tag = "13")]
+    pub short_forms: bool,
+}
+/// Short form of a Digest that differs from the latest Digest on the same connection in times only.
+/// Sent to peers that announced in a Digest that they accept short forms.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AgeUpdate {
+    #[prost(uint32, tag = "1")]
+    pub age: u32,
+    /// Times in `available`; 0 if the latest Digest has none.
+    #[prost(uint32, tag = "2")]
+    pub available_age: u32,
+    #[prost(uint32, tag = "3")]
+    pub available_duration: u32,
 }
 /// Requests the documents that changed after a revision.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/sablepass-wire/src/lib.rs
+++ b/crates/sablepass-wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod frame;
 pub mod notices;
 pub mod removals;
+pub mod short_form;
 pub mod suspects;
 pub mod turns;
 
