--- a/crates/sablepass-core/tests/heartbeats.rs
+++ b/crates/sablepass-core/tests/heartbeats.rs
@@ -114,12 +114,12 @@
                     Event::Read(rank) => {
                         let load = running[rank] + queues[rank].len() as u32;
                         let report = Report { in_flight: load, size: 1, ..Report::default() };
-                        for hall in 0..HALLS {
+                        for (hall, last) in sent[rank].iter_mut().enumerate() {
                             let own = hall == rank % HALLS;
-                            if !self.is_due(at / 1_000, own, sent[rank][hall], load) {
+                            if !self.is_due(at / 1_000, own, *last, load) {
                                 continue;
                             }
-                            sent[rank][hall] = Sent { at: at / 1_000, load };
+                            *last = Sent { at: at / 1_000, load };
                             for table in tables.iter_mut().skip(hall).step_by(HALLS) {
                                 table.record_heartbeat(at / 1_000, &names[rank], report);
                                 messages += 1;
--- a/crates/sablepass-wire/src/short_form.rs
+++ b/crates/sablepass-wire/src/short_form.rs
@@ -35,12 +35,11 @@
 
     fn shorten_report(&mut self, report: wire::Report) -> Body {
         let large = heartbeat::is_large_fleet(report.entries as usize);
-        let base = self.report.take().filter(|_| self.accepted && large);
-        if base.as_ref().is_none_or(|it| without_load(it) != without_load(&report)) {
-            self.report = Some(report.clone());
+        let base = self.report.filter(|_| self.accepted && large);
+        if base.is_none_or(|it| without_load(it) != without_load(report)) {
+            self.report = Some(report);
             return Body::Report(report);
         }
-        self.report = base;
         Body::LoadUpdate(wire::LoadUpdate {
             in_flight: report.in_flight,
             engine_load: Some(report.engine_load).filter(|it| *it != report.in_flight),
@@ -76,7 +75,7 @@
     pub fn restore(&mut self, body: Body) -> Option<Body> {
         match body {
             Body::Report(it) => {
-                self.report = Some(it.clone());
+                self.report = Some(it);
                 Some(Body::Report(it))
             }
             Body::Digest(it) => {
@@ -87,7 +86,7 @@
                 in_flight: it.in_flight,
                 engine_load: it.engine_load.unwrap_or(it.in_flight),
                 load_age: it.load_age,
-                ..self.report.clone()?
+                ..self.report?
             })),
             Body::AgeUpdate(it) => {
                 let base = self.digest?;
@@ -100,8 +99,8 @@
     }
 }
 
-fn without_load(report: &wire::Report) -> wire::Report {
-    wire::Report { in_flight: 0, engine_load: 0, load_age: 0, ..report.clone() }
+fn without_load(report: wire::Report) -> wire::Report {
+    wire::Report { in_flight: 0, engine_load: 0, load_age: 0, ..report }
 }
 
 fn without_times(digest: wire::Digest) -> wire::Digest {
--- a/crates/sablepass-wire/tests/short_form.rs
+++ b/crates/sablepass-wire/tests/short_form.rs
@@ -79,7 +79,7 @@
                 ..report(load.into())
             };
             let mut codec = Codec::open();
-            codec.feed(&encode(shortener.shorten(Body::Report(sent.clone()))));
+            codec.feed(&encode(shortener.shorten(Body::Report(sent))));
             let (body, _) = codec.next_body().expect("a valid frame").expect("a complete frame");
             restorer.restore(body) == Some(Body::Report(sent))
         })
@@ -172,7 +172,7 @@
         shortener.shorten(Body::Report(report(1)));
         let mut changed = report(1);
         change(&mut changed);
-        assert_eq!(shortener.shorten(Body::Report(changed.clone())), Body::Report(changed));
+        assert_eq!(shortener.shorten(Body::Report(changed)), Body::Report(changed));
     }
     let mut shortener = Shortener::default();
     shortener.accept();
