Entry: capacity derived from the limits of its machine

Callers are distributed over entries by hash, not by size, and nothing stopped a small entry from running out of memory or descriptors. The settings table [limits] (memory, descriptors, link, cores) now bounds connections of callers and to targets, requests in progress, bytes of bodies and log lines (core/src/capacity.rs). Requests beyond it are refused at once with 503, not run, and a Retry-After (process-limit as before, or the new reason bodies-full); connections beyond it are closed before a request is read; the pool closes connections without a request before it opens more. Unusable values abort the start. Without the table nothing changes.

--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admit;
 pub mod balance;
 pub mod budget;
+pub mod capacity;
 pub mod catalogue;
 pub mod config;
 pub mod deaths;
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -143,6 +143,8 @@
         TargetsLimited = 53, "targets-limited";
         /// The target has reached its request limit.
         TargetLimited = 54, "target-limited";
+        /// The bodies of requests in progress take all memory that this process may use for them.
+        BodiesFull = 60, "bodies-full";
         /// The headers exceed the size limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -232,6 +234,7 @@
             | Self::TargetFull
             | Self::Misdirected
             | Self::ProcessLimit
+            | Self::BodiesFull
             | Self::NoTarget
             | Self::OwnerAway
             | Self::RetryBudget
--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -13,6 +13,7 @@
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
 use ureq_proto::server::{self as proto, RecvRequestResult, SendResponseResult, state};
 
+use crate::bodies::HeldBody;
 use crate::server::{Event, ExchangeKey, Framing, Incoming, Limits, Part, Problem, Reply};
 
 /// Size of one read. The buffers of an idle connection keep about twice this size.
@@ -102,6 +103,8 @@
     key: ExchangeKey,
     phase: Phase,
     limits: Limits,
+    /// Size of the current request's body.
+    held: HeldBody,
     owner: Fwd<Event>,
     replies: Fwd<(ExchangeKey, Part)>,
     /// The connection closes after the next answer.
@@ -120,7 +123,7 @@
         cx: CX![],
         key: u64,
         stream: TcpStream,
-        limits: Limits,
+        (limits, held): (Limits, HeldBody),
         close_after_reply: bool,
         owner: Fwd<Event>,
     ) -> Option<Self> {
@@ -140,6 +143,7 @@
             key: ExchangeKey { connection: key, number: 0 },
             phase: idle(),
             limits,
+            held,
             owner,
             replies: fwd_to!([cx], |this, cx, it: (ExchangeKey, Part)| this
                 .handle_part(cx, it.0, it.1)),
@@ -324,6 +328,12 @@
         if !announced {
             proto.read(NO_BODY, &mut [0; LINE_OVERHEAD])?;
         }
+        // A body that is too large is refused as such, when more than its limit has arrived.
+        let length = announced_length(fields).unwrap_or(0).min(self.limits.body);
+        if !self.held.grow(length, self.limits.bodies) {
+            self.refuse(Problem::NoRoom);
+            return Ok(());
+        }
         self.deadline = Some(Instant::now() + self.limits.head_time);
         self.phase = Phase::Body(Box::new(Receiving { proto, request, body: Vec::new() }));
         Ok(())
@@ -345,6 +355,10 @@
                 self.refuse(Problem::BodyTooLarge);
                 return Ok(());
             }
+            if !self.held.grow(it.body.len(), self.limits.bodies) {
+                self.refuse(Problem::NoRoom);
+                return Ok(());
+            }
             if used == 0 {
                 return Ok(());
             }
@@ -379,6 +393,7 @@
     /// request is unknown, so the connection closes after the answer.
     fn refuse(&mut self, problem: Problem) {
         self.close_after_reply = true;
+        self.held.release();
         self.tcp.rd = self.tcp.wr;
         self.phase = match placeholder() {
             Some(it) => Phase::Waiting(Box::new(it)),
@@ -517,6 +532,7 @@
     /// Ends an exchange whose answer is written. Continues with the next request, or lets the
     /// connection close.
     fn finish(&mut self, must_close: bool) -> Step {
+        self.held.release();
         if must_close || self.close_after_reply {
             self.tcp.out_eof = true;
             self.deadline = Some(Instant::now() + LINGER);
@@ -548,6 +564,11 @@
     }
 }
 
+/// Returns the length of a body that its request announces.
+fn announced_length(fields: &header::HeaderMap) -> Option<usize> {
+    fields.get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+}
+
 fn idle() -> Phase {
     match proto::Reply::new() {
         Ok(it) => Phase::Head(Box::new(it)),
--- a/crates/sablepass-edge/src/lib.rs
+++ b/crates/sablepass-edge/src/lib.rs
@@ -8,6 +8,7 @@
 //! transfers data and calls `sablepass-core` for decisions.
 
 pub mod admin;
+mod bodies;
 pub mod caller;
 pub mod cli;
 pub mod client;
--- a/crates/sablepass-edge/src/server.rs
+++ b/crates/sablepass-edge/src/server.rs
@@ -18,6 +18,7 @@
 use stakker_mio::mio::net::{TcpListener, TcpStream};
 use stakker_mio::{MioPoll, MioSource, Ready};
 
+use crate::bodies::{BodyBytes, HeldBody};
 use crate::connection::Connection;
 
 /// Maximum number of connections that wait to be accepted.
@@ -63,6 +64,8 @@
     BodyTooLarge,
     /// The request did not arrive in time.
     Slow,
+    /// The bodies of all connections together would exceed [`Limits::bodies`].
+    NoRoom,
 }
 
 /// A complete request.
@@ -159,11 +162,14 @@
     pub idle_time: Duration,
     /// Maximum number of open connections.
     pub connections: usize,
+    /// Maximum size in bytes of the bodies of all connections together. A body that is the only one
+    /// is read regardless of its size.
+    pub bodies: usize,
 }
 
 impl Default for Limits {
     /// 16 KiB of head, as in many servers; 4 MiB of body; 10 s each to send them; 75 s idle, longer
-    /// than common clients keep an idle connection; 4,000 connections.
+    /// than common clients keep an idle connection; 4,000 connections; any size of all bodies.
     fn default() -> Self {
         Self {
             head: 16 * 1024,
@@ -171,6 +177,7 @@
             head_time: Duration::from_secs(10),
             idle_time: Duration::from_secs(75),
             connections: 4_000,
+            bodies: usize::MAX,
         }
     }
 }
@@ -196,6 +203,7 @@
     owner: Fwd<Event>,
     limits: Limits,
     connections: HashMap<u64, ActorOwn<Connection>>,
+    bodies: BodyBytes,
     next_key: u64,
     draining: bool,
 }
@@ -219,8 +227,15 @@
             }
         };
         after!(SWEEP_INTERVAL, [cx], sweep());
-        let connections = HashMap::new();
-        Some(Self { listener, owner, limits, connections, next_key: 0, draining: false })
+        Some(Self {
+            listener,
+            owner,
+            limits,
+            connections: HashMap::new(),
+            bodies: BodyBytes::default(),
+            next_key: 0,
+            draining: false,
+        })
     }
 
     /// Changes the limits, also of open connections.
@@ -263,7 +278,8 @@
         });
         let connection = actor_new!(cx, Connection, ended);
         let (limits, owner, draining) = (self.limits, self.owner.clone(), self.draining);
-        call!([connection], Connection::init(key, stream, limits, draining, owner));
+        let bodies = HeldBody::open(&self.bodies);
+        call!([connection], Connection::init(key, stream, (limits, bodies), draining, owner));
         self.connections.insert(key, connection);
     }
 
--- a/crates/sablepass-entry/src/dialect.rs
+++ b/crates/sablepass-entry/src/dialect.rs
@@ -85,6 +85,7 @@
         Problem::HeadTooLarge => Refusal::HeaderTooLarge,
         Problem::BodyTooLarge => Refusal::BodyTooLarge,
         Problem::Slow => Refusal::SlowRequest,
+        Problem::NoRoom => Refusal::BodiesFull,
     }
 }
 
--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -47,7 +47,10 @@
     daemon::main("sablepass-entry", "Takes callers' requests and routes them", run)
 }
 
-fn run(settings: settings::Settings, file: PathBuf) -> Result<(), daemon::Error> {
+fn run(mut settings: settings::Settings, file: PathBuf) -> Result<(), daemon::Error> {
+    if let Some(capacity) = settings.capacity() {
+        settings.node.log_rate = settings.node.log_rate.min(capacity.log_lines);
+    }
     let base = Base::open(&settings.node, Role::Entry)?;
     let listener = server::listen(settings.http)?;
     let callers = listener.local_addr().unwrap_or(settings.http);
@@ -63,11 +66,11 @@
             None => None,
         };
         let server = actor_new!(s, Server, ret_shutdown!(s));
-        let limits = Limits {
+        let limits = settings.bounded(Limits {
             body: settings.body,
             connections: settings.exchanges + REFUSAL_HEADROOM,
             ..Limits::default()
-        };
+        });
         let events = fwd_to!([actor], server_event() as (server::Event));
         call!([server], Server::init(listener, limits, events));
         let addresses = serde_json::json!({ "http": callers, "peers": peers, "admin": admin });
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -31,7 +31,8 @@
             mesh::Event::Message(peer, body) => self.message(cx, peer, body),
             mesh::Event::Config(catalogue) => {
                 if let Some(declared) = catalogue.limits {
-                    call!([self.server], limit(server_limits(declared)));
+                    let limits = self.settings.bounded(server_limits(declared));
+                    call!([self.server], limit(limits));
                 }
                 self.targets.set_catalogue(catalogue);
                 self.update_wanted_peers(cx);
--- a/crates/sablepass-entry/src/pool.rs
+++ b/crates/sablepass-entry/src/pool.rs
@@ -67,13 +67,17 @@
     /// Idle connections by target, the one released last at the end.
     idle: HashMap<String, Vec<ConnectionKey>>,
     last_key: u64,
+    /// Number of connections from which on one that no request uses is closed before the next is
+    /// opened.
+    limit: usize,
     events: Fwd<(ConnectionKey, client::Event)>,
 }
 
 impl Pool {
-    /// Creates a pool without connections. Events of its connections are sent to `events`.
-    pub fn open(events: Fwd<(ConnectionKey, client::Event)>) -> Self {
-        Self { connections: HashMap::new(), idle: HashMap::new(), last_key: 0, events }
+    /// Creates a pool without connections. Events of its connections are sent to `events`. It has at
+    /// most `limit` connections if no more requests than that are sent at once.
+    pub fn open(events: Fwd<(ConnectionKey, client::Event)>, limit: usize) -> Self {
+        Self { connections: HashMap::new(), idle: HashMap::new(), last_key: 0, limit, events }
     }
 
     /// Returns an idle connection to a target, or a new one. `fresh` requires a new one, for unsafe
@@ -84,7 +88,18 @@
         idle.unwrap_or_else(|| self.connect(core, to))
     }
 
+    /// Closes connections that no request uses while the pool is full: idle ones, and those on which
+    /// the rest of an answer is discarded.
+    fn make_room(&mut self) {
+        while self.connections.len() >= self.limit {
+            let unused = self.connections.iter().filter(|it| it.1.in_flight.is_none());
+            let Some(key) = unused.min_by_key(|it| it.1.idle_until).map(|it| *it.0) else { return };
+            self.close(key);
+        }
+    }
+
     fn connect(&mut self, core: &mut Core, to: Destination<'_>) -> ConnectionKey {
+        self.make_room();
         self.last_key += 1;
         let key = ConnectionKey(self.last_key);
         let events = self.events.clone();
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -118,7 +118,10 @@
             requests: HashMap::new(),
             exchanges: HashMap::new(),
             start_queues: HashMap::new(),
-            pool: Pool::open(fwd_to!([cx], direct_event() as ((ConnectionKey, client::Event)))),
+            pool: Pool::open(
+                fwd_to!([cx], direct_event() as ((ConnectionKey, client::Event))),
+                settings.capacity().map_or(usize::MAX, |it| it.targets),
+            ),
             traces: Traces::open(settings.stories),
             watch: SuspectTracker::default(),
             turns: PeerTurns::default(),
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -6,8 +6,10 @@
 use std::net::SocketAddr;
 
 use sablepass_core::balance::Policy;
+use sablepass_core::capacity::{self, Capacity};
 use sablepass_core::sharers::Sharers;
 use sablepass_core::{admit, budget, flight};
+use sablepass_edge::server;
 use sablepass_edge::settings::{self, Checker, Error};
 use serde::Deserialize;
 
@@ -88,6 +90,10 @@
     /// Number of requests whose traces are kept. Default 10,000.
     #[serde(default = "default_stories")]
     pub stories: usize,
+    /// Limits of the machine, from which the number of connections and requests, the size of bodies
+    /// and the rate of log lines are derived. If absent, only the other settings limit them.
+    #[serde(default)]
+    pub limits: Option<capacity::Limits>,
 }
 
 fn default_stories() -> usize {
@@ -199,7 +205,10 @@
         for (key, value) in spans {
             checker.ensure(key, value, (50..=3_600_000).contains(&value), "50 to 3600000")?;
         }
-        Ok(())
+        match self.limits.map(|it| it.check()) {
+            Some(Err(it)) => checker.ensure(it.key, it.value, false, it.allowed),
+            Some(Ok(())) | None => Ok(()),
+        }
     }
 }
 
@@ -215,7 +224,24 @@
 
     /// Returns the options of admission control.
     pub fn admission_options(&self) -> admit::Options {
-        admit::Options { limit: self.exchanges, ..admit::Options::default() }
+        let requests = self.capacity().map_or(usize::MAX, |it| it.requests);
+        admit::Options { limit: self.exchanges.min(requests), ..admit::Options::default() }
+    }
+
+    /// Returns the capacity of the machine, if its limits are known. They were validated when the
+    /// settings were read.
+    pub fn capacity(&self) -> Option<Capacity> {
+        self.limits.and_then(|it| it.capacity().ok())
+    }
+
+    /// Reduces the limits of callers' connections to the capacity of the machine.
+    pub fn bounded(&self, limits: server::Limits) -> server::Limits {
+        let Some(capacity) = self.capacity() else { return limits };
+        server::Limits {
+            connections: limits.connections.min(capacity.callers),
+            bodies: limits.bodies.min(capacity.bodies),
+            ..limits
+        }
     }
 
     /// Returns the options of a service's retry budget, which is divided among `entries`.
--- a/crates/sablepass-entry/src/stops.rs
+++ b/crates/sablepass-entry/src/stops.rs
@@ -27,7 +27,8 @@
     }
 
     /// Reads the settings file again and applies the settings of routing and retries. Names, HTTP
-    /// and readiness addresses and the dialect stay as they were when the process started.
+    /// and readiness addresses, the dialect and the machine's limits stay as they were when the
+    /// process started.
     fn reload(&mut self) {
         let fresh: Settings = match settings::open(&self.settings_file) {
             Ok(settings) => settings,
@@ -43,6 +44,7 @@
             http: self.settings.http,
             ready: self.settings.ready,
             dialect: self.settings.dialect,
+            limits: self.settings.limits,
             ..fresh
         };
         let burst = self.settings.budget_options(self.targets.sharers()).burst;
