--- a/crates/sablepass-core/src/capacity.rs
+++ b/crates/sablepass-core/src/capacity.rs
@@ -31,7 +31,7 @@
 const TARGET_MEMORY: f64 = 0.125;
 const BODY_MEMORY: f64 = 0.25;
 /// Bytes for an open request without its body: its state, a head, and part of an answer that its
-/// caller does not read fast enough.
+/// caller does not read fast enough. A stream whose caller reads fast took 16 KB.
 const REQUEST_BYTES: f64 = 32.0 * 1024.0;
 /// Bytes for a connection: the buffers of an idle connection take 8 KB.
 const CONNECTION_BYTES: f64 = 12.0 * 1024.0;
@@ -41,7 +41,9 @@
 /// that long; what takes longer is answered too late.
 const BODY_SECONDS: f64 = 4.0;
 
-/// Open requests per core. A share of 0.18 core gives 1,440, over three times the known use.
+/// Open requests per core: three times the streams that a core can forward, as open requests also
+/// wait for a target. 1,000 streams with an event every 61 ms took 0.38 core (`sablepass-load
+/// capacity streams`). A share of 0.18 core gives 1,440, over three times the known use.
 const REQUESTS_PER_CORE: f64 = 8_000.0;
 /// Megabits per second of link for each open request: an event of 150 bytes every 60 ms.
 const REQUEST_MBIT: f64 = 0.02;
--- a/crates/sablepass-stand/tests/small.rs
+++ b/crates/sablepass-stand/tests/small.rs
@@ -20,13 +20,17 @@
 const LIMITS: Limits = Limits { memory: 32.0, descriptors: 512, link: 1.0, cores: 0.001 };
 
 fn site() -> (Site, Capacity) {
-    let mut site = Site::open(2);
-    let Limits { memory, descriptors, link, cores } = LIMITS;
+    site_of(2, LIMITS)
+}
+
+fn site_of(replicas: usize, limits: Limits) -> (Site, Capacity) {
+    let mut site = Site::open(replicas);
+    let Limits { memory, descriptors, link, cores } = limits;
     site.add_entry(&format!(
         "\n[limits]\nmemory = {memory}\ndescriptors = {descriptors}\nlink = {link}\ncores = {cores}\n"
     ));
-    site.settle(2);
-    (site, LIMITS.capacity().expect("usable limits"))
+    site.settle(replicas);
+    (site, limits.capacity().expect("usable limits"))
 }
 
 /// Sends one request and checks that it is served.
@@ -90,6 +94,44 @@
     assert!(!site.entries[0].ended());
 }
 
+/// Fails if idle connections to targets are kept beyond the cap when requests need new ones.
+#[test]
+fn verify_idle_connections_make_room_for_new_ones() {
+    const IDLE: usize = 90;
+    const NEW: usize = 60;
+    let (site, capacity) = site_of(10, Limits { link: 100.0, cores: 1.0, ..LIMITS });
+    assert!((IDLE..IDLE + NEW).contains(&capacity.targets), "{capacity:?}");
+    let set = |mode: Mode| site.replicas.iter().for_each(|it| it.set(mode));
+    let connections = || site.status(0)["connections"].as_u64().unwrap_or(0) as usize;
+    let http = site.http(0);
+    let send = |path: &str, number: usize| {
+        ask("POST", path, &format!("{number}{path}"), "q").send(&http).status
+    };
+    let running = || -> usize { site.replicas.iter().map(|it| it.runs().len()).sum() };
+    // Returns the number of connections while `count` requests run at once.
+    let run_at_once = |path: &str, mode: Mode, count: usize| -> usize {
+        let before = running();
+        set(mode);
+        thread::scope(|scope| {
+            let send = &send;
+            let threads: Vec<_> =
+                (0..count).map(|number| scope.spawn(move || send(path, number))).collect();
+            wait_for("all requests run", || running() >= before + count);
+            let most = connections();
+            set(Mode::Good);
+            for thread in threads {
+                thread.join().expect("caller panicked");
+            }
+            most
+        })
+    };
+    run_at_once("/stream/x", Mode::Hold(1), IDLE);
+    assert!(connections() >= IDLE / 2, "{} idle connections", connections());
+    // Requests that may run only once need a new connection each.
+    let most = run_at_once("/once/x", Mode::Hang, NEW);
+    assert!(most <= capacity.targets, "{most} connections, at most {}", capacity.targets);
+}
+
 /// Fails if bodies beyond the cap are read into memory, or if the room for bodies is not released.
 #[test]
 fn verify_bodies_beyond_the_cap_are_refused_at_once() {
