--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admit;
 pub mod balance;
 pub mod budget;
+pub mod capacity;
 pub mod catalogue;
 pub mod cold;
 pub mod config;
@@ -23,6 +24,7 @@
 pub mod flight;
 pub mod forming;
 pub mod gate;
+pub mod heartbeat;
 pub mod holders;
 pub mod id;
 pub mod limits;
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -149,6 +149,8 @@
         Evacuated = 60, "evacuated";
         /// The target is in a data hall that its partner evacuates.
         HallEvacuated = 61, "hall-evacuated";
+        /// The bodies of requests in progress take all memory that this process may use for them.
+        BodiesFull = 62, "bodies-full";
         /// The headers exceed the size limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -242,6 +244,7 @@
             | Self::HallEvacuated
             | Self::Misdirected
             | Self::ProcessLimit
+            | Self::BodiesFull
             | Self::NoTarget
             | Self::OwnerAway
             | Self::RetryBudget
--- a/crates/sablepass-edge/src/link.rs
+++ b/crates/sablepass-edge/src/link.rs
@@ -7,8 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sablepass_core::reason::Ignored;
 use sablepass_wire::frame::{self, Codec};
 use sablepass_wire::generated::frame::Body;
+use sablepass_wire::short_form::{Restorer, Shortener};
 use snafu::Snafu;
 use stakker::{CX, Fwd, after, fwd_to, stop};
 use stakker_mio::mio::Interest;
@@ -77,6 +79,13 @@
     owner: Fwd<Event>,
     metrics: Arc<Metrics>,
     connected: bool,
+    /// Data hall of this process.
+    hall: String,
+    /// Whether the peer is in the same hall. False until the peer has introduced itself: frames
+    /// before that are a few bytes per connection.
+    same_hall: bool,
+    shortener: Shortener,
+    restorer: Restorer,
 }
 
 impl Link {
@@ -86,6 +95,7 @@
         stream: TcpStream,
         owner: Fwd<Event>,
         metrics: Arc<Metrics>,
+        hall: String,
     ) -> Option<Self> {
         let poll = cx.anymap_get::<MioPoll>();
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -97,7 +107,19 @@
                 tcp.init(source);
                 tcp.set_nodelay(true);
                 after!(CONNECT_TIMEOUT, [cx], check_connected());
-                Some(Self { tcp, codec: Codec::open(), owner, metrics, connected: false })
+                let codec = Codec::open();
+                let connected = false;
+                Some(Self {
+                    tcp,
+                    codec,
+                    owner,
+                    metrics,
+                    connected,
+                    hall,
+                    same_hall: false,
+                    shortener: Shortener::default(),
+                    restorer: Restorer::default(),
+                })
             }
             Err(source) => {
                 owner.fwd(Event::Closed(Cause::Socket { source }));
@@ -109,13 +131,16 @@
 
     /// Sends a message.
     pub fn send(&mut self, cx: CX![], body: Body) {
+        let body = self.shortener.shorten(body);
         let before = self.tcp.out.len();
         let kind = frame::kind(&body);
         if let Err(source) = self.codec.encode(body, &mut self.tcp.out) {
             self.close(cx, Cause::Frame { source });
             return;
         }
-        self.metrics.message(kind, "out", self.tcp.out.len() - before);
+        let size = self.tcp.out.len() - before;
+        self.metrics.message(kind, "out", size);
+        self.metrics.frame(kind, "out", self.same_hall, size);
         if self.tcp.out.len() > MAX_SEND_BUFFER_BYTES {
             self.close(cx, Cause::Stuck);
             return;
@@ -165,8 +190,18 @@
         self.codec.feed(&self.tcp.inp[self.tcp.rd..self.tcp.wr]);
         self.tcp.rd = self.tcp.wr;
         while let Some((body, size)) = self.codec.next_body()? {
-            self.metrics.message(frame::kind(&body), "in", size);
-            self.owner.fwd(Event::Message(body));
+            match &body {
+                Body::Hello(it) => self.same_hall = it.hall == self.hall,
+                Body::Digest(it) if it.short_forms => self.shortener.accept(),
+                _ => {}
+            }
+            let kind = frame::kind(&body);
+            self.metrics.message(kind, "in", size);
+            self.metrics.frame(kind, "in", self.same_hall, size + frame::LENGTH_BYTES);
+            match self.restorer.restore(body) {
+                Some(body) => self.owner.fwd(Event::Message(body)),
+                None => self.metrics.ignored(Ignored::BadFrame),
+            }
         }
         Ok(())
     }
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -33,7 +33,8 @@
             mesh::Event::Message(peer, body) => self.message(cx, peer, body),
             mesh::Event::Config(catalogue) => {
                 if let Some(declared) = catalogue.limits {
-                    call!([self.server], limit(server_limits(declared)));
+                    let limits = self.settings.bounded(server_limits(declared));
+                    call!([self.server], limit(limits));
                 }
                 let changes = self.targets.set_catalogue(clock::now(), catalogue);
                 self.targets.update_cold_plans(clock::now());
