Cold targets: entries use provisional shares until they may use their own

Cause: an entry uses its share of a cold target's rate only after all entries have been known to it by name for a second.

Change: such an entry uses an equal part, as large as one of the holders' at most, if there are no more entries than holders and their number is known. The part begins with an empty bucket, so that it adds less than a request until the other entries know of this one.

Ruled out: a shorter delay before shares are taken over, which is as long as others go on using theirs.

--- a/crates/sablepass-core/src/cold.rs
+++ b/crates/sablepass-core/src/cold.rs
@@ -8,6 +8,10 @@
 //! fixed number of requests. A few entries hold the rate, as for limits that targets announce; each
 //! holder may send one request at once, so the number of holders follows from what the bound leaves
 //! above the rate.
+//!
+//! An entry that may not use its share yet, since it does not know all others by name, uses an equal
+//! part if there are no more entries than holders. Otherwise a service whose targets are all cold
+//! would refuse everything after all entries have restarted.
 
 use std::collections::HashMap;
 
@@ -127,6 +131,8 @@
     plan: Option<Plan>,
     /// Bucket for the share of this process.
     bucket: Bucket,
+    /// Whether the share is provisional.
+    provisional: bool,
 }
 
 impl Cold {
@@ -155,7 +161,14 @@
             self.bucket.set(now, None);
             return;
         };
-        let share = holders.share_among(life, plan.rate, plan.holders);
+        let provisional = holders.provisional_share(plan.rate, plan.holders);
+        // What other entries use may add to a provisional share until they know of this entry, so
+        // it begins with an empty bucket.
+        if provisional.is_some() && !self.provisional {
+            self.bucket.drain(now);
+        }
+        self.provisional = provisional.is_some();
+        let share = provisional.or_else(|| holders.share_among(life, plan.rate, plan.holders));
         if let Some(share) = share {
             self.bucket.limit_burst(plan.burst * share.per_second() / plan.rate.per_second());
         }
@@ -265,6 +278,7 @@
             listed,
             plan: None,
             bucket: Bucket::default(),
+            provisional: false,
         };
         self.targets.insert(life.name.to_owned(), cold);
         Change::Began(until - now)
@@ -294,7 +308,8 @@
     /// empty ones, several holders of a low rate would leave the target unused for more than a
     /// second.
     pub fn set_idle(&mut self, now: Millis, name: &str, holders: &Holders) {
-        if let Some(cold) = self.targets.get_mut(name) {
+        let active = holders.is_active();
+        if let Some(cold) = self.targets.get_mut(name).filter(|_| active) {
             let life = TargetIncarnation { name, started_at: cold.born };
             let max = cold.plan.map_or(1, |it| it.holders);
             cold.bucket.fill(now, holders.position(life, max));
--- a/crates/sablepass-core/src/holders.rs
+++ b/crates/sablepass-core/src/holders.rs
@@ -39,6 +39,8 @@
     /// Whether all entries are known by name, and since when that has been so.
     complete: bool,
     since: Millis,
+    /// Number of entries, this one included; none if it is not known.
+    counted: Option<usize>,
 }
 
 impl Holders {
@@ -51,6 +53,7 @@
             active: false,
             complete: false,
             since: 0,
+            counted: None,
         }
     }
 
@@ -67,6 +70,7 @@
             self.complete = complete;
             self.since = now;
         }
+        let counted = std::mem::replace(&mut self.counted, count);
         let elapsed = now.saturating_sub(self.since);
         let was_active = self.active;
         if complete {
@@ -78,7 +82,7 @@
         if changed {
             self.shared.clone_from(&self.others);
         }
-        changed || was_active != self.active
+        changed || was_active != self.active || (!self.active && counted != count)
     }
 
     /// Gives up all shares after this process was suspended: other entries may have taken them over
@@ -87,6 +91,12 @@
         self.active = false;
         self.complete = false;
         self.since = now;
+        self.counted = None;
+    }
+
+    /// Whether this entry may use its shares.
+    pub fn is_active(&self) -> bool {
+        self.active
     }
 
     /// This entry's share of a limit; none if it is not a holder.
@@ -104,6 +114,14 @@
         (self.higher(life) < holders).then(|| rate.part(holders))
     }
 
+    /// The share of a rate that at most `max` entries hold which this entry may use while it may
+    /// not use its own, as after its start: an equal part, if each entry may have one. It is none
+    /// if there are more entries than that, or their number is not known.
+    pub fn provisional_share(&self, rate: Rate, max: usize) -> Option<Rate> {
+        let fits = self.counted.is_some_and(|it| it <= max);
+        (!self.active && fits).then(|| rate.part(max))
+    }
+
     /// This entry's position among the holders of a rate that at most `max` entries hold, as a
     /// fraction; evenly distributed over them.
     pub fn position(&self, life: TargetIncarnation<'_>, max: usize) -> f64 {
--- a/crates/sablepass-core/src/limits.rs
+++ b/crates/sablepass-core/src/limits.rs
@@ -122,6 +122,12 @@
         self.level_at = now;
     }
 
+    /// Empties the bucket, unless requests are reserved for later already.
+    pub fn drain(&mut self, now: Millis) {
+        self.level = self.level(now).min(0.0);
+        self.level_at = now;
+    }
+
     /// Fills a fraction of the bucket, for a target that got no requests lately.
     pub fn fill(&mut self, now: Millis, fraction: f64) {
         if self.rate > 0.0 {
--- a/crates/sablepass-core/tests/cold.rs
+++ b/crates/sablepass-core/tests/cold.rs
@@ -418,3 +418,67 @@
         }
     }
 }
+
+/// Sends as many requests as the entries allow, and returns when they were sent. `changes` are
+/// applied at their times.
+fn saturate(fleet: &mut Fleet, until: Millis, changes: &[(Millis, Change)]) -> Vec<Millis> {
+    let mut rng = StdRng::seed_from_u64(1);
+    for now in (STEP..until).step_by(STEP as usize) {
+        let due = changes.iter().filter(|it| (now - STEP..now).contains(&it.0));
+        due.for_each(|it| fleet.apply(it.1, now));
+        for entry in 0..fleet.entries.len() {
+            if fleet.entries[entry].runs() {
+                fleet.request(&mut rng, entry, now);
+            }
+        }
+        fleet.step(now);
+    }
+    fleet.sent.clone()
+}
+
+/// Guards against a fault in which a service whose targets are all cold refused everything for
+/// more than two seconds after all entries had restarted: no entry used a share before all entries
+/// had been known to it by name for a second.
+#[test]
+fn verify_a_cold_target_is_used_soon_after_all_entries_restart() {
+    const RESTART: Millis = 10_000;
+    for (entries, limit) in [(17, 26.0), (6, 26.0), (3, 4.0)] {
+        let mut fleet = Fleet::open(Scheme::Holders, entries, limit);
+        let mut changes: Vec<(Millis, Change)> =
+            (0..entries).map(|it| (RESTART - 1_000, Change::End(it))).collect();
+        changes.push((RESTART, Change::Start));
+        let sent = saturate(&mut fleet, RESTART + 10_000, &changes);
+        let bound = BOUND.requests(rate(limit));
+        let worst = fleet.max_in_window();
+        assert!(worst as f64 <= bound, "{entries}/{limit}: {worst} in a second");
+        let holders = BOUND.plan(rate(limit)).holders as f64;
+        let soon = RESTART..RESTART + 1_700;
+        let count = sent.iter().filter(|at| soon.contains(at)).count() as f64;
+        let least = limit * (entries as f64 / holders).min(1.0) * 0.5;
+        assert!(count >= least, "{entries}/{limit}: {count} in 1.7 s, at least {least}");
+    }
+}
+
+/// Guards against provisional shares that add to those of the other entries: more than the bound
+/// would be sent while some entries start, are suspended or are cut off.
+#[test]
+fn verify_the_bound_is_kept_at_full_demand_while_entries_restart_one_after_another() {
+    for (entries, limit) in [(17, 26.0), (6, 26.0), (6, 4.0), (3, 4.0)] {
+        let mut fleet = Fleet::open(Scheme::Holders, entries, limit);
+        let mut changes = Vec::new();
+        for (round, at) in (3_000..60_000).step_by(1_900).enumerate() {
+            let (first, second) = (round % entries, (round + 1) % entries);
+            changes.extend(match round % 4 {
+                0 => vec![(at, Change::End(first)), (at + 300, Change::Start)],
+                1 => vec![(at, Change::End(first)), (at, Change::End(second))],
+                2 => vec![(at, Change::Start), (at + 50, Change::Cut(first))],
+                _ => vec![(at, Change::Reconnect), (at, Change::Suspend(first))],
+            });
+            changes.push((at + 1_200, Change::Resume));
+        }
+        saturate(&mut fleet, 62_000, &changes);
+        let worst = fleet.max_in_window();
+        let bound = BOUND.requests(rate(limit));
+        assert!(worst as f64 <= bound, "{entries}/{limit} ({bound}): {worst} in a second");
+    }
+}
