Reader: a read in pages counts as of its oldest page

A store may answer a later page of a complete read from an older state. The read was taken as of the first page's revision, so that items which only the older page lacks were removed: an evacuation that is in force ended. The read now has the lowest revision of its pages; one below the replica's revision implies no removals.

Run: the new test of sablepass-stand (evacuated) with an older second page fails without the change and passes with it.

--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -142,7 +142,7 @@
 /// A read that has not finished.
 struct PendingRead {
     request: ReadRequest,
-    /// Revision of the first page, and the items of all pages so far.
+    /// Lowest revision of the pages so far, and their items.
     pages: Option<(Revision, Vec<store::Change>)>,
 }
 
@@ -262,8 +262,9 @@
     }
 
     /// Adds a page. Returns the batch after the last one; otherwise requests the next page. The
-    /// pages are not a snapshot, so the next watch starts at the first page's revision to receive
-    /// the changes made in between.
+    /// pages are not a snapshot, so the next watch starts at their lowest revision to receive the
+    /// changes made in between. That is the first page's revision, unless a later page was answered
+    /// from an older state, which does not show that newer items are gone.
     fn add_page(
         &mut self,
         mut pending: PendingRead,
@@ -272,11 +273,12 @@
     ) -> Option<Result<Batch, Error>> {
         let request = pending.request;
         let last = page.items.last().map(|it| it.key.clone());
-        let first = Revision::new(era, page.revision);
-        let (revision, items) = pending.pages.get_or_insert((first, Vec::new()));
+        let read = Revision::new(era, page.revision);
+        let (revision, items) = pending.pages.get_or_insert((read, Vec::new()));
         if revision.era != era {
             return Some(Err(Error::Restored { held: revision.era, now: era }));
         }
+        *revision = read.min(*revision);
         items.extend(page.items);
         if page.more && last.is_some() {
             self.pending = Some(pending);
--- a/crates/sablepass-stand/src/keys.rs
+++ b/crates/sablepass-stand/src/keys.rs
@@ -68,6 +68,8 @@
     era_changes_per_page: bool,
     /// Backup and era to restore after the next page that has a successor.
     restore_after_page: Option<(Backup, u64)>,
+    /// Older contents with which the pages of range reads after the first one are answered.
+    stale_pages: Option<Backup>,
     /// Number of calls received.
     calls: u64,
 }
@@ -117,6 +119,7 @@
             page_items: 500,
             era_changes_per_page: false,
             restore_after_page: None,
+            stale_pages: None,
             calls: 0,
         };
         let store = Self { addr, state: Arc::new((Mutex::new(state), Condvar::new())) };
@@ -208,6 +211,14 @@
         state.restore_after_page = Some((backup.clone(), era));
     }
 
+    /// Sets the page size of range reads, and answers all pages but the first one with older
+    /// contents of the same era, at their older revision.
+    pub fn set_stale_pages(&self, items: usize, older: Option<&Backup>) {
+        let mut state = self.lock();
+        state.page_items = items;
+        state.stale_pages = older.cloned();
+    }
+
     /// Sets the page size of range reads, and alternates between two eras from page to page.
     pub fn alternate_eras(&self, items: usize) {
         let mut state = self.lock();
@@ -286,13 +297,16 @@
     /// One page of the items under `prefix` with keys later than `after`.
     fn range(&self, prefix: &str, after: &str) -> Reply {
         let mut state = self.lock();
-        let live = state.items.iter().filter(|(key, it)| {
+        let older = state.stale_pages.as_ref().filter(|_| !after.is_empty());
+        let (all, revision) =
+            older.map_or((&state.items, state.revision), |it| (&it.items, it.revision));
+        let live = all.iter().filter(|(key, it)| {
             key.starts_with(prefix) && key.as_str() > after && !matches!(it.content, Content::Gone)
         });
         let mut items: Vec<Value> = live.map(|(key, it)| item(key, it)).collect();
         let more = items.len() > state.page_items;
         items.truncate(state.page_items);
-        let body = json!({ "items": items, "more": more, "at": state.revision });
+        let body = json!({ "items": items, "more": more, "at": revision });
         let reply = Reply { status: 200, body, era: state.era.clone() };
         if state.era_changes_per_page {
             let era = if state.era.as_deref() == Some("2") { "3" } else { "2" };
--- a/crates/sablepass-stand/tests/evacuated.rs
+++ b/crates/sablepass-stand/tests/evacuated.rs
@@ -266,6 +266,24 @@
     });
 }
 
+/// Guards against a read in pages that ends an evacuation because a later page is older than the
+/// first one and lacks the item.
+#[test]
+fn verify_a_read_with_an_older_page_does_not_end_the_evacuation() {
+    check(&Case {
+        after: |it| {
+            // The configuration is on the first page, and the item on the second.
+            it.site.store.set_stale_pages(1, Some(&it.backup));
+            it.site.store.discard_history();
+        },
+        end: |it| {
+            it.site.store.set_stale_pages(1, None);
+            it.site.release(HALL);
+        },
+        ..CALM
+    });
+}
+
 /// Guards against a read of a restored store that ends an evacuation because its backup lacks the
 /// item. A new entry starts afterwards. The operator ends the evacuation by writing the item again
 /// and removing it.
