Store: deltas are no more complete than the store

A complete read in pages may contain documents that were written after its first page, and so after the revision of the store. If the changes for a peer filled several deltas, the earlier ones stated the revision of such a document, and the peer skipped the changes before it, an evacuation among them. The revision of a delta is now at most that of the store.

Run: tests of sablepass-core on stores and lists (evacuation, config, listing, difference, restored, outage, chaos, sharing); the new one fails without the change.

--- a/crates/sablepass-core/src/config.rs
+++ b/crates/sablepass-core/src/config.rs
@@ -265,9 +265,10 @@
 
     /// Answers a pull with the changes that the peer lacks, in order of revision, in deltas of
     /// about `limit` bytes. Each delta makes the receiver complete up to its own revision, so they
-    /// need not arrive together. Removals before `since` are unknown here, so a peer below that
-    /// revision has to compare: it is sent all declarations, or the differing parts of the instance
-    /// list.
+    /// need not arrive together. That is at most this store's revision, although a read in pages
+    /// may have found documents that were written later. Removals before `since` are unknown here,
+    /// so a peer below that revision has to compare: it is sent all declarations, or the differing
+    /// parts of the instance list.
     pub fn deltas(&self, pull: &Pull, limit: usize) -> Vec<Delta> {
         let after = pull.after;
         if let Some(parts) = &pull.parts {
@@ -287,6 +288,7 @@
         let mut newer: Vec<&Document> =
             self.documents.values().filter(|it| it.newest.revision > after).collect();
         newer.sort_by_key(|it| it.newest.revision);
+        let complete = self.revision.max(after);
         let mut deltas = vec![Delta { after, revision: after, documents: Vec::new(), whole: None }];
         let mut size = 0;
         for document in newer {
@@ -300,11 +302,11 @@
                 size = document.size();
             }
             let last = deltas.len() - 1;
-            deltas[last].revision = document.newest.revision;
+            deltas[last].revision = document.newest.revision.min(complete);
             deltas[last].documents.push(document.clone());
         }
         let last = deltas.len() - 1;
-        deltas[last].revision = self.revision.max(after);
+        deltas[last].revision = complete;
         deltas
     }
 
--- a/crates/sablepass-core/tests/evacuation.rs
+++ b/crates/sablepass-core/tests/evacuation.rs
@@ -93,6 +93,24 @@
     panic!("the stores do not converge: {:?} {:?}", a.digest(), b.digest());
 }
 
+/// Guards against a peer that skips changes: a read in pages may contain items that were written
+/// after its revision, and deltas with them are as complete as the read, however many they are.
+#[test]
+fn verify_deltas_are_no_more_complete_than_their_store() {
+    let late = vec![written("op/evacuate/a", at(1, 12)), written("op/evacuate/b", at(1, 14))];
+    let mut reader = store();
+    read_all(&mut reader, at(1, 10), late);
+    let mut peer = store();
+    read_all(&mut peer, at(1, 10), Vec::new());
+    let deltas = reader.deltas(&peer.pull(false), 1);
+    assert_eq!(deltas.len(), 2);
+    for delta in deltas {
+        peer.merge(delta).expect("no gap");
+        assert_eq!(peer.revision(), at(1, 10), "the change at revision 11 is still to come");
+    }
+    assert_eq!(halls(&peer), ["a", "b"]);
+}
+
 /// Guards against a hall without a name, and a document whose other declarations are lost.
 #[test]
 fn verify_a_document_evacuates_the_halls_that_it_names() {
