Short cold times are not forwarded between entries for ever

An entry forwarded a peer's statement that began a cold time, however short. If the cold time was over before the statement came back, it began anew: each entry sent it to all others at each arrival, without an end. This happened with a remaining time below the time of a message to a peer and back, as in a notice to a new connection just before the end.

Statements of at most 100 ms are no longer forwarded. The decision is in core.

--- a/crates/sablepass-core/src/cold.rs
+++ b/crates/sablepass-core/src/cold.rs
@@ -23,7 +23,8 @@
 const BUNCHED: f64 = 1.0;
 
 /// By how much a statement must exceed the known cold time to be news for other entries, or to count
-/// if it is a peer's: statements differ by the time that messages take.
+/// if it is a peer's: statements differ by the time that messages take. It exceeds the time that a
+/// message takes to a peer and back.
 const TOLERANCE: Millis = 100;
 
 /// Longest cold time that is accepted from any source, so that an erroneous statement does not
@@ -110,6 +111,19 @@
     Ended,
 }
 
+impl Change {
+    /// Remaining time with which a peer's statement that had this effect is forwarded to the other
+    /// entries; none if it is not. Two entries would extend the cold time of each other by the time
+    /// that messages take, and would send each other a short one for ever, as it is over when it
+    /// comes back.
+    pub fn forwarded(self) -> Option<Millis> {
+        match self {
+            Self::Began(remaining) => Some(remaining).filter(|it| *it > TOLERANCE),
+            Self::None | Self::Moved(_) | Self::Extended(_) | Self::Ended => None,
+        }
+    }
+}
+
 /// A cold incarnation of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Cold {
--- a/crates/sablepass-core/tests/cold_targets.rs
+++ b/crates/sablepass-core/tests/cold_targets.rs
@@ -4,6 +4,8 @@
 //! Which targets are cold until when: statements of several sources, some of which are older than
 //! they arrive; and the number of entries that hold the rate.
 
+use std::collections::VecDeque;
+
 use sablepass_core::cold::{Bound, Change, ColdTargets, MAX_REMAINING};
 use sablepass_core::holders::Holders;
 use sablepass_core::id::{Millis, TargetIncarnation};
@@ -105,6 +107,37 @@
     assert_eq!(targets.stated(2_000, LIFE, u64::MAX / 2), Change::Extended(MAX_REMAINING));
 }
 
+/// Sends a peer's statement to one of several entries, which forward it. Returns the number of
+/// messages, at most `max`.
+fn forward(entries: usize, remaining: Millis, latency: Millis, max: usize) -> usize {
+    let mut all: Vec<ColdTargets> = (0..entries).map(|_| ColdTargets::default()).collect();
+    let mut messages = VecDeque::from([(0, 0, remaining)]);
+    let mut count = 0;
+    while let Some((now, to, remaining)) = messages.pop_front().filter(|_| count < max) {
+        count += 1;
+        let change = all[to].stated(now, LIFE, remaining);
+        if let Some(remaining) = change.forwarded() {
+            let others = (0..entries).filter(|it| *it != to);
+            messages.extend(others.map(|it| (now + latency, it, remaining)));
+        }
+    }
+    count
+}
+
+/// Guards against a statement that entries forward to each other for ever, as each one knows of it
+/// no longer when it comes back.
+#[test]
+fn verify_a_short_cold_time_is_not_forwarded_for_ever() {
+    const ENTRIES: usize = 17;
+    for remaining in [1, 2, 5, 20, 99, 100, 101, 3_000] {
+        for latency in [1, 2, 10, 50] {
+            let count = forward(ENTRIES, remaining, latency, 10_000);
+            assert!(count <= 1 + ENTRIES * (ENTRIES - 1), "{remaining} {latency}: {count}");
+        }
+    }
+    assert!(forward(ENTRIES, 3_000, 1, 10_000) > ENTRIES, "other cold times are forwarded");
+}
+
 #[test]
 fn verify_a_restarted_target_starts_afresh() {
     let bound = Bound { overshoot: 1.5, slack: 5.0 };
--- a/crates/sablepass-entry/src/notices.rs
+++ b/crates/sablepass-entry/src/notices.rs
@@ -264,11 +264,7 @@
         for (incarnation, remaining) in received.cold {
             let change = self.targets.cold_reported_by_peer(now, incarnation, remaining);
             self.log_cold_change(incarnation, change, cold::Source::Told);
-            // An extension is not forwarded: two entries would extend the cold time of each other
-            // by the time that messages take.
-            if matches!(change, cold::Change::Began(_)) {
-                new.push((incarnation, remaining));
-            }
+            new.extend(change.forwarded().map(|remaining| (incarnation, remaining)));
         }
         if !new.is_empty() {
             // Forwarded for the same reason as notices of leaving targets.
