A peer's statement on an earlier incarnation does not replace a newer one

A statement of a peer on a target that the list does not contain yet replaced what was known of the target's cold time, also if it named an earlier incarnation: the newer incarnation was then not limited once it was listed. Such a statement counts for nothing now while the newer one is cold.

verify_a_peer_that_names_an_earlier_incarnation_changes_nothing: failed before (Began instead of None), passes now.

--- a/crates/sablepass-core/src/cold.rs
+++ b/crates/sablepass-core/src/cold.rs
@@ -237,6 +237,7 @@
     }
 
     /// Processes a cold time that a peer states, or that is assumed. It extends other statements.
+    /// One of an earlier incarnation than the one that is cold counts for nothing.
     pub fn stated(
         &mut self,
         now: Millis,
@@ -244,6 +245,10 @@
         remaining: Millis,
     ) -> Change {
         let until = now + remaining.min(MAX_REMAINING);
+        let is_earlier = |it: &Cold| now < it.until && life.started_at < it.born;
+        if self.targets.get(life.name).is_some_and(is_earlier) {
+            return Change::None;
+        }
         let Some(cold) = self.known(now, life) else {
             return self.begin(now, life, until, false);
         };
--- a/crates/sablepass-core/tests/cold_targets.rs
+++ b/crates/sablepass-core/tests/cold_targets.rs
@@ -138,6 +138,18 @@
     assert!(forward(ENTRIES, 3_000, 1, 10_000) > ENTRIES, "other cold times are forwarded");
 }
 
+/// Guards against a peer that names an incarnation which a target has left behind, while the list
+/// does not contain the target yet.
+#[test]
+fn verify_a_peer_that_names_an_earlier_incarnation_changes_nothing() {
+    let mut targets = ColdTargets::default();
+    assert_eq!(targets.stated(0, NEXT_LIFE, 3_000), Change::Began(3_000));
+    assert_eq!(targets.stated(100, LIFE, 8_000), Change::None);
+    assert_eq!(remaining(&targets, 100, NEXT_LIFE), 2_900);
+    assert_eq!(targets.stated(5_000, LIFE, 1_000), Change::Began(1_000), "no longer known");
+    assert_eq!(targets.stated(5_100, NEXT_LIFE, 3_000), Change::Began(3_000));
+}
+
 #[test]
 fn verify_a_restarted_target_starts_afresh() {
     let bound = Bound { overshoot: 1.5, slack: 5.0 };
