Only the peer that was asked last for a turn can grant it

A request that got no answer in time returned to the queue and could ask another peer for a turn at another target. The late answer of the first peer then counted as that of the second: the request was sent to a target at which no turn was reserved. An answer now counts only if it comes from the peer that the request waits for.

verify_only_the_peer_that_was_asked_grants_a_turn: before, the answer of another process was followed (200 instead of 503); passes now.

--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -194,7 +194,7 @@
             Body::Suspects(it) => return self.receive_suspects(cx, peer, it),
             Body::Notices(it) => return self.receive_notices(&it),
             Body::TurnAsk(it) => return self.answer_turn_request(peer, &it),
-            Body::TurnAnswer(it) => return self.receive_turn_answer(cx, &it),
+            Body::TurnAnswer(it) => return self.receive_turn_answer(cx, peer, &it),
             other => other,
         };
         let Some(name) = self.targets.target_name(peer).map(str::to_owned) else {
--- a/crates/sablepass-entry/src/turns.rs
+++ b/crates/sablepass-entry/src/turns.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Whether a turn was requested from this peer, whose answer is awaited.
+    fn is_requested_from(&self, from: PeerKey) -> bool {
+        matches!(self, Self::Requested { peer, .. } if *peer == from)
+    }
+
     /// The turn, if one is reserved.
     pub(crate) fn granted(self) -> Option<GrantedTurn> {
         match self {
@@ -294,17 +299,22 @@
     }
 
     /// Processes a peer's answer to a request for a turn.
-    pub(crate) fn receive_turn_answer(&mut self, cx: CX![], message: &wire::TurnAnswer) {
+    pub(crate) fn receive_turn_answer(
+        &mut self,
+        cx: CX![],
+        from: PeerKey,
+        message: &wire::TurnAnswer,
+    ) {
         let Ok(answer) = turns::parse_answer(message) else {
             self.metrics.ignored(Ignored::BadFrame);
             return;
         };
         let now = clock::now();
         let open = self.requests.get_mut(&answer.request);
-        let slot =
-            open.and_then(|it| it.slot.take_if(|it| matches!(it, PendingTurn::Requested { .. })));
+        let slot = open.and_then(|it| it.slot.take_if(|it| it.is_requested_from(from)));
         let Some(PendingTurn::Requested { target, peer, .. }) = slot else {
-            // The answer came after its timeout, or for a request that has ended.
+            // The answer came after its timeout, or for a request that has ended. The request may
+            // have asked another peer since, for a turn at another target.
             self.metrics.ignored(Ignored::LateAnswer);
             return;
         };
--- a/crates/sablepass-stand/tests/limited.rs
+++ b/crates/sablepass-stand/tests/limited.rs
@@ -12,13 +12,22 @@
 
 mod common;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use sablepass_core::holders::Holders;
+use sablepass_core::id::TargetIncarnation;
+use sablepass_core::limits::{Rate, Turn};
 use sablepass_stand::client::{Answer, Ask, metric, wait_for};
 use sablepass_stand::limits;
 use sablepass_stand::replica::{Arrival, Replica};
-use sablepass_stand::site::Site;
+use sablepass_stand::site::{Site, ask};
+use sablepass_wire::frame::Codec;
+use sablepass_wire::generated as wire;
+use sablepass_wire::generated::frame::Body;
+use sablepass_wire::turns;
 
 /// Number of entries of a small site.
 const ENTRIES: usize = 5;
@@ -238,3 +247,71 @@
     let arrival = |it| Arrival { at: time_ms(it), limit: Some(1.0), ..Arrival::default() };
     assert_limit_kept(&limited.runs().iter().map(arrival).collect::<Vec<Arrival>>(), 1.0);
 }
+
+/// Connects to the first entry as a process with this name and role.
+fn connect_peer(site: &Site, name: &str, role: &str) -> TcpStream {
+    let mut peer = TcpStream::connect(site.entries[0].addr("peers")).expect("the entry accepts");
+    let (name, role) = (name.to_owned(), role.to_owned());
+    let hall = "ba-1".to_owned();
+    let hello = wire::Hello { name, role, hall, incarnation: 1, spread: false };
+    send_body(&mut peer, Body::Hello(hello));
+    peer
+}
+
+fn send_body(peer: &mut TcpStream, body: Body) {
+    let mut bytes = Vec::new();
+    Codec::open().encode(body, &mut bytes).expect("frame encoded");
+    peer.write_all(&bytes).expect("frame sent");
+}
+
+/// Reads the next request for a turn.
+fn next_ask(peer: &mut TcpStream) -> wire::TurnAsk {
+    let mut codec = Codec::open();
+    let mut buffer = [0; 4096];
+    loop {
+        while let Some((body, _)) = codec.next_body().expect("a valid frame") {
+            if let Body::TurnAsk(it) = body {
+                return it;
+            }
+        }
+        let size = peer.read(&mut buffer).expect("the entry sends");
+        assert!(size > 0, "the entry closed the connection");
+        codec.feed(&buffer[..size]);
+    }
+}
+
+/// Guards against a request that is sent with a turn of a peer which was not asked for it last: an
+/// answer may arrive after its request has asked another peer for a turn at another target.
+#[test]
+fn verify_only_the_peer_that_was_asked_grants_a_turn() {
+    let site = common::site(1, 1);
+    let target = &site.replicas[0];
+    target.set_limit(Some(1.0));
+    let item: serde_json::Value = serde_json::from_str(&target.entry("ready")).expect("JSON");
+    let born = item["born"].as_u64().expect("a start time");
+    let life = TargetIncarnation { name: &target.id, started_at: born };
+    let rate = Rate::new(1.0).expect("a valid rate");
+    let holds = |name: &String| {
+        let mut holders = Holders::open("entry-1");
+        holders.set_peers([name.clone()]);
+        holders.watch(0, Some(2));
+        holders.other_holders(life, rate) == [name]
+    };
+    let holder = (0..100).map(|it| format!("peer-{it}")).find(holds).expect("a holder");
+    let mut peer = connect_peer(&site, &holder, "entry");
+    wait_for("the entry knows its peer", || site.status(0)["entries"].as_u64() == Some(2));
+    let first = ask("POST", "/safe/x", "first", "q").send(&site.http(0));
+    assert_eq!(first.status, 200);
+    for (sender_asked, status) in [(false, 503), (true, 200)] {
+        let mut other = connect_peer(&site, "other", "agent");
+        let id = format!("limited-{sender_asked}");
+        let call = ask("POST", "/safe/x", &id, "q");
+        let http = site.http(0);
+        let answer = thread::spawn(move || call.send(&http));
+        let request = turns::parse_ask(&next_ask(&mut peer)).expect("a valid message").request;
+        let granted = turns::answer(turns::Answer { request, turn: Turn::In(0) });
+        send_body(if sender_asked { &mut peer } else { &mut other }, granted);
+        let answer = answer.join().expect("an answer");
+        assert_eq!(answer.status, status, "asked: {sender_asked}, {answer:?}");
+    }
+}
