--- a/crates/sablepass-core/src/cold.rs
+++ b/crates/sablepass-core/src/cold.rs
@@ -22,9 +22,9 @@
 /// than both were sent.
 const BUNCHED: f64 = 1.0;
 
-/// By how much a statement must exceed the known cold time to be news for other entries, or to count
-/// if it is a peer's: statements differ by the time that messages take. It exceeds the time that a
-/// message takes to a peer and back.
+/// By how much a statement must exceed the known cold time to be news for other entries, or to
+/// count if it is a peer's: statements differ by the time that messages take. It exceeds the time
+/// that a message takes to a peer and back.
 const TOLERANCE: Millis = 100;
 
 /// Longest cold time that is accepted from any source, so that an erroneous statement does not
@@ -58,8 +58,8 @@
         rate.per_second() * self.overshoot + self.slack
     }
 
-    /// How entries share a rate. If the burst of even one holder does not fit the bound, the rate is
-    /// lowered until it does.
+    /// How entries share a rate. If the burst of even one holder does not fit the bound, the rate
+    /// is lowered until it does.
     pub fn plan(&self, rate: Rate) -> Plan {
         let bound = self.requests(rate);
         let burst = bound - rate.per_second() - BUNCHED;
@@ -308,10 +308,10 @@
         }
     }
 
-    /// Records that a target which became cold got no requests lately, as after its start. The buckets
-    /// of its holders are then filled to different degrees, which the bound allows at any time: with
-    /// empty ones, several holders of a low rate would leave the target unused for more than a
-    /// second.
+    /// Records that a target which became cold got no requests lately, as after its start. The
+    /// buckets of its holders are then filled to different degrees, which the bound allows at any
+    /// time: with empty ones, several holders of a low rate would leave the target unused for more
+    /// than a second.
     pub fn set_idle(&mut self, now: Millis, name: &str, holders: &Holders) {
         if let Some(cold) = self.targets.get_mut(name) {
             let life = TargetIncarnation { name, started_at: cold.born };
@@ -333,8 +333,8 @@
         self.get(now, life).filter(|it| it.plan.is_some()).map(|it| it.next(now))
     }
 
-    /// Reserves one request, to be sent within `max_wait` milliseconds; none if the target's rate is
-    /// not limited.
+    /// Reserves one request, to be sent within `max_wait` milliseconds; none if the target's rate
+    /// is not limited.
     pub fn reserve(
         &mut self,
         now: Millis,
--- a/crates/sablepass-core/tests/cold.rs
+++ b/crates/sablepass-core/tests/cold.rs
@@ -169,8 +169,9 @@
         }
     }
 
-    /// Gives out a turn if fewer than the rate were given out in the window before it. An entry that
-    /// has taken over the count waits for a window, since it does not know the turns given before.
+    /// Gives out a turn if fewer than the rate were given out in the window before it. An entry
+    /// that has taken over the count waits for a window, since it does not know the turns given
+    /// before.
     fn count_turn(&mut self, now: Millis, limit: f64, max_wait: Millis) -> Turn {
         let Some(since) = self.owner_since.filter(|it| now >= it + WINDOW) else {
             return Turn::Never;
--- a/crates/sablepass-core/tests/evacuation.rs
+++ b/crates/sablepass-core/tests/evacuation.rs
@@ -239,7 +239,8 @@
 }
 
 /// Guards against an ended evacuation that a process which was suspended or cut off brings back:
-/// both to a peer that recorded the removal, and to one that restarted since and has no trace of it.
+/// both to a peer that recorded the removal, and to one that restarted since and has no trace of
+/// it.
 #[test]
 fn verify_an_older_copy_does_not_revive_an_ended_evacuation() {
     let mut recorded = evacuated();
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -191,8 +191,8 @@
     }
 
     /// Handles an established connection: sends the request that waits for it. If the target no
-    /// longer accepts requests, or its hall is evacuated, the request is withdrawn instead. This is the last moment at which
-    /// an announcement of the target can be taken into account.
+    /// longer accepts requests, or its hall is evacuated, the request is withdrawn instead. This is
+    /// the last moment at which an announcement of the target can be taken into account.
     fn direct_connected(&mut self, cx: CX![], key: ConnectionKey) {
         if !self.pool.mark_connected(key) {
             return;
--- a/crates/sablepass-entry/src/pool.rs
+++ b/crates/sablepass-entry/src/pool.rs
@@ -74,8 +74,8 @@
 }
 
 impl Pool {
-    /// Creates a pool without connections. Events of its connections are sent to `events`. It has at
-    /// most `limit` connections if no more requests than that are sent at once.
+    /// Creates a pool without connections. Events of its connections are sent to `events`. It has
+    /// at most `limit` connections if no more requests than that are sent at once.
     pub fn open(events: Fwd<(ConnectionKey, client::Event)>, limit: usize) -> Self {
         Self { connections: HashMap::new(), idle: HashMap::new(), last_key: 0, limit, events }
     }
@@ -88,8 +88,8 @@
         idle.unwrap_or_else(|| self.connect(core, to))
     }
 
-    /// Closes connections that no request uses while the pool is full: idle ones, and those on which
-    /// the rest of an answer is discarded.
+    /// Closes connections that no request uses while the pool is full: idle ones, and those on
+    /// which the rest of an answer is discarded.
     fn make_room(&mut self) {
         while self.connections.len() >= self.limit {
             let unused = self.connections.iter().filter(|it| it.1.in_flight.is_none());
--- a/crates/sablepass-entry/src/starts.rs
+++ b/crates/sablepass-entry/src/starts.rs
@@ -144,9 +144,9 @@
         }
     }
 
-    /// Whether a waiting stream may leave the queue now. While the targets are cold and none of them
-    /// has a turn for it, no more streams leave the queue than there are targets, to seek the next
-    /// turns.
+    /// Whether a waiting stream may leave the queue now. While the targets are cold and none of
+    /// them has a turn for it, no more streams leave the queue than there are targets, to seek the
+    /// next turns.
     fn may_start(&self, now: Millis, served: &Served, stream: &StartRequest) -> bool {
         let Some(open) = self.requests.get(&stream.id) else { return true };
         if !self.targets.lacks_turns(now, open.demand()) {
--- a/crates/sablepass-entry/src/targets/cold.rs
+++ b/crates/sablepass-entry/src/targets/cold.rs
@@ -124,8 +124,8 @@
         self.cold.set_plan(now, name, plan, &self.holders);
     }
 
-    /// Updates how the rates of all cold targets are shared, after the list or the configuration may
-    /// have changed.
+    /// Updates how the rates of all cold targets are shared, after the list or the configuration
+    /// may have changed.
     pub fn update_cold_plans(&mut self, now: Millis) {
         let names: Vec<String> = self.cold.iter().map(|it| it.0.name.to_owned()).collect();
         for name in names {
--- a/crates/sablepass-entry/src/targets/limits.rs
+++ b/crates/sablepass-entry/src/targets/limits.rs
@@ -1,9 +1,9 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! Rate limits that targets announce, and the rates of cold targets: this entry's share of each, and
-//! the peers that hold the rest. The router reserves turns here, a turn being the permission to send
-//! one request. A cold target that announced a limit must satisfy both.
+//! Rate limits that targets announce, and the rates of cold targets: this entry's share of each,
+//! and the peers that hold the rest. The router reserves turns here, a turn being the permission to
+//! send one request. A cold target that announced a limit must satisfy both.
 
 use sablepass_core::holders;
 use sablepass_core::id::{Millis, TargetIncarnation};
--- a/crates/sablepass-entry/src/targets/shares.rs
+++ b/crates/sablepass-entry/src/targets/shares.rs
@@ -15,8 +15,8 @@
 pub struct Share {
     /// Requests that may run at once.
     pub capacity: f64,
-    /// The same, regardless of the rates of cold targets: streams that wait to start need free slots
-    /// and turns, so that their number need not be limited twice.
+    /// The same, regardless of the rates of cold targets: streams that wait to start need free
+    /// slots and turns, so that their number need not be limited twice.
     pub slots: f64,
     /// Requests that run or are queued.
     pub load: f64,
--- a/crates/sablepass-entry/src/turns.rs
+++ b/crates/sablepass-entry/src/turns.rs
@@ -25,8 +25,9 @@
 
 /// How long an entry waits for a peer's answer: several one-way latencies between regions.
 const ANSWER_TIMEOUT: Millis = 150;
-/// Longest wait for a turn that is reserved for a stream from the queue of waiting streams. The queue
-/// seeks turns at all targets, so it reserves none that another target could give much sooner.
+/// Longest wait for a turn that is reserved for a stream from the queue of waiting streams. The
+/// queue seeks turns at all targets, so it reserves none that another target could give much
+/// sooner.
 const MAX_QUEUED_WAIT: Millis = 250;
 const MS_PER_SECOND: f64 = 1_000.0;
 
--- a/crates/sablepass-stand/src/site.rs
+++ b/crates/sablepass-stand/src/site.rs
@@ -118,7 +118,8 @@
         self.store.put(&format!("servers/{}", replica.id), &replica.entry(state));
     }
 
-    /// Rewrites the items of these replicas at this interval, as ready, until the handle is dropped.
+    /// Rewrites the items of these replicas at this interval, as ready, until the handle is
+    /// dropped.
     pub fn renew_items(&self, replicas: &[Replica], interval: Duration) -> Renewal {
         let (store, replicas) = (self.store.clone(), replicas.to_vec());
         let stopped = Arc::new(AtomicBool::new(false));
--- a/crates/sablepass-stand/tests/cold_rate.rs
+++ b/crates/sablepass-stand/tests/cold_rate.rs
@@ -149,8 +149,8 @@
 }
 
 /// All ranks of a group are cold, and streams wait at one entry for it to open. They must start as
-/// their targets can take them, rather than all at once or not at all, also at the targets whose rate
-/// another entry holds.
+/// their targets can take them, rather than all at once or not at all, also at the targets whose
+/// rate another entry holds.
 #[test]
 fn verify_streams_that_wait_for_a_group_start_at_the_cold_rate() {
     const RANKS: usize = 4;
--- a/crates/sablepass-wire/tests/short_form.rs
+++ b/crates/sablepass-wire/tests/short_form.rs
@@ -1,8 +1,8 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! Short forms of heartbeats and digests: peers must read the same messages whether they are sent in
-//! full or shortened, and fleets of up to 36 entries must send the same bytes as without them.
+//! Short forms of heartbeats and digests: peers must read the same messages whether they are sent
+//! in full or shortened, and fleets of up to 36 entries must send the same bytes as without them.
 
 use quickcheck::QuickCheck;
 use sablepass_wire::frame::Codec;
