--- a/crates/sablepass-core/src/cold.rs
+++ b/crates/sablepass-core/src/cold.rs
@@ -26,8 +26,9 @@
 /// than both were sent.
 const BUNCHED: f64 = 1.0;
 
-/// By how much a statement must exceed the known cold time to be news for other entries, or to count
-/// if it is a peer's: statements differ by the time that messages take.
+/// By how much a statement must exceed the known cold time to be news for other entries, or to
+/// count if it is a peer's: statements differ by the time that messages take. It exceeds the time
+/// that a message takes to a peer and back.
 const TOLERANCE: Millis = 100;
 
 /// Longest cold time that is accepted from any source, so that an erroneous statement does not
@@ -61,8 +62,8 @@
         rate.per_second() * self.overshoot + self.slack
     }
 
-    /// How entries share a rate. If the burst of even one holder does not fit the bound, the rate is
-    /// lowered until it does.
+    /// How entries share a rate. If the burst of even one holder does not fit the bound, the rate
+    /// is lowered until it does.
     pub fn plan(&self, rate: Rate) -> Plan {
         let bound = self.requests(rate);
         let burst = bound - rate.per_second() - BUNCHED;
@@ -114,6 +115,19 @@
     Ended,
 }
 
+impl Change {
+    /// Remaining time with which a peer's statement that had this effect is forwarded to the other
+    /// entries; none if it is not. Two entries would extend the cold time of each other by the time
+    /// that messages take, and would send each other a short one for ever, as it is over when it
+    /// comes back.
+    pub fn forwarded(self) -> Option<Millis> {
+        match self {
+            Self::Began(remaining) => Some(remaining).filter(|it| *it > TOLERANCE),
+            Self::None | Self::Moved(_) | Self::Extended(_) | Self::Ended => None,
+        }
+    }
+}
+
 /// A cold incarnation of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Cold {
@@ -236,6 +250,7 @@
     }
 
     /// Processes a cold time that a peer states, or that is assumed. It extends other statements.
+    /// One of an earlier incarnation than the one that is cold counts for nothing.
     pub fn stated(
         &mut self,
         now: Millis,
@@ -243,6 +258,10 @@
         remaining: Millis,
     ) -> Change {
         let until = now + remaining.min(MAX_REMAINING);
+        let is_earlier = |it: &Cold| now < it.until && life.started_at < it.born;
+        if self.targets.get(life.name).is_some_and(is_earlier) {
+            return Change::None;
+        }
         let Some(cold) = self.known(now, life) else {
             return self.begin(now, life, until, false);
         };
@@ -303,10 +322,10 @@
         }
     }
 
-    /// Records that a target which became cold got no requests lately, as after its start. The buckets
-    /// of its holders are then filled to different degrees, which the bound allows at any time: with
-    /// empty ones, several holders of a low rate would leave the target unused for more than a
-    /// second.
+    /// Records that a target which became cold got no requests lately, as after its start. The
+    /// buckets of its holders are then filled to different degrees, which the bound allows at any
+    /// time: with empty ones, several holders of a low rate would leave the target unused for more
+    /// than a second.
     pub fn set_idle(&mut self, now: Millis, name: &str, holders: &Holders) {
         let active = holders.is_active();
         if let Some(cold) = self.targets.get_mut(name).filter(|_| active) {
@@ -329,8 +348,8 @@
         self.get(now, life).filter(|it| it.plan.is_some()).map(|it| it.next(now))
     }
 
-    /// Reserves one request, to be sent within `max_wait` milliseconds; none if the target's rate is
-    /// not limited.
+    /// Reserves one request, to be sent within `max_wait` milliseconds; none if the target's rate
+    /// is not limited.
     pub fn reserve(
         &mut self,
         now: Millis,
