Entry: log a target that accepts connections after an interruption

An entry counts the end of a target under a request only if the target is seen to be gone. The logs did not show that a probe had been accepted, so that a death that was not counted looked the same as one that was never probed.

--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -195,6 +195,7 @@
     /// an announcement of the target can be taken into account.
     fn direct_connected(&mut self, cx: CX![], key: ConnectionKey) {
         if !self.pool.mark_connected(key) {
+            self.log_accepted_probe(key);
             return;
         }
         let now = clock::now();
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -20,6 +20,7 @@
 use stakker::{CX, after, call};
 
 use crate::open::OpenRequest;
+use crate::pool::ConnectionKey;
 use crate::router::Router;
 use crate::trace::Step;
 
@@ -194,6 +195,16 @@
         }
     }
 
+    /// Logs that a target accepts connections although it interrupted a request, so that this
+    /// interruption is no proof of its end.
+    pub(crate) fn log_accepted_probe(&self, key: ConnectionKey) {
+        let target = self.pool.target(key).filter(|it| self.watch.deaths.is_pending(it.name));
+        if let Some(target) = target {
+            slog::info!(self.log, "target accepts connections after an interruption";
+                "target" => target.name, "born" => target.started_at);
+        }
+    }
+
     /// Records that a target refuses connections: its process has ended.
     pub(crate) fn target_refuses(&mut self, cx: CX![], target: &str) {
         for ended in self.watch.deaths.record_refusal(clock::now(), target) {
