Stand: a crashed replica refuses connections at once

Replicas run in the process of the test, which starts entries and agents. A program that is being started holds copies of all sockets from its fork to its exec, so that the kernel went on accepting connections for a replica that had closed its listening socket. Entries probed the replica, were accepted, and did not count its death until the second probe 30 ms later. No real target does this: a process that ends leaves no copies, unless a child has inherited the socket.

The replica now shuts its listening socket down, which ends it for all holders.

--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -156,13 +156,11 @@
     step: u64,
     /// Body of a request on which the replica crashes.
     crash_body: Option<Vec<u8>>,
-    /// Time of the crash, in milliseconds since the Unix epoch. The listening socket closes
-    /// shortly after it.
+    /// Time of the crash, in milliseconds since the Unix epoch. The listening socket stops to
+    /// listen shortly after it.
     crashed_at: Option<u64>,
-    /// Address of the listening socket; [`Replica::addr`] may be that of a proxy.
-    listen_addr: SocketAddr,
-    /// Whether the listening socket is open.
-    listens: bool,
+    /// The listening socket; its address differs from [`Replica::addr`] behind a proxy.
+    listener: Arc<TcpListener>,
     /// Connections, which may be closed already.
     streams: Vec<Weak<TcpStream>>,
 }
@@ -231,6 +229,7 @@
     fn spawn_as(service: &str, ip: IpAddr, id: String) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("the replica can listen on a free port");
         let addr = listener.local_addr().expect("a listening socket has an address");
+        let listener = Arc::new(listener);
         let state = State {
             mode: Mode::Good,
             runs: Vec::new(),
@@ -248,8 +247,7 @@
             step: 1,
             crash_body: None,
             crashed_at: None,
-            listen_addr: addr,
-            listens: true,
+            listener: Arc::clone(&listener),
             streams: Vec::new(),
         };
         let replica = Self {
@@ -278,9 +276,6 @@
                 // An error ends only this connection.
                 std::thread::spawn(move || replica.serve(&stream).ok());
             }
-            drop(listener);
-            serving.lock().listens = false;
-            serving.state.1.notify_all();
         });
         replica
     }
@@ -325,25 +320,29 @@
         self.lock().crashed_at
     }
 
-    /// Simulates the crash of a process: closes the listening socket and all connections.
+    /// Simulates the crash of a process: ends the listening socket and all connections.
+    ///
+    /// The listening socket is shut down, since closing it is not enough: a program that the test
+    /// starts at this moment holds a copy of it from its fork to its exec, and the kernel accepts
+    /// connections until the last copy is closed. The sockets of a process that ends have no such
+    /// copies.
     pub fn crash(&self) {
-        let listen_addr = {
-            let mut state = self.lock();
-            state.crashed_at.get_or_insert(clock::now());
-            state.listen_addr
-        };
-        // Ends the blocking accept of the listening thread, which then checks for the crash.
-        let _ = TcpStream::connect(listen_addr);
         let mut state = self.lock();
-        while state.listens {
-            state = self.state.1.wait(state).unwrap_or_else(PoisonError::into_inner);
-        }
+        state.crashed_at.get_or_insert(clock::now());
+        // Ends the blocking accept of the listening thread. Fails if the socket is shut down
+        // already.
+        let _ = socket2::SockRef::from(&*state.listener).shutdown(Shutdown::Both);
         for stream in state.streams.drain(..).filter_map(|it| it.upgrade()) {
             // Fails if the connection is closed already.
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 
+    /// A copy of the listening socket, such as a child process holds between its fork and its exec.
+    pub fn copy_listener(&self) -> TcpListener {
+        self.lock().listener.try_clone().expect("the listening socket can be copied")
+    }
+
     /// Makes the replica report that it is a rank of a group.
     pub fn report_group(&self, group: Group) {
         self.lock().group = Some(group);
