Stand: set up two simultaneous deaths with a barrier

The set-up sent two requests from two threads and hoped that neither target ended before the other had its request. Targets end within a millisecond, so that in many attempts the requests did not overlap, or the second was sent in the millisecond of the first death; entries then count two consecutive deaths and block the request, and the attempt does not count. 20 such attempts in a row failed the test before its checks.

Replicas now wait until both requests have started, and 20 ms more, before they crash. The set-up still requires two ended targets, both deaths at all entries, and no block. It is repeated only if both requests reach the same target.

--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -11,7 +11,7 @@
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Barrier, Condvar, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use sablepass_edge::clock;
@@ -21,6 +21,9 @@
 pub const EVENTS: u64 = 6;
 /// Maximum number of bytes per read.
 const READ_BYTES: usize = 16 * 1024;
+/// Time from the start of the last request at a barrier to the crash. Processes whose clocks
+/// differ by a few milliseconds must see every request sent before any replica ended.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
 
 /// Behaviour of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -156,6 +159,8 @@
     step: u64,
     /// Body of a request on which the replica crashes.
     crash_body: Option<Vec<u8>>,
+    /// Where a request with this body waits for others before the replica crashes.
+    crash_barrier: Option<Arc<Barrier>>,
     /// Time of the crash, in milliseconds since the Unix epoch. The listening socket stops to
     /// listen shortly after it.
     crashed_at: Option<u64>,
@@ -246,6 +251,7 @@
             group: None,
             step: 1,
             crash_body: None,
+            crash_barrier: None,
             crashed_at: None,
             listener: Arc::clone(&listener),
             streams: Vec::new(),
@@ -307,7 +313,17 @@
 
     /// Makes the replica crash when it starts to run a request with this body.
     pub fn crash_on(&self, body: &str) {
-        self.lock().crash_body = Some(body.as_bytes().to_vec());
+        let mut state = self.lock();
+        state.crash_body = Some(body.as_bytes().to_vec());
+        state.crash_barrier = None;
+    }
+
+    /// Like [`Self::crash_on`], once as many requests with this body have started, at all replicas
+    /// with this barrier, as it waits for.
+    pub fn crash_together_on(&self, body: &str, barrier: &Arc<Barrier>) {
+        let mut state = self.lock();
+        state.crash_body = Some(body.as_bytes().to_vec());
+        state.crash_barrier = Some(Arc::clone(barrier));
     }
 
     /// Whether the replica has crashed.
@@ -478,7 +494,15 @@
                 state.runs.push(run.clone());
                 state.runs.len() - 1
             };
-            if self.lock().crash_body.as_ref() == Some(&run.body) {
+            let (crashes, barrier) = {
+                let state = self.lock();
+                (state.crash_body.as_ref() == Some(&run.body), state.crash_barrier.clone())
+            };
+            if crashes {
+                if let Some(barrier) = barrier {
+                    barrier.wait();
+                    std::thread::sleep(CRASH_DELAY);
+                }
                 self.crash();
                 return Ok(());
             }
--- a/crates/sablepass-stand/tests/crashing.rs
+++ b/crates/sablepass-stand/tests/crashing.rs
@@ -10,6 +10,7 @@
 //! with the attempt and didn't send it to other entries, so that each took it for a new request
 //! each time. The entries' log lines about the ended targets had the same fingerprint.
 
+use std::sync::{Arc, Barrier};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -177,10 +178,13 @@
 const TRIAL_PAUSE: Duration = Duration::from_millis(30_500);
 
 /// Sends a request to two entries at once until two targets end under it at the same time, which
-/// does not prove that the request was the cause.
+/// does not prove that the request was the cause. Neither target ends before both requests have
+/// started; the attempt fails only if both reach the same target.
 fn site_with_two_simultaneous_deaths() -> Site {
     for attempt in 0..20 {
         let site = site(3);
+        let barrier = Arc::new(Barrier::new(2));
+        site.replicas.iter().for_each(|it| it.crash_together_on(FATAL, &barrier));
         let duplicate = |entry: usize| {
             let addr = site.http(entry);
             let id = format!("pair-{attempt}-{entry}");
@@ -199,6 +203,7 @@
         };
         wait_for("all entries know of both deaths", || (0..3).all(|it| suspect_state(it).0 == 2));
         if suspect_state(0).1 {
+            end_all_on_fatal(&site.replicas);
             return site;
         }
     }
