--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -11,7 +11,7 @@
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Barrier, Condvar, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use sablepass_edge::clock;
@@ -21,6 +21,9 @@
 pub const EVENTS: u64 = 6;
 /// Maximum number of bytes per read.
 const READ_BYTES: usize = 16 * 1024;
+/// Time from the start of the last request at a barrier to the crash. Processes whose clocks
+/// differ by a few milliseconds must see every request sent before any replica ended.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
 
 /// Behaviour of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -156,13 +159,13 @@
     step: u64,
     /// Body of a request on which the replica crashes.
     crash_body: Option<Vec<u8>>,
-    /// Time of the crash, in milliseconds since the Unix epoch. The listening socket closes
-    /// shortly after it.
+    /// Where a request with this body waits for others before the replica crashes.
+    crash_barrier: Option<Arc<Barrier>>,
+    /// Time of the crash, in milliseconds since the Unix epoch. The listening socket stops to
+    /// listen shortly after it.
     crashed_at: Option<u64>,
-    /// Address of the listening socket; [`Replica::addr`] may be that of a proxy.
-    listen_addr: SocketAddr,
-    /// Whether the listening socket is open.
-    listens: bool,
+    /// The listening socket; its address differs from [`Replica::addr`] behind a proxy.
+    listener: Arc<TcpListener>,
     /// Connections, which may be closed already.
     streams: Vec<Weak<TcpStream>>,
 }
@@ -231,6 +234,7 @@
     fn spawn_as(service: &str, ip: IpAddr, id: String) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("the replica can listen on a free port");
         let addr = listener.local_addr().expect("a listening socket has an address");
+        let listener = Arc::new(listener);
         let state = State {
             mode: Mode::Good,
             runs: Vec::new(),
@@ -247,9 +251,9 @@
             group: None,
             step: 1,
             crash_body: None,
+            crash_barrier: None,
             crashed_at: None,
-            listen_addr: addr,
-            listens: true,
+            listener: Arc::clone(&listener),
             streams: Vec::new(),
         };
         let replica = Self {
@@ -278,9 +282,6 @@
                 // An error ends only this connection.
                 std::thread::spawn(move || replica.serve(&stream).ok());
             }
-            drop(listener);
-            serving.lock().listens = false;
-            serving.state.1.notify_all();
         });
         replica
     }
@@ -312,7 +313,17 @@
 
     /// Makes the replica crash when it starts to run a request with this body.
     pub fn crash_on(&self, body: &str) {
-        self.lock().crash_body = Some(body.as_bytes().to_vec());
+        let mut state = self.lock();
+        state.crash_body = Some(body.as_bytes().to_vec());
+        state.crash_barrier = None;
+    }
+
+    /// Like [`Self::crash_on`], once as many requests with this body have started, at all replicas
+    /// with this barrier, as it waits for.
+    pub fn crash_together_on(&self, body: &str, barrier: &Arc<Barrier>) {
+        let mut state = self.lock();
+        state.crash_body = Some(body.as_bytes().to_vec());
+        state.crash_barrier = Some(Arc::clone(barrier));
     }
 
     /// Whether the replica has crashed.
@@ -325,25 +336,29 @@
         self.lock().crashed_at
     }
 
-    /// Simulates the crash of a process: closes the listening socket and all connections.
+    /// Simulates the crash of a process: ends the listening socket and all connections.
+    ///
+    /// The listening socket is shut down, since closing it is not enough: a program that the test
+    /// starts at this moment holds a copy of it from its fork to its exec, and the kernel accepts
+    /// connections until the last copy is closed. The sockets of a process that ends have no such
+    /// copies.
     pub fn crash(&self) {
-        let listen_addr = {
-            let mut state = self.lock();
-            state.crashed_at.get_or_insert(clock::now());
-            state.listen_addr
-        };
-        // Ends the blocking accept of the listening thread, which then checks for the crash.
-        let _ = TcpStream::connect(listen_addr);
         let mut state = self.lock();
-        while state.listens {
-            state = self.state.1.wait(state).unwrap_or_else(PoisonError::into_inner);
-        }
+        state.crashed_at.get_or_insert(clock::now());
+        // Ends the blocking accept of the listening thread. Fails if the socket is shut down
+        // already.
+        let _ = socket2::SockRef::from(&*state.listener).shutdown(Shutdown::Both);
         for stream in state.streams.drain(..).filter_map(|it| it.upgrade()) {
             // Fails if the connection is closed already.
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 
+    /// A copy of the listening socket, such as a child process holds between its fork and its exec.
+    pub fn copy_listener(&self) -> TcpListener {
+        self.lock().listener.try_clone().expect("the listening socket can be copied")
+    }
+
     /// Makes the replica report that it is a rank of a group.
     pub fn report_group(&self, group: Group) {
         self.lock().group = Some(group);
@@ -479,7 +494,15 @@
                 state.runs.push(run.clone());
                 state.runs.len() - 1
             };
-            if self.lock().crash_body.as_ref() == Some(&run.body) {
+            let (crashes, barrier) = {
+                let state = self.lock();
+                (state.crash_body.as_ref() == Some(&run.body), state.crash_barrier.clone())
+            };
+            if crashes {
+                if let Some(barrier) = barrier {
+                    barrier.wait();
+                    std::thread::sleep(CRASH_DELAY);
+                }
                 self.crash();
                 return Ok(());
             }
