Cold targets: assumed times are not told; released targets are cold before any request is placed

An entry that learns late of the end of an evacuation assumes that its targets are cold, and told that to each entry that connected to it. A configuration that ends an evacuation and changes regions could place requests at a released target before that. A stream that returned to the queue kept regions that had changed.

Change: assumed cold times are marked and left out of notices; released targets are taken as cold before scopes change; the stored stream gets the new scope.

The order in peers.rs has no test of its own.

--- a/crates/sablepass-core/src/cold.rs
+++ b/crates/sablepass-core/src/cold.rs
@@ -147,6 +147,8 @@
     bucket: Bucket,
     /// Whether the share is provisional.
     provisional: bool,
+    /// Whether the cold time is only assumed; such a time is not told to other entries.
+    assumed: bool,
 }
 
 impl Cold {
@@ -155,6 +157,11 @@
         self.since
     }
 
+    /// Whether the cold time is only assumed.
+    pub fn is_assumed(&self) -> bool {
+        self.assumed
+    }
+
     /// Remaining cold time in milliseconds.
     pub fn remaining(&self, now: Millis) -> Millis {
         self.until.saturating_sub(now)
@@ -223,6 +230,7 @@
         }
         cold.listed = true;
         cold.stated_at = now;
+        cold.assumed = false;
         self.moved(now, life.name)
     }
 
@@ -246,10 +254,11 @@
         cold.until = until;
         cold.listed = false;
         cold.stated_at = now;
+        cold.assumed = false;
         if extended { Change::Extended(until - now) } else { self.moved(now, life.name) }
     }
 
-    /// Processes a cold time that a peer states, or that is assumed. It extends other statements.
+    /// Processes a cold time that a peer states. It extends other statements.
     /// One of an earlier incarnation than the one that is cold counts for nothing.
     pub fn stated(
         &mut self,
@@ -271,9 +280,26 @@
         cold.until = until;
         cold.listed = false;
         cold.stated_at = now;
+        cold.assumed = false;
         Change::Extended(until - now)
     }
 
+    /// Processes a cold time that this process assumes. It extends other statements.
+    pub fn assume(
+        &mut self,
+        now: Millis,
+        life: TargetIncarnation<'_>,
+        remaining: Millis,
+    ) -> Change {
+        let change = self.stated(now, life, remaining);
+        if change != Change::None
+            && let Some(cold) = self.known(now, life)
+        {
+            cold.assumed = true;
+        }
+        change
+    }
+
     fn known(&mut self, now: Millis, life: TargetIncarnation<'_>) -> Option<&mut Cold> {
         let cold = self.targets.get_mut(life.name)?;
         (cold.born == life.started_at && now < cold.until).then_some(cold)
@@ -298,6 +324,7 @@
             plan: None,
             bucket: Bucket::default(),
             provisional: false,
+            assumed: false,
         };
         self.targets.insert(life.name.to_owned(), cold);
         Change::Began(until - now)
--- a/crates/sablepass-core/tests/cold_targets.rs
+++ b/crates/sablepass-core/tests/cold_targets.rs
@@ -182,3 +182,17 @@
     assert_eq!(targets.next(1_000, LIFE), None);
     assert_eq!(targets.reserve(1_000, LIFE, 0), None);
 }
+
+/// Guards against a cold time that one entry assumes and all others then take for stated: warm
+/// targets would be limited in the whole fleet.
+#[test]
+fn verify_an_assumed_cold_time_is_marked_until_it_is_stated() {
+    let mut targets = ColdTargets::default();
+    let is_assumed = |it: &ColdTargets| it.get(1_000, LIFE).is_some_and(|it| it.is_assumed());
+    assert_eq!(targets.assume(1_000, LIFE, 3_000), Change::Began(3_000));
+    assert!(is_assumed(&targets));
+    assert_eq!(targets.stated(1_000, LIFE, 4_000), Change::Extended(4_000));
+    assert!(!is_assumed(&targets));
+    assert_eq!(targets.assume(1_000, LIFE, 2_000), Change::None, "a longer time is stated");
+    assert!(!is_assumed(&targets));
+}
--- a/crates/sablepass-entry/src/evacuation.rs
+++ b/crates/sablepass-entry/src/evacuation.rs
@@ -23,16 +23,22 @@
 pub(crate) const BACK_OFF_EVACUATED: Millis = 400;
 
 impl Router {
-    /// Processes the evacuations that began or ended. Targets in `changes.released` get requests
-    /// again from now on; they may have turned cold meanwhile.
-    pub(crate) fn evacuations_changed(&mut self, cx: CX![], changes: &Changes) {
+    /// Treats targets that were released by the end of an evacuation as cold, since they may have
+    /// turned cold meanwhile. Called before any request is placed with the new configuration.
+    pub(crate) fn assume_released_cold(&mut self, released: &[String]) {
         let now = clock::now();
-        let held = self.targets.catalogue().revision;
-        for name in &changes.released {
+        for name in released {
             let change = self.targets.assume_cold(now, name);
             let incarnation = TargetIncarnation { name, started_at: self.targets.started_at(name) };
             self.log_cold_change(incarnation, change, cold::Source::Evacuation);
         }
+    }
+
+    /// Processes the evacuations that began or ended. Targets in `changes.released` get requests
+    /// again from now on.
+    pub(crate) fn evacuations_changed(&mut self, cx: CX![], changes: &Changes) {
+        let now = clock::now();
+        let held = self.targets.catalogue().revision;
         for it in &changes.began {
             let is_there = |open: &&OpenRequest| {
                 open.counted_target.as_ref().is_some_and(|name| it.targets.contains(name))
--- a/crates/sablepass-entry/src/notices.rs
+++ b/crates/sablepass-entry/src/notices.rs
@@ -227,7 +227,7 @@
         let notices = Announcements {
             leaving: self.targets.leaving_incarnations().collect(),
             limits: limits.collect(),
-            cold: self.targets.cold_targets(clock::now()).collect(),
+            cold: self.targets.stated_cold_targets(clock::now()).collect(),
         };
         if !notices.is_empty() {
             call!([self.mesh], send(peer, notices.body()));
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -38,6 +38,7 @@
                 }
                 let changes = self.targets.set_catalogue(clock::now(), catalogue);
                 self.targets.update_cold_plans(clock::now());
+                self.assume_released_cold(&changes.released);
                 self.update_wanted_peers(cx);
                 self.send_bounds();
                 self.update_scopes(cx);
--- a/crates/sablepass-entry/src/regions.rs
+++ b/crates/sablepass-entry/src/regions.rs
@@ -44,6 +44,9 @@
         for (id, open) in &mut self.requests {
             let scope = current_scope(&catalogue, open).filter(|it| *it != open.scope);
             if let Some(scope) = scope {
+                if let Some(stream) = &mut open.queued {
+                    stream.scope = scope.clone();
+                }
                 open.scope = scope;
                 changed.push(*id);
             }
--- a/crates/sablepass-entry/src/targets/cold.rs
+++ b/crates/sablepass-entry/src/targets/cold.rs
@@ -101,7 +101,7 @@
     /// otherwise later. Called when the evacuation of its hall ends.
     pub fn assume_cold(&mut self, now: Millis, name: &str) -> Change {
         let Some(ColdStart { duration, .. }) = self.cold_start(name) else { return Change::None };
-        let change = self.cold.stated(now, self.incarnation(name), duration);
+        let change = self.cold.assume(now, self.incarnation(name), duration);
         self.update_cold_plan(now, name);
         if matches!(change, Change::Began(_)) {
             self.cold.set_idle(now, name, &self.holders);
@@ -143,6 +143,16 @@
         limited.map(move |it| (it.0, it.1.remaining(now))).filter(|it| it.1 > 0)
     }
 
+    /// The targets that are cold by a statement, with the remaining milliseconds. Targets that this
+    /// entry only assumes to be cold are left out.
+    pub fn stated_cold_targets(
+        &self,
+        now: Millis,
+    ) -> impl Iterator<Item = (TargetIncarnation<'_>, Millis)> {
+        let stated = self.cold.iter().filter(|it| it.1.plan().is_some() && !it.1.is_assumed());
+        stated.map(move |it| (it.0, it.1.remaining(now))).filter(|it| it.1 > 0)
+    }
+
     /// How the rate of a target is shared, if it is cold.
     pub(super) fn plan_if_cold(&self, now: Millis, name: &str) -> Option<Plan> {
         self.cold.get(now, self.incarnation(name))?.plan()
