--- a/crates/sablepass-core/src/capacity.rs
+++ b/crates/sablepass-core/src/capacity.rs
@@ -16,8 +16,7 @@
 /// Descriptors reserved for files, listeners and the poll.
 const RESERVED_DESCRIPTORS: u64 = 200;
 /// Fraction of the other descriptors for connections of callers, and for those to targets. The rest
-/// is for connections to other processes: 487 of 3,900, with 293 processes in the largest known
-/// plan.
+/// is for connections to other processes.
 const CALLER_FRACTION: f64 = 0.5;
 const TARGET_FRACTION: f64 = 0.375;
 
@@ -31,7 +30,7 @@
 const TARGET_MEMORY: f64 = 0.125;
 const BODY_MEMORY: f64 = 0.25;
 /// Bytes for an open request without its body: its state, a head, and part of an answer that its
-/// caller does not read fast enough. A stream whose caller reads fast took 16 KB.
+/// caller does not read fast enough.
 const REQUEST_BYTES: f64 = 32.0 * 1024.0;
 /// Bytes for a connection: the buffers of an idle connection take 8 KB.
 const CONNECTION_BYTES: f64 = 12.0 * 1024.0;
@@ -42,14 +41,12 @@
 const BODY_SECONDS: f64 = 4.0;
 
 /// Open requests per core: three times the streams that a core can forward, as open requests also
-/// wait for a target. 1,000 streams with an event every 61 ms took 0.38 core (`sablepass-load
-/// capacity streams`). A share of 0.18 core gives 1,440, over three times the known use.
+/// wait for a target.
 const REQUESTS_PER_CORE: f64 = 8_000.0;
 /// Megabits per second of link for each open request: an event of 150 bytes every 60 ms.
 const REQUEST_MBIT: f64 = 0.02;
 
-/// Log lines per second and core. A share of 0.1 core suffices for the 200 lines per second of the
-/// known deployments.
+/// Log lines per second and core, so that logging takes a small part of the processor.
 const LOG_LINES_PER_CORE: f64 = 2_000.0;
 /// Fewest log lines per second, so that the log of any process can be read.
 const MIN_LOG_LINES: f64 = 20.0;
--- a/crates/sablepass-core/src/cold.rs
+++ b/crates/sablepass-core/src/cold.rs
@@ -24,7 +24,7 @@
 
 /// Requests that the bound keeps free: a request may arrive slightly earlier after the one before
 /// than both were sent.
-const BUNCHED: f64 = 1.0;
+const RESERVED_REQUESTS: f64 = 1.0;
 
 /// By how much a statement must exceed the known cold time to be news for other entries, or to
 /// count if it is a peer's: statements differ by the time that messages take. It exceeds the time
@@ -66,11 +66,11 @@
     /// is lowered until it does.
     pub fn plan(&self, rate: Rate) -> Plan {
         let bound = self.requests(rate);
-        let burst = bound - rate.per_second() - BUNCHED;
+        let burst = bound - rate.per_second() - RESERVED_REQUESTS;
         if burst >= 1.0 {
             return Plan { rate, holders: burst as usize, burst };
         }
-        let lowered = Rate::new((bound - 1.0 - BUNCHED).max(0.0)).unwrap_or(rate);
+        let lowered = Rate::new((bound - 1.0 - RESERVED_REQUESTS).max(0.0)).unwrap_or(rate);
         Plan { rate: lowered.usable().min(rate), holders: 1, burst: 1.0 }
     }
 }
@@ -147,7 +147,7 @@
     bucket: Bucket,
     /// Whether the share is provisional.
     provisional: bool,
-    /// Whether the cold time is only assumed; such a time is not told to other entries.
+    /// Whether the cold time is only assumed; such a time is not sent to other entries.
     assumed: bool,
 }
 
