Log the prompt parts of interrupted requests

Change: the platform adapter reads the parts of a prompt that requests may share, and `target broke off` lists their fingerprints. No decision changes.

--- a/crates/sablepass-entry/src/call.rs
+++ b/crates/sablepass-entry/src/call.rs
@@ -50,6 +50,8 @@
     pub resumed: bool,
     /// Prefix of the prompt, for routing by affinity.
     pub prefix: Option<String>,
+    /// Names of the parts of the prompt that other requests may share, in order, each once.
+    pub shared_parts: Vec<String>,
     /// Path of the request at a target that is reached through its agent.
     pub path: String,
     /// Request line and header fields as received.
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -11,6 +11,7 @@
 use sablepass_core::admit;
 use sablepass_core::catalogue::{Catalogue, Declared};
 use sablepass_core::declaration::{Customer, Kind, Priority};
+use sablepass_core::fingerprint::Fingerprint;
 use sablepass_core::flight::{self, Event, Flight};
 use sablepass_core::id::Millis;
 use sablepass_core::once::Key;
@@ -143,6 +144,8 @@
         let key = run.idempotency_key.as_ref().filter(|_| run.unsafe_repeat);
         let key = key.map(|text| Key { customer: admitted.customer.clone(), text: text.clone() });
         let request = self.flight_request(&run, admitted.route.as_deref(), key.is_some());
+        let service = &admitted.served.1;
+        let parts = run.shared_parts.iter().map(|it| Fingerprint::of_part(service, it)).collect();
         let step = Step::Admitted {
             customer: admitted.customer.clone(),
             serves: admitted.served.1.clone(),
@@ -169,6 +172,7 @@
             head_sent: false,
             delivered_at: now,
             fingerprint: OnceCell::new(),
+            parts,
             sent_at: now,
             started: now,
             time_to_first_byte: 0,
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -242,7 +242,8 @@
         if let Some(open) = self.requests.get(&in_flight.request) {
             slog::info!(self.log, "target broke off"; "id" => &open.run.label, "target" => &target,
                 "attempt" => in_flight.attempt, "sent" => sent, "bytes" => in_flight.offset,
-                "fingerprint" => %open.fingerprint(), "cause" => %cause);
+                "fingerprint" => %open.fingerprint(), "parts" => open.parts_text(),
+                "cause" => %cause);
         }
         if sent && cause.is_disconnect() {
             self.attempt_interrupted(cx, in_flight.request, &target);
--- a/crates/sablepass-entry/src/open.rs
+++ b/crates/sablepass-entry/src/open.rs
@@ -32,6 +32,8 @@
     pub(crate) flight: Flight,
     pub(crate) run: Run,
     pub(crate) fingerprint: OnceCell<Fingerprint>,
+    /// Fingerprints of the parts of the prompt that other requests may share.
+    pub(crate) parts: Vec<Fingerprint>,
     /// Qualified name of the customer; empty for a caller without a key.
     pub(crate) customer: String,
     /// Name of the customer that is sent to targets.
@@ -89,6 +91,12 @@
         })
     }
 
+    /// Returns the fingerprints of the prompt's shared parts, separated by commas, for log lines.
+    pub(crate) fn parts_text(&self) -> String {
+        let parts: Vec<String> = self.parts.iter().map(Fingerprint::to_string).collect();
+        parts.join(",")
+    }
+
     /// Returns what the request demands of its target.
     pub(crate) fn demand(&self) -> Demand<'_> {
         Demand { served: &self.served, scope: &self.scope }
--- a/crates/sablepass-entry/src/openai.rs
+++ b/crates/sablepass-entry/src/openai.rs
@@ -108,6 +108,7 @@
         resumed: false,
         stream: false,
         prefix: None,
+        shared_parts: Vec::new(),
         path: String::new(),
         body: incoming.body,
         reply: incoming.reply,
--- a/crates/sablepass-entry/src/routes.rs
+++ b/crates/sablepass-entry/src/routes.rs
@@ -58,6 +58,7 @@
         stream: false,
         resumed: asked.resumed,
         prefix: None,
+        shared_parts: asked.shared_parts,
         path: String::new(),
         head,
         body: incoming.body,
