--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -114,6 +114,12 @@
     pub fn field(&self, name: &str) -> &str {
         self.fields.iter().find(|it| it.0 == name).map_or("", |it| it.1.as_str())
     }
+
+    /// Whether a part of the prompt, other than the last, has this id.
+    fn shares_part(&self, part: &str) -> bool {
+        let mut parts = self.field("x-prompt-prefix").split(',').rev().skip(1);
+        parts.any(|it| it.split(':').next() == Some(part))
+    }
 }
 
 /// Where a cold replica states how long it stays cold.
@@ -159,6 +165,8 @@
     step: u64,
     /// Body of a request on which the replica crashes.
     crash_body: Option<Vec<u8>>,
+    /// Id of a prompt part on which the replica crashes.
+    crash_part: Option<String>,
     /// Where a request with this body waits for others before the replica crashes.
     crash_barrier: Option<Arc<Barrier>>,
     /// Time of the crash, in milliseconds since the Unix epoch. The listening socket stops to
@@ -251,6 +259,7 @@
             group: None,
             step: 1,
             crash_body: None,
+            crash_part: None,
             crash_barrier: None,
             crashed_at: None,
             listener: Arc::clone(&listener),
@@ -318,6 +327,12 @@
         state.crash_barrier = None;
     }
 
+    /// Makes the replica crash when it starts to run a request with this part in its prompt, unless
+    /// it is the last part.
+    pub fn crash_on_part(&self, part: &str) {
+        self.lock().crash_part = Some(part.to_owned());
+    }
+
     /// Like [`Self::crash_on`], once as many requests with this body have started, at all replicas
     /// with this barrier, as it waits for.
     pub fn crash_together_on(&self, body: &str, barrier: &Arc<Barrier>) {
@@ -496,7 +511,9 @@
             };
             let (crashes, barrier) = {
                 let state = self.lock();
-                (state.crash_body.as_ref() == Some(&run.body), state.crash_barrier.clone())
+                let has_part = state.crash_part.as_deref().is_some_and(|it| run.shares_part(it));
+                let has_body = state.crash_body.as_ref() == Some(&run.body);
+                (has_part || has_body, state.crash_barrier.clone())
             };
             if crashes {
                 if let Some(barrier) = barrier {
--- a/crates/sablepass-stand/tests/common/mod.rs
+++ b/crates/sablepass-stand/tests/common/mod.rs
@@ -6,6 +6,7 @@
 
 #![allow(dead_code, reason = "each test binary uses only some of the items")]
 
+pub mod crashes;
 pub mod load;
 pub mod running;
 pub mod waiting;
--- a/crates/sablepass-stand/tests/crashing.rs
+++ b/crates/sablepass-stand/tests/crashing.rs
@@ -10,10 +10,13 @@
 //! with the attempt and didn't send it to other entries, so that each took it for a new request
 //! each time. The entries' log lines about the ended targets had the same fingerprint.
 
+mod common;
+
 use std::sync::{Arc, Barrier};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use common::crashes::{ended, replace_ended};
 use sablepass_stand::client::{Answer, metric, wait_for};
 use sablepass_stand::replica::{Group, Replica};
 use sablepass_stand::site::{Site, ask};
@@ -25,9 +28,6 @@
 const MAX_ENDED: usize = 3;
 /// How many times the request is sent.
 const ROUNDS: usize = 12;
-/// Time for which the instance list keeps a target that ended.
-const LEASE: Duration = Duration::from_millis(300);
-
 fn end_all_on_fatal(replicas: &[Replica]) {
     replicas.iter().for_each(|it| it.crash_on(FATAL));
 }
@@ -43,30 +43,6 @@
     site
 }
 
-fn ended(site: &Site) -> usize {
-    site.replicas.iter().filter(|it| it.crashed()).count()
-}
-
-/// Removes ended targets from the instance list and starts as many under new ids, until no more
-/// end: a target whose request was cancelled may already have started it. `replaced` counts the
-/// replaced targets.
-fn replace_ended(site: &mut Site, replaced: &mut usize) {
-    while ended(site) > *replaced {
-        thread::sleep(LEASE);
-        let fresh = ended(site) - *replaced;
-        *replaced += fresh;
-        for replica in site.replicas.iter().filter(|it| it.crashed()) {
-            site.store.remove(&format!("servers/{}", replica.id));
-        }
-        for _ in 0..fresh {
-            let index = site.add_replica("orders");
-            site.replicas[index].crash_on(FATAL);
-        }
-        let running = site.replicas.len() - *replaced;
-        site.settle(running);
-    }
-}
-
 fn send(site: &Site, entry: usize, kind: &str, id: &str, body: &str) -> Answer {
     ask("POST", &format!("/{kind}/x"), id, body).send(&site.http(entry))
 }
@@ -78,7 +54,7 @@
         let mut replaced = 0;
         for round in 0..ROUNDS {
             send(&site, round % 3, kind, &format!("{kind}-{round}"), FATAL);
-            replace_ended(&mut site, &mut replaced);
+            replace_ended(&mut site, &mut replaced, |it| it.crash_on(FATAL));
             let id = format!("{kind}-sound-{round}");
             let harmless = send(&site, (round + 1) % 3, kind, &id, "ends nothing");
             assert_eq!(harmless.status, 200, "{kind}: {harmless:?}");
@@ -101,7 +77,7 @@
         };
         let duplicates: Vec<_> = (0..3).map(duplicate).collect();
         duplicates.into_iter().for_each(|it| drop(it.join()));
-        replace_ended(&mut site, &mut replaced);
+        replace_ended(&mut site, &mut replaced, |it| it.crash_on(FATAL));
         assert!(
             before < 2 || replaced == before,
             "round {round}: {before}, then {replaced} targets ended"
