Block prompt parts under which targets end, whatever else the requests contain

What callers saw: requests of one kind ended one target after another; on a service with one group each end stopped all of its requests for about four seconds, again and again. Cause: evidence about a target's end was kept by the fingerprint of the whole request. Requests that share one part of their prompts and nothing else had one death each and were never blocked. Change: each death also counts for the shared parts of the prompts that the target was running (core/parts.rs). A part is blocked after consecutive deaths under different requests, if no answer on it completed in between and no other part explains more deaths: after two if it is the only explanation and never completed, after three or four otherwise. Parts that always occur together are blocked as a combination only, until a completion or a death tells them apart. A block lasts a minute, doubles with each further death up to ten minutes, and ends with one trial at one entry. Entries share the records as they share those of requests, and agents store them for restarts. Why it works: the part is the only thing that is present at every death of a series, however the requests differ, and requests with other parts clear these by completing. Test change: verify_requests_with_a_blocked_part_are_refused_as_not_run sent its first part on no other request, so that both parts explained all deaths and the combination was rightly blocked only; it now also sends, and asserts as served, a sound request with the first part each round.

--- a/crates/sablepass-core/src/deaths.rs
+++ b/crates/sablepass-core/src/deaths.rs
@@ -28,6 +28,8 @@
     pub request: RequestId,
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
+    /// Fingerprints of the shared parts of its prompt.
+    pub parts: Vec<Fingerprint>,
     /// The death of its target, if that is proved.
     pub death: Death,
 }
--- a/crates/sablepass-core/src/fingerprint.rs
+++ b/crates/sablepass-core/src/fingerprint.rs
@@ -32,6 +32,12 @@
     }
 }
 
+/// Returns fingerprints separated by commas, for log lines.
+pub fn join(fingerprints: &[Fingerprint]) -> String {
+    let texts: Vec<String> = fingerprints.iter().map(Fingerprint::to_string).collect();
+    texts.join(",")
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod once;
 pub mod outage;
 pub mod outcome;
+pub mod parts;
 pub mod pass;
 pub mod reason;
 pub mod rendezvous;
--- a/crates/sablepass-core/src/suspects.rs
+++ b/crates/sablepass-core/src/suspects.rs
@@ -30,9 +30,9 @@
 /// the time between two target failures of ordinary cause.
 const TRIAL_PAUSE: Millis = 30_000;
 /// Retry delay sent to a caller while a duplicate of its request is being tried.
-const TRIAL_RETRY_DELAY: Millis = 2_000;
+pub const TRIAL_RETRY_DELAY: Millis = 2_000;
 /// How long a request is remembered after its last death or successful completion.
-const RETENTION: Millis = 2 * BLOCK_DURATION;
+pub const RETENTION: Millis = 2 * BLOCK_DURATION;
 /// Maximum number of requests remembered: about 400 KB. A hall with 300 targets of 12 slots loses
 /// 3,600 requests at once; the most recent of those are kept.
 const MAX_REQUESTS: usize = 1_024;
@@ -59,7 +59,7 @@
 
 impl Death {
     /// Whether both describe the end of the same incarnation.
-    fn is_same(&self, other: &Self) -> bool {
+    pub fn is_same(&self, other: &Self) -> bool {
         let close = self.ended.abs_diff(other.ended) < SAME_DEATH_WINDOW;
         self.target == other.target && self.born == other.born && (self.born > 0 || close)
     }
--- a/crates/sablepass-core/tests/suspects.rs
+++ b/crates/sablepass-core/tests/suspects.rs
@@ -233,6 +233,7 @@
     Interrupted {
         request: RequestId(1),
         fingerprint: FINGERPRINT,
+        parts: Vec::new(),
         death: death(target, sent, ended),
     }
 }
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -169,6 +169,7 @@
             queued: None,
             counted_target: None,
             connection: None,
+            succeeded: false,
             head_sent: false,
             delivered_at: now,
             fingerprint: OnceCell::new(),
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -4,6 +4,7 @@
 //! The router's side towards targets that are reached directly: sends attempts over connections of
 //! the pool, and derives from the answers what happened to the request.
 
+use sablepass_core::fingerprint;
 use sablepass_core::flight::{Event, Head};
 use sablepass_core::id::{AttemptId, Millis, RequestId, TargetIncarnation};
 use sablepass_core::outcome::{Failure, Ran};
@@ -242,7 +243,7 @@
         if let Some(open) = self.requests.get(&in_flight.request) {
             slog::info!(self.log, "target broke off"; "id" => &open.run.label, "target" => &target,
                 "attempt" => in_flight.attempt, "sent" => sent, "bytes" => in_flight.offset,
-                "fingerprint" => %open.fingerprint(), "parts" => open.parts_text(),
+                "fingerprint" => %open.fingerprint(), "parts" => fingerprint::join(&open.parts),
                 "cause" => %cause);
         }
         if sent && cause.is_disconnect() {
--- a/crates/sablepass-entry/src/open.rs
+++ b/crates/sablepass-entry/src/open.rs
@@ -62,6 +62,8 @@
     pub(crate) counted_target: Option<String>,
     /// The connection in use, if the request was sent directly to its target.
     pub(crate) connection: Option<ConnectionKey>,
+    /// Whether the answer that was sent to the caller has a success status.
+    pub(crate) succeeded: bool,
     /// Whether the head of the answer was sent to the caller.
     pub(crate) head_sent: bool,
     /// When a part of the answer was last sent to the caller; at first when the request was
@@ -91,12 +93,6 @@
         })
     }
 
-    /// Returns the fingerprints of the prompt's shared parts, separated by commas, for log lines.
-    pub(crate) fn parts_text(&self) -> String {
-        let parts: Vec<String> = self.parts.iter().map(Fingerprint::to_string).collect();
-        parts.join(",")
-    }
-
     /// Returns what the request demands of its target.
     pub(crate) fn demand(&self) -> Demand<'_> {
         Demand { served: &self.served, scope: &self.scope }
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -379,6 +379,7 @@
             Action::Head(head) => {
                 let wait_s = now.saturating_sub(open.run.arrived) as f64 / 1_000.0;
                 self.metrics.first_byte.observe(wait_s);
+                open.succeeded = (200..300).contains(&head.status);
                 open.head_sent = true;
                 open.delivered_at = now;
                 open.time_to_first_byte = now.saturating_sub(open.run.arrived);
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -1,16 +1,17 @@
 // Copyright the sablepass authors.
 // SPDX-License-Identifier: Apache-2.0
 
-//! Detection of requests that end their targets, as part of the router: records the ends of targets
-//! under requests, exchanges these records with peers, and blocks the requests that are the cause.
+//! Detection of requests and prompt parts that end their targets, as part of the router: records the
+//! ends of targets under requests, exchanges these records with peers, and blocks what is the cause.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sablepass_core::deaths::{Deaths, Interrupted};
-use sablepass_core::fingerprint::Fingerprint;
+use sablepass_core::fingerprint::{self, Fingerprint};
 use sablepass_core::flight::Event;
 use sablepass_core::id::{Millis, RequestId};
+use sablepass_core::parts::{Block, PartSuspects, PartsDeath};
 use sablepass_core::reason::{Ignored, Refusal};
 use sablepass_core::suspects::{Change, Death, Standing, Suspects, Trial};
 use sablepass_edge::clock;
@@ -25,9 +26,12 @@
 use crate::trace::Step;
 
 /// Maximum number of deaths, and of cleared requests, in one message. At most one message is sent
-/// per [`crate::ticks::TICK_INTERVAL`]: 64 records of about 80 bytes are 5 KB, or 200 KB/s while
-/// hundreds of targets end.
+/// per [`crate::ticks::TICK_INTERVAL`]: 64 records of about 80 bytes, and 16 for each of some
+/// prompt parts, are 10 KB, or 400 KB/s while hundreds of targets end.
 const MAX_BATCH: usize = 64;
+/// Maximum number of deaths under prompt parts that are sent to an entry when it connects, about
+/// 150 bytes each.
+const MAX_INITIAL: usize = 2_048;
 /// Maximum number of records of each kind that wait to be sent. Further ones are dropped: other
 /// entries that observed the same deaths send them.
 const MAX_BACKLOG: usize = 4_096;
@@ -66,10 +70,11 @@
     }
 }
 
-/// Records of suspected requests, and the peers with which they are exchanged.
+/// Records of suspected requests and prompt parts, and the peers with which they are exchanged.
 #[derive(Default)]
 pub struct SuspectTracker {
     pub(crate) suspects: Suspects,
+    pub(crate) parts: PartSuspects,
     deaths: Deaths,
     /// Names of the other entries, by connection.
     peers: BTreeMap<PeerKey, String>,
@@ -93,7 +98,13 @@
     /// entry, if there are any.
     pub(crate) fn peer_connected(&mut self, peer: PeerKey, name: &str) -> Option<Evidence> {
         self.peers.insert(peer, name.to_owned());
-        Some(deaths_message(self.suspects.deaths())).filter(|it| !it.is_empty())
+        let parts = self.parts.deaths().take(MAX_INITIAL);
+        let message = Evidence {
+            deaths: request_deaths(self.suspects.deaths()).chain(parts).collect(),
+            completed: Vec::new(),
+            completed_parts: self.parts.completions().take(MAX_INITIAL).collect(),
+        };
+        Some(message).filter(|it| !it.is_empty())
     }
 
     /// Records the end of a connection.
@@ -101,19 +112,33 @@
         self.peers.remove(&peer);
     }
 
-    /// The message with the deaths under all blocked requests, which agents store; none if no
-    /// request is blocked.
+    /// The message with the deaths under all that is blocked, which agents store; none if nothing
+    /// is blocked.
     pub(crate) fn blocked_message(&self, now: Millis) -> Option<Evidence> {
-        Some(deaths_message(self.suspects.blocked(now))).filter(|it| !it.is_empty())
+        let requests = request_deaths(self.suspects.blocked(now));
+        let deaths = requests.chain(self.parts.blocked(now)).collect();
+        Some(Evidence { deaths, ..Evidence::default() }).filter(|it| !it.is_empty())
+    }
+
+    /// Whether nothing is suspected.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.suspects.is_empty() && self.parts.is_empty()
+    }
+
+    /// Number of suspects evicted since the start because a table was full.
+    fn evicted(&self) -> u64 {
+        self.suspects.evicted() + self.parts.evicted()
     }
 
     /// Removes the next message to the other entries from the records that wait to be sent.
     fn next_message(&mut self) -> Option<Evidence> {
         let deaths = self.unsent.deaths.len().min(MAX_BATCH);
         let completed = self.unsent.completed.len().min(MAX_BATCH);
+        let parts = self.unsent.completed_parts.len().min(MAX_BATCH);
         let message = Evidence {
             deaths: self.unsent.deaths.drain(..deaths).collect(),
             completed: self.unsent.completed.drain(..completed).collect(),
+            completed_parts: self.unsent.completed_parts.drain(..parts).collect(),
         };
         Some(message).filter(|it| !it.is_empty())
     }
@@ -143,9 +168,10 @@
     }
 }
 
-fn deaths_message<'a>(deaths: impl Iterator<Item = (Fingerprint, &'a Death)>) -> Evidence {
-    let deaths = deaths.map(|(it, death)| (it, death.clone()));
-    Evidence { deaths: deaths.collect(), completed: Vec::new() }
+fn request_deaths<'a>(
+    deaths: impl Iterator<Item = (Fingerprint, &'a Death)>,
+) -> impl Iterator<Item = PartsDeath> {
+    deaths.map(|(it, death)| PartsDeath::of(it, death))
 }
 
 impl Router {
@@ -163,7 +189,12 @@
             sent: open.sent_at,
             ended: now,
         };
-        let interrupted = Interrupted { request: id, fingerprint: open.fingerprint(), death };
+        let interrupted = Interrupted {
+            request: id,
+            fingerprint: open.fingerprint(),
+            parts: open.parts.clone(),
+            death,
+        };
         match self.watch.deaths.record_interrupted(now, interrupted) {
             Some(ended) => self.target_ended(cx, ended),
             None => self.probe(cx, now, target),
@@ -222,17 +253,26 @@
     fn target_ended(&mut self, cx: CX![], ended: Interrupted) {
         let target = ended.death.target.clone();
         self.traces.add(ended.death.ended, ended.request, Step::TargetEnded { target });
-        self.record_death(cx, ended.fingerprint, ended.death, None);
+        let record = PartsDeath {
+            request: ended.fingerprint,
+            parts: ended.parts,
+            companions: Vec::new(),
+            death: ended.death,
+        };
+        self.record_death(cx, record, None);
     }
 
-    /// Processes the records of suspected requests that a peer or agent sent.
+    /// Processes the records of suspects that a peer or agent sent.
     pub(crate) fn receive_suspects(&mut self, cx: CX![], peer: PeerKey, message: wire::Suspects) {
         let Ok(records) = Evidence::parse(message) else {
             self.metrics.ignored(Ignored::BadFrame);
             return;
         };
-        for (fingerprint, death) in records.deaths {
-            self.record_death(cx, fingerprint, death, Some(peer));
+        for (part, at) in records.completed_parts {
+            self.clear_parts(at, &[part]);
+        }
+        for record in records.deaths {
+            self.record_death(cx, record, Some(peer));
         }
         for fingerprint in records.completed {
             self.clear_suspect(fingerprint);
@@ -240,58 +280,98 @@
     }
 
     /// Records that a target ended while running a request, as observed here or reported by `peer`.
-    /// Blocks the request if that proves it to be the cause.
-    fn record_death(
-        &mut self,
-        cx: CX![],
-        fingerprint: Fingerprint,
-        death: Death,
-        peer: Option<PeerKey>,
-    ) {
+    /// Blocks the request or parts of its prompt if that proves them to be the cause.
+    fn record_death(&mut self, cx: CX![], record: PartsDeath, peer: Option<PeerKey>) {
         let now = clock::now();
-        let evicted = self.watch.suspects.evicted();
-        let change = self.watch.suspects.record(now, fingerprint, death.clone());
-        self.metrics.suspects_evicted.inc_by(self.watch.suspects.evicted() - evicted);
-        match change {
-            Change::Nothing => return,
-            Change::Cleared => return self.announce_cleared(fingerprint),
-            Change::Counted | Change::Blocked => {}
+        let evicted = self.watch.evicted();
+        let (request, death) = (record.request, &record.death);
+        let change = self.watch.suspects.record(now, request, death.clone());
+        let parts = self.watch.parts.record(now, &record);
+        self.metrics.suspects_evicted.inc_by(self.watch.evicted() - evicted);
+        if change == Change::Cleared {
+            self.announce_cleared(request);
+        }
+        self.announce_completed_parts(parts.completed);
+        let counts = matches!(change, Change::Counted | Change::Blocked);
+        if !counts && !parts.is_new {
+            return;
         }
         let source = if peer.is_some() { "told" } else { "seen" };
         self.metrics.deaths.with_label_values(&[source]).inc();
-        slog::warn!(self.log, "target ended under a request"; "fingerprint" => %fingerprint,
-            "target" => &death.target, "born" => death.born, "request_sent" => death.sent,
-            "ended" => death.ended, "source" => source, "held" => change == Change::Blocked);
+        slog::warn!(self.log, "target ended under a request"; "fingerprint" => %request,
+            "parts" => fingerprint::join(&record.parts), "target" => &death.target,
+            "born" => death.born, "request_sent" => death.sent, "ended" => death.ended,
+            "source" => source, "held" => change == Change::Blocked);
+        for part in &parts.blocked {
+            slog::warn!(self.log, "prompt part blocked"; "part" => %part, "target" => &death.target);
+        }
+        let blocked = parts.blocked.first().copied();
+        let blocked = blocked.or((change == Change::Blocked).then_some(request));
+        let (request, parts) = (record.request, record.parts.clone());
         if self.watch.unsent.deaths.len() < MAX_BACKLOG {
-            self.watch.unsent.deaths.push((fingerprint, death));
+            self.watch.unsent.deaths.push(record);
         }
         if self.watch.unsent.deaths.len() < MAX_BATCH {
             // Sent at once, since another entry may be about to send a duplicate of the request.
             self.send_suspects();
         }
-        if change == Change::Blocked {
-            self.block_suspect(cx, now, fingerprint);
+        self.fail_blocked(cx, now, request, &parts);
+        if let Some(blocked) = blocked {
+            self.store_blocked(now, blocked);
         }
     }
 
-    /// Fails the concurrent duplicates of a blocked request, and has agents store all blocked
-    /// requests for entries that restart.
-    fn block_suspect(&mut self, cx: CX![], now: Millis, fingerprint: Fingerprint) {
-        let duplicates = self.requests.iter().filter(|(_, open)| open.fingerprint() == fingerprint);
-        let duplicates: Vec<RequestId> = duplicates.map(|(id, _)| *id).collect();
-        for id in duplicates {
+    /// Fails the open requests that are blocked since a target ended under a request with these
+    /// parts: its duplicates, and requests that share parts with it.
+    fn fail_blocked(
+        &mut self,
+        cx: CX![],
+        now: Millis,
+        fingerprint: Fingerprint,
+        parts: &[Fingerprint],
+    ) {
+        let request_blocked =
+            matches!(self.watch.suspects.standing(now, fingerprint), Standing::Blocked(_));
+        let is_blocked = |(id, open): &(&RequestId, &OpenRequest)| {
+            let duplicate = request_blocked && open.fingerprint() == fingerprint;
+            let shares_part = open.parts.iter().any(|it| parts.contains(it));
+            duplicate || shares_part && self.part_block(now, **id, open).is_some()
+        };
+        let blocked: Vec<RequestId> =
+            self.requests.iter().filter(is_blocked).map(|(id, _)| *id).collect();
+        for id in blocked {
             self.set_retry_delay(now, id);
             self.handle_event(cx, id, 0, Event::EndsTargets);
         }
+    }
+
+    /// Has agents store all that is blocked, for entries that restart. The agents are chosen by the
+    /// latest addition.
+    fn store_blocked(&self, now: Millis, latest: Fingerprint) {
         let Some(blocked) = self.watch.blocked_message(now) else { return };
         let body = blocked.body();
-        for peer in self.targets.replica_agents(&fingerprint.to_string()) {
+        for peer in self.targets.replica_agents(&latest.to_string()) {
             call!([self.mesh], send(peer, body.clone()));
         }
     }
 
-    /// Sets the retry delay for the caller of a request that is blocked, or is suspected and
-    /// paused. Returns false if the request may be sent.
+    /// Returns the part that forbids sending a request now.
+    fn part_block(&self, now: Millis, id: RequestId, open: &OpenRequest) -> Option<Block> {
+        let trial = |part: Fingerprint| {
+            let is_busy = |(other, it): (&RequestId, &OpenRequest)| {
+                *other != id && it.counted_target.is_some() && it.parts.contains(&part)
+            };
+            Trial {
+                expensive: false,
+                owner: self.targets.owns(&part.to_string()),
+                busy: self.requests.iter().any(is_busy),
+            }
+        };
+        self.watch.parts.block(now, &open.parts, trial)
+    }
+
+    /// Sets the retry delay for the caller of a request that is blocked itself or by a part of its
+    /// prompt, or is suspected and paused. Returns false if the request may be sent.
     fn set_retry_delay(&mut self, now: Millis, id: RequestId) -> bool {
         let Some(open) = self.requests.get(&id) else { return false };
         let fingerprint = open.fingerprint();
@@ -302,6 +382,8 @@
             }
             Standing::Clear => None,
         };
+        let part = self.part_block(now, id, open);
+        let until = until.max(part.map(|it| it.until));
         if let Some(until) = until
             && let Some(open) = self.requests.get_mut(&id)
         {
@@ -328,12 +410,13 @@
     /// Refuses a request that is blocked, or is suspected and paused. Returns whether it was
     /// refused.
     pub(crate) fn refuse_if_blocked(&mut self, cx: CX![], now: Millis, id: RequestId) -> bool {
-        if self.watch.suspects.is_empty() || !self.set_retry_delay(now, id) {
+        if self.watch.is_empty() || !self.set_retry_delay(now, id) {
             return false;
         }
         let Some(open) = self.requests.get_mut(&id) else { return false };
         slog::warn!(self.log, "request blocked as a suspect"; "id" => &open.run.label,
-            "fingerprint" => %open.fingerprint(), "for" => open.retry_after);
+            "fingerprint" => %open.fingerprint(), "parts" => fingerprint::join(&open.parts),
+            "for" => open.retry_after);
         let actions = open.flight.refuse(Refusal::EndsTargets);
         self.apply_actions(cx, id, actions);
         true
@@ -351,17 +434,40 @@
         }
     }
 
-    /// Records that a target completed a request, which clears the request if it was suspected.
+    /// Records that a target completed a request, which clears the request and the parts of its
+    /// prompt if they were suspected.
     pub(crate) fn request_completed(&mut self, id: RequestId) {
-        let Some(fingerprint) = self.requests.get(&id).map(crate::open::OpenRequest::fingerprint)
-        else {
-            return;
-        };
-        if self.watch.suspects.record_completed(clock::now(), fingerprint) {
+        let Some(open) = self.requests.get(&id) else { return };
+        let (fingerprint, succeeded) = (open.fingerprint(), open.succeeded);
+        let now = clock::now();
+        if succeeded && !open.parts.is_empty() {
+            let parts = open.parts.clone();
+            self.clear_parts(now, &parts);
+        }
+        if self.watch.suspects.record_completed(now, fingerprint) {
             self.announce_cleared(fingerprint);
         }
     }
 
+    /// Records that an answer on these parts completed at any entry.
+    fn clear_parts(&mut self, at: Millis, parts: &[Fingerprint]) {
+        let cleared = self.watch.parts.record_completed(at, parts);
+        for part in &cleared {
+            slog::info!(self.log, "prompt part no longer suspected"; "part" => %part);
+        }
+        self.announce_completed_parts(cleared.into_iter().map(|it| (it, at)));
+    }
+
+    /// Adds completed answers on suspected parts to the records for the other entries.
+    fn announce_completed_parts(
+        &mut self,
+        completed: impl IntoIterator<Item = (Fingerprint, Millis)>,
+    ) {
+        let unsent = &mut self.watch.unsent.completed_parts;
+        let room = MAX_BACKLOG.saturating_sub(unsent.len());
+        unsent.extend(completed.into_iter().take(room));
+    }
+
     fn clear_suspect(&mut self, fingerprint: Fingerprint) {
         if self.watch.suspects.clear(clock::now(), fingerprint) {
             self.announce_cleared(fingerprint);
--- a/crates/sablepass-stand/tests/crashing_part.rs
+++ b/crates/sablepass-stand/tests/crashing_part.rs
@@ -7,9 +7,12 @@
 
 mod common;
 
+use std::thread;
+
 use common::crashes::{ended, replace_ended};
 use sablepass_stand::client::{Answer, metric};
 use sablepass_stand::site::{Site, ask};
+use sablepass_stand::site_with_agents::SiteWithAgents;
 
 /// Id of the part that ends targets.
 const FATAL: &str = "bad0";
@@ -75,6 +78,8 @@
     for round in 0..MAX_ENDED {
         send(&site, 0, "once", &format!("fatal-{round}"), &["f0", FATAL]);
         replace_ended(&mut site, &mut replaced, |it| it.crash_on_part(FATAL));
+        let sound = send(&site, 0, "once", &format!("sound-{round}"), &["f0"]);
+        assert_eq!(sound.status, 200, "round {round}: {sound:?}");
     }
     let refused = send(&site, 0, "once", "refused", &["f1", FATAL, "f2"]);
     assert_eq!(refused.status, 503, "{refused:?}");
@@ -86,3 +91,49 @@
     let sound = send(&site, 0, "once", "last-part", &["f1"]);
     assert_eq!(sound.status, 200, "{sound:?}");
 }
+
+/// Guards against entries that learn of a crashing prompt part too late when different requests
+/// with it arrive at all of them at once.
+#[test]
+fn verify_concurrent_requests_with_a_part_end_no_more_targets_once_blocked() {
+    let mut site = site(3);
+    let mut replaced = 0;
+    for round in 0..ROUNDS {
+        let before = replaced;
+        thread::scope(|scope| {
+            for entry in 0..3 {
+                let (site, first) = (&site, format!("f{}", (round + entry) % 5));
+                let id = format!("fatal-{round}-{entry}");
+                scope.spawn(move || send(site, entry, "stream", &id, &[&first, FATAL]));
+            }
+        });
+        replace_ended(&mut site, &mut replaced, |it| it.crash_on_part(FATAL));
+        assert!(
+            before < MAX_ENDED || replaced == before,
+            "round {round}: {before}, then {replaced} targets ended"
+        );
+    }
+}
+
+/// Guards against a restarted entry letting a crashing prompt part through: entries store nothing,
+/// and get what is blocked from agents.
+#[test]
+fn verify_restarted_entries_block_known_parts() {
+    let mut beside = SiteWithAgents::spawn(6);
+    let site = &mut beside.site;
+    site.replicas.iter().for_each(|it| it.crash_on_part(FATAL));
+    for round in 0..4 {
+        let (id, first) = (format!("before-{round}"), format!("f{round}"));
+        send(site, 0, "stream", &id, &[&first, FATAL]);
+    }
+    let before = ended(site);
+    assert!(before <= MAX_ENDED, "{before} targets ended");
+    site.entries[0].kill();
+    let entry = site.add_entry(&beside.more);
+    beside.wait_for_agents(entry);
+    for round in 0..4 {
+        let (id, first) = (format!("after-{round}"), format!("f{}", round + 4));
+        send(&beside.site, entry, "stream", &id, &[&first, FATAL]);
+    }
+    assert_eq!(ended(&beside.site), before, "the new entry forwarded a request with the part");
+}
--- a/crates/sablepass-wire/src/generated.rs
+++ b/crates/sablepass-wire/src/generated.rs
@@ -289,6 +289,19 @@
     /// Fingerprints, 16 bytes each, of requests that completed successfully at a target.
     #[prost(bytes = "bytes", repeated, tag = "2")]
     pub sound: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// Completed answers on suspected prompt parts.
+    #[prost(message, repeated, tag = "3")]
+    pub completed_parts: ::prost::alloc::vec::Vec<PartCompletion>,
+}
+/// An answer on a prompt part completed.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PartCompletion {
+    /// Fingerprint of the part, 16 bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub part: ::prost::bytes::Bytes,
+    /// When it completed.
+    #[prost(fixed64, tag = "2")]
+    pub at: u64,
 }
 /// The end of a target that was running a request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -307,6 +320,12 @@
     /// When the target interrupted the request.
     #[prost(fixed64, tag = "5")]
     pub ended: u64,
+    /// Fingerprints, 16 bytes each, of the parts of the request's prompt for which the death counts.
+    #[prost(bytes = "bytes", repeated, tag = "6")]
+    pub parts: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// Fingerprints of further parts that were present at all deaths of each of these.
+    #[prost(bytes = "bytes", repeated, tag = "7")]
+    pub companions: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 /// Notices of targets. Forwarded between entries.
 #[derive(Clone, PartialEq, ::prost::Message)]
