A target's end counts only for requests that it interrupted shortly before

What callers saw: a request that a group had interrupted was refused for 30 s as a suspect, though its target ended for the first time seconds later under other requests. Cause: an interrupted request waited 6 s for proof that its target had ended, and any end of the target in that time counted for it. A target that accepted connections in between did not matter. Why it works: a target that ends interrupts all its requests at once and then refuses connections, so that requests interrupted over 2 s before the last ones, or the first refusal, were not there.

--- a/crates/sablepass-core/src/deaths.rs
+++ b/crates/sablepass-core/src/deaths.rs
@@ -17,6 +17,10 @@
 /// platform removes a target that is silent for three of its reports of 1.2 s; with leases and the
 /// propagation of the list that takes 5 s.
 const PROOF_WINDOW: Millis = 6_000;
+/// A target that ends interrupts all its requests at once; their connections report it within this
+/// time, and the target's agent that it refuses connections. Requests interrupted longer before the
+/// last ones, or before the first refusal, were interrupted by something else.
+const END_WINDOW: Millis = 2_000;
 /// Maximum number of interrupted requests that wait for proof: two for each slot of 40 targets that
 /// one entry fills alone.
 const MAX_INTERRUPTED: usize = 1_024;
@@ -62,17 +66,21 @@
     /// ended.
     pub fn record_refusal(&mut self, now: Millis, target: &str) -> Vec<Interrupted> {
         self.refused.insert(target.to_owned(), now);
-        self.record_gone(now, target)
+        let mut ended = self.record_gone(now, target);
+        ended.retain(|it| now < it.death.ended + END_WINDOW);
+        ended
     }
 
     /// Records that the instance list no longer contains a target, or shows a later incarnation.
     /// Returns the requests that it was running when it ended.
     pub fn record_gone(&mut self, now: Millis, target: &str) -> Vec<Interrupted> {
         self.expire(now);
-        let (ended, waiting) =
-            self.interrupted.drain(..).partition(|it: &Interrupted| it.death.target == target);
-        self.interrupted = waiting;
-        Vec::from(ended)
+        let (mut ended, waiting): (Vec<Interrupted>, Vec<Interrupted>) =
+            self.interrupted.drain(..).partition(|it| it.death.target == target);
+        self.interrupted = waiting.into();
+        let last = ended.iter().map(|it| it.death.ended).max().unwrap_or(0);
+        ended.retain(|it| last < it.death.ended + END_WINDOW);
+        ended
     }
 
     /// Whether a request that this target interrupted waits for proof.
--- a/crates/sablepass-core/tests/suspects.rs
+++ b/crates/sablepass-core/tests/suspects.rs
@@ -264,6 +264,20 @@
     assert_eq!(deaths.record_gone(6_000, "a"), [next]);
 }
 
+/// Guards against counting the end of a target for requests that it had interrupted before, as all
+/// ranks of a group do when one of them has ended.
+#[test]
+fn verify_requests_interrupted_long_before_the_end_were_not_running() {
+    let mut deaths = Deaths::default();
+    deaths.record_interrupted(2_000, interrupted("a", 1_000, 2_000));
+    let last = interrupted("a", 4_500, 5_000);
+    deaths.record_interrupted(5_000, last.clone());
+    assert_eq!(deaths.record_gone(5_500, "a"), [last], "the list shows the end within seconds");
+    deaths.record_interrupted(6_000, interrupted("a", 5_600, 6_000));
+    assert_eq!(deaths.record_refusal(9_000, "a"), [], "connections are refused within a second");
+    assert_eq!(deaths.record_gone(9_500, "a"), [], "and then the list shows the same end");
+}
+
 fn flight() -> Flight {
     let request = Request {
         id: RequestId(1),
