Pass on the end of an answer without length only if its target lives

What callers saw: a stream without length or chunks whose target crashed between two events was passed on as complete, with events missing; the crash was not counted, and the seemingly complete answer cleared the prompt part that had caused it. Cause: the end of the connection was taken for the end of the answer. A target that crashes closes its connections in the same way. Why it works: a crashed target closes all its connections at once and refuses new ones.

--- a/crates/sablepass-edge/src/client.rs
+++ b/crates/sablepass-edge/src/client.rs
@@ -97,6 +97,9 @@
     End {
         /// Whether the connection can carry another request.
         reusable: bool,
+        /// Whether the response states its length. The end of any other response is that of the
+        /// connection, which also ends if the target crashes.
+        framed: bool,
         /// Time for which the peer keeps the idle connection, if the response gave one.
         keep_alive: Option<Duration>,
     },
@@ -306,7 +309,7 @@
             _ => false,
         };
         if unsized_body && !self.skipping {
-            self.owner.fwd(Event::End { reusable: false, keep_alive: None });
+            self.owner.fwd(Event::End { reusable: false, framed: false, keep_alive: None });
             self.phase = Phase::Idle;
         }
         self.close(cx, Cause::Closed);
@@ -414,7 +417,7 @@
         }
         let is_clean = self.tcp.rd == self.tcp.wr && self.tcp.out.is_empty() && !self.input_closed;
         let reusable = !must_close && is_clean;
-        self.owner.fwd(Event::End { reusable, keep_alive: self.keep_alive });
+        self.owner.fwd(Event::End { reusable, framed: true, keep_alive: self.keep_alive });
         self.phase = Phase::Idle;
         Ok(())
     }
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -16,6 +16,7 @@
 use sablepass_platform::request;
 use stakker::CX;
 
+use crate::ends::EndProbe;
 use crate::notices::Source;
 use crate::open::OpenRequest;
 use crate::pool::{ConnectionKey, Destination, InFlightAttempt};
@@ -70,9 +71,10 @@
                 let (id, attempt) = (in_flight.request, in_flight.attempt);
                 self.handle_event(cx, id, attempt, Event::Chunk { offset, data });
             }
-            client::Event::End { reusable, keep_alive } => {
+            client::Event::End { reusable, framed, keep_alive } => {
                 let now = clock::now();
                 let in_flight = self.pool.in_flight(key).copied();
+                let target = self.pool.target(key).map(|it| (it.name.to_owned(), it.started_at));
                 let leaving =
                     self.pool.target(key).is_some_and(|it| self.targets.has_left(now, it));
                 if reusable && !leaving {
@@ -82,8 +84,15 @@
                 }
                 if let Some(it) = in_flight {
                     self.clear_connection(it.request, key);
-                    let done = Event::Done { length: it.offset };
-                    self.handle_event(cx, it.request, it.attempt, done);
+                    match target {
+                        Some((target, started_at)) if !framed && !leaving => {
+                            self.check_end(cx, it, target, started_at);
+                        }
+                        _ => {
+                            let done = Event::Done { length: it.offset };
+                            self.handle_event(cx, it.request, it.attempt, done);
+                        }
+                    }
                 }
             }
             client::Event::Closed { cause, sent } => self.direct_closed(cx, key, &cause, sent),
@@ -195,7 +204,9 @@
     /// longer accepts requests, or its hall is evacuated, the request is withdrawn instead. This is
     /// the last moment at which an announcement of the target can be taken into account.
     fn direct_connected(&mut self, cx: CX![], key: ConnectionKey) {
-        if !self.pool.mark_connected(key) {
+        let waiting = self.pool.mark_connected(key);
+        self.end_probed(cx, key, EndProbe::Accepted);
+        if !waiting {
             self.log_accepted_probe(key);
             return;
         }
@@ -238,6 +249,8 @@
         if cause.is_refused() {
             self.target_refuses(cx, &target);
         }
+        let probe = if cause.is_refused() { EndProbe::Refused } else { EndProbe::Unknown };
+        self.end_probed(cx, key, probe);
         let Some(in_flight) = in_flight else { return };
         self.clear_connection(in_flight.request, key);
         if let Some(open) = self.requests.get(&in_flight.request) {
--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -12,6 +12,7 @@
 mod callers;
 mod dialect;
 mod direct;
+mod ends;
 mod evacuation;
 mod notices;
 mod open;
--- a/crates/sablepass-entry/src/pool.rs
+++ b/crates/sablepass-entry/src/pool.rs
@@ -121,9 +121,18 @@
     }
 
     /// Opens an idle connection, to check whether the target accepts connections.
-    pub fn probe(&mut self, core: &mut Core, now: Millis, to: Destination<'_>) {
+    pub fn probe(&mut self, core: &mut Core, now: Millis, to: Destination<'_>) -> ConnectionKey {
         let key = self.connect(core, to);
         self.release(now, key, None);
+        key
+    }
+
+    /// Returns whether a connection to an incarnation of a target is established.
+    pub fn is_connected(&self, target: TargetIncarnation<'_>) -> bool {
+        let is_same = |it: &PooledConnection| {
+            it.connected && it.target == target.name && it.started_at == target.started_at
+        };
+        self.connections.values().any(is_same)
     }
 
     /// Sends a request, now or once the connection is established.
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -32,6 +32,7 @@
 use slog::Logger;
 use stakker::{ActorOwn, CX, call, fwd_to};
 
+use crate::ends::UnconfirmedEnd;
 use crate::open::OpenRequest;
 use crate::openai;
 use crate::pool::{ConnectionKey, Destination, Pool};
@@ -74,6 +75,9 @@
     /// Streams that wait to be started, by service.
     pub(crate) start_queues: HashMap<Served, StartQueue>,
     pub(crate) pool: Pool,
+    /// Answers whose end is not known to be that of the answer, by the connection that probes their
+    /// target.
+    pub(crate) unconfirmed_ends: HashMap<ConnectionKey, UnconfirmedEnd>,
     pub(crate) traces: Traces,
     /// Requests suspected of terminating their targets.
     pub(crate) watch: SuspectTracker,
@@ -127,6 +131,7 @@
                 fwd_to!([cx], direct_event() as ((ConnectionKey, client::Event))),
                 settings.capacity().map_or(usize::MAX, |it| it.targets),
             ),
+            unconfirmed_ends: HashMap::new(),
             traces: Traces::open(settings.stories),
             watch: SuspectTracker::default(),
             turns: PeerTurns::default(),
