Agents find out whether their target's process ended under an attempt

What callers saw: behind agents, requests that end their engine were never blocked, and an answer without length whose engine crashed was passed on as complete. Cause: an agent reported an interrupted attempt as such and learned that its target refuses connections only from the next attempt, which may come late or never, so that no end was counted. It took the end of the connection for the end of an answer without length. Why it works: after an interrupted attempt, or an answer without length, the agent connects once. If that is refused, it reports the new reason engine-ended, by which entries count the end at once.

--- a/crates/sablepass-agent/src/keeper.rs
+++ b/crates/sablepass-agent/src/keeper.rs
@@ -348,7 +348,7 @@
                 self.send(peer, done_body(attempt, sent));
             }
             Err(failure) => {
-                if failure.reason == Refusal::EngineAway {
+                if matches!(failure.reason, Refusal::EngineAway | Refusal::EngineEnded) {
                     self.unreachable_at = Some(now);
                     // A target that refuses connections has ended. Its next incarnation has not
                     // announced anything yet.
--- a/crates/sablepass-agent/src/run.rs
+++ b/crates/sablepass-agent/src/run.rs
@@ -5,6 +5,7 @@
 //! answer to the keeper.
 
 use std::io::Read;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -19,6 +20,10 @@
 /// Size of the buffer for the answer's body; the maximum size of a part.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Time after the end of a connection within which a process that ended has closed its listening
+/// socket too.
+const END_SETTLE_TIME: Duration = Duration::from_millis(10);
+
 /// An attempt to run on the target.
 #[derive(Debug)]
 pub struct Job {
@@ -102,7 +107,9 @@
     let response = match call(agent, base, engine, read_timeout, job.body.as_slice(), &job) {
         Ok(it) => it,
         Err(e) => {
-            send(Content::Failed(classify_error(&e)));
+            let failure = classify_error(&e);
+            let reason = interruption(failure.reason, base);
+            send(Content::Failed(Failure { reason, ..failure }));
             return;
         }
     };
@@ -114,12 +121,38 @@
         .to_owned();
     let (head, body) = response.into_parts();
     let status = u32::from(head.status.as_u16());
+    let is_framed = head.headers.contains_key("content-length")
+        || head.headers.contains_key("transfer-encoding")
+        || matches!(status, 204 | 304);
     let notice = decode_notice(&job, head);
     send(Content::Head { status, content_type, notice });
     let end = stream_body(body.into_reader(), &job.cancelled, |bytes| {
         send(Content::Bytes(bytes));
     });
-    send(end);
+    let reason = match &end {
+        Content::Failed(failure) => Some(interruption(failure.reason, base)),
+        // The connection ended, and with it the answer or the target's process.
+        Content::End if !is_framed && has_ended(base) => Some(Refusal::EngineEnded),
+        _ => None,
+    };
+    send(reason.map_or(end, |reason| Content::Failed(Failure { reason, ran: Ran::Ran })));
+}
+
+/// Returns the reason for an interrupted attempt: whether the target's process has ended, or only
+/// the connection.
+fn interruption(reason: Refusal, base: &str) -> Refusal {
+    let ended = reason == Refusal::EngineBroke && has_ended(base);
+    if ended { Refusal::EngineEnded } else { reason }
+}
+
+/// Returns whether the target refuses connections just after one of them ended, so that its process
+/// has ended too.
+fn has_ended(base: &str) -> bool {
+    std::thread::sleep(END_SETTLE_TIME);
+    let uri = base.parse::<ureq::http::Uri>().ok();
+    let address = uri.as_ref().and_then(|it| Some((it.host()?, it.port_u16().unwrap_or(80))));
+    let connected = address.map(TcpStream::connect);
+    matches!(connected, Some(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
 fn call(
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -151,6 +151,8 @@
         HallEvacuated = 61, "hall-evacuated";
         /// The bodies of requests in progress take all memory that this process may use for them.
         BodiesFull = 62, "bodies-full";
+        /// The engine's process ended while it ran the request.
+        EngineEnded = 63, "engine-ended";
         /// The headers exceed the size limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -229,7 +231,11 @@
             Self::KeyReused => 422,
             Self::KeyInFlight | Self::KeyAnswerLost | Self::KeyExpired => 409,
             Self::DeadlinePassed => 504,
-            Self::EngineBroke | Self::AnswerGap | Self::AnswerTooLarge | Self::WrongAnswer => 502,
+            Self::EngineBroke
+            | Self::EngineEnded
+            | Self::AnswerGap
+            | Self::AnswerTooLarge
+            | Self::WrongAnswer => 502,
             Self::Saturated
             | Self::NoConfiguration
             | Self::GroupClosed
--- a/crates/sablepass-entry/src/peers.rs
+++ b/crates/sablepass-entry/src/peers.rs
@@ -282,6 +282,11 @@
             Event::Failed(failure) if failure.reason == Refusal::EngineBroke => {
                 self.attempt_interrupted(cx, attempt.request, from);
             }
+            Event::Failed(failure) if failure.reason == Refusal::EngineEnded => {
+                self.targets.refused_connection(from);
+                self.attempt_interrupted(cx, attempt.request, from);
+                self.target_refuses(cx, from);
+            }
             _ => {}
         }
         self.handle_event(cx, attempt.request, attempt.number, event);
--- a/crates/sablepass-stand/src/fleet.rs
+++ b/crates/sablepass-stand/src/fleet.rs
@@ -200,6 +200,12 @@
         self.add_agent(name, hall, &base, engine, Some(server), proxied)
     }
 
+    /// Starts an agent for a plain service that the caller runs at `base`, and lists it; returns the
+    /// target's index.
+    pub fn add_service_at(&mut self, name: &str, hall: &str, base: &str) -> usize {
+        self.add_agent(name, hall, base, false, None, false)
+    }
+
     /// Starts an agent for a target that serves at `base`, and lists it; returns the target's
     /// index.
     fn add_agent(
