Entries send nothing to a target for two seconds after its end was reported

Cause: the end of a target only counted for the requests it was running. The target stayed usable until an attempt at it was refused or the instance list dropped it, at each entry by itself. Evidence: the new test saw an attempt of the other entry at the ended target; it passes now. Why it works: the record of the end names the target and its incarnation, and every entry has it within milliseconds, while the list takes seconds.

--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -36,6 +36,9 @@
 /// entries that observed the same deaths send them.
 const MAX_BACKLOG: usize = 4_096;
 
+/// Time after its end for which a target gets no requests. The instance list shows the end within
+/// seconds, and until then an attempt finds out by itself once this time is over.
+const ENDED_BACK_OFF: Millis = 2_000;
 /// Delay of the second probe of a target without an agent. The kernel, or a proxy in between,
 /// refuses new connections within a tenth of this time after it has closed the established ones; a
 /// caller that repeats a request at once needs longer than this.
@@ -296,6 +299,11 @@
         if !counts && !parts.is_new {
             return;
         }
+        if self.targets.started_at(&death.target) == death.born {
+            // Another entry's clock may be ahead.
+            let until = (death.ended + ENDED_BACK_OFF).min(now + ENDED_BACK_OFF);
+            self.targets.back_off(&death.target, until);
+        }
         let source = if peer.is_some() { "told" } else { "seen" };
         self.metrics.deaths.with_label_values(&[source]).inc();
         slog::warn!(self.log, "target ended under a request"; "fingerprint" => %request,
--- a/crates/sablepass-stand/tests/crashing.rs
+++ b/crates/sablepass-stand/tests/crashing.rs
@@ -214,3 +214,20 @@
     });
     assert_eq!(ended(&site), 2);
 }
+
+/// Guards against sending requests to a target after another entry reported its end: the instance
+/// list shows it for seconds, and a request whose attempts all go to such targets fails.
+#[test]
+fn verify_entries_avoid_a_target_once_another_reports_its_end() {
+    let site = site(2);
+    send(&site, 0, "once", "fatal", FATAL);
+    let admin = site.entries[1].addr("admin");
+    wait_for("the other entry was told", || {
+        metric(&admin, "sablepass_deaths_total", "told") >= 1.0
+    });
+    for number in 0..30 {
+        let sound = send(&site, 1, "safe", &format!("sound-{number}"), "ends nothing");
+        assert_eq!(sound.status, 200, "{sound:?}");
+    }
+    assert_eq!(metric(&admin, "sablepass_retries_total", ""), 0.0, "attempts at the ended target");
+}
