Soak: requests with a prompt part that crashes replicas

Cause: no schedule of the soak had different requests that crash replicas by what they share. Change: fault FatalPart, drawn last so that earlier faults of a seed stay; callers' streams share first parts with the fatal requests; at most eight runs (five, and three more) are allowed.

--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -120,7 +120,7 @@
     }
 
     /// Whether a part of the prompt, other than the last, has this id.
-    fn shares_part(&self, part: &str) -> bool {
+    pub fn shares_part(&self, part: &str) -> bool {
         let mut parts = self.field("x-prompt-prefix").split(',').rev().skip(1);
         parts.any(|it| it.split(':').next() == Some(part))
     }
--- a/crates/sablepass-stand/src/soak/callers.rs
+++ b/crates/sablepass-stand/src/soak/callers.rs
@@ -83,6 +83,11 @@
     }
 }
 
+/// Id of the first part of the prompts of every third stream.
+pub fn first_part(number: usize) -> String {
+    format!("f{}", number % 3)
+}
+
 fn run_caller(number: usize, stop: &AtomicBool, directory: &Directory) -> Vec<Sample> {
     let caller = Caller::open();
     let mut samples = Vec::new();
@@ -118,7 +123,8 @@
     };
     let id = format!("c{number}-{round}");
     let request = match kind {
-        Kind::Stream => site::ask("POST", "/stream/x", &id, "prompt"),
+        Kind::Stream => site::ask("POST", "/stream/x", &id, "prompt")
+            .with("x-prompt-prefix", &format!("{}:40,own-{id}:90", first_part(round))),
         Kind::Safe => site::ask("GET", "/safe/x", &id, ""),
         Kind::Once => site::ask("POST", "/once/x", &id, &id),
         Kind::Added(route) => site::ask("GET", &format!("/added-{route}/x"), &id, ""),
--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -14,14 +14,14 @@
 use sablepass_edge::clock;
 use serde_json::{Value, json};
 
-use crate::client;
+use crate::client::{self, Ask};
 use crate::limits;
 use crate::process::Process;
 use crate::ranks::{self, Group};
 use crate::replica::{self, ColdNotice, Replica};
 use crate::site::{self, Pace, Site};
 use crate::soak::Options;
-use crate::soak::callers::Directory;
+use crate::soak::callers::{self, Directory};
 use crate::soak::schedule::{Fault, PlannedFault};
 use crate::{keys, soak};
 
@@ -34,6 +34,8 @@
 /// Body of a request that crashes each replica that starts to run it, and the interval at which
 /// its caller repeats it.
 pub const FATAL_BODY: &str = "ends whatever runs it";
+/// Id of a prompt part that crashes each replica that starts to run a request with it.
+pub const FATAL_PART: &str = "bad0";
 const FATAL_REPEAT_INTERVAL: Duration = Duration::from_millis(60);
 /// Interval at which a thread checks whether a replica has ended.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -246,6 +248,7 @@
     /// Starts a proxy for a new replica and lists the replica at the proxy's address.
     fn list_replica(&mut self, replica: &Replica) {
         replica.crash_on(FATAL_BODY);
+        replica.crash_on_part(FATAL_PART);
         let to = replica.addr.to_string();
         let any = "127.0.0.1:0";
         let proxy = Process::spawn(
@@ -340,6 +343,26 @@
 
     /// Starts a thread that sends the fatal request to the running entries in turn for this time.
     fn repeat_fatal_request(&self, span: Duration) {
+        self.repeat(span, |number| {
+            let id = format!("fatal-{}-{number}", clock::now());
+            site::ask("POST", "/stream/x", &id, FATAL_BODY)
+        });
+    }
+
+    /// Starts a thread that sends different requests with the fatal prompt part to the running
+    /// entries in turn for this time. They share their first parts with those of the callers.
+    fn repeat_fatal_part(&self, span: Duration) {
+        self.repeat(span, |number| {
+            let id = format!("fatal-part-{}-{number}", clock::now());
+            let first = callers::first_part(number);
+            site::ask("POST", "/stream/x", &id, &id)
+                .with("x-prompt-prefix", &format!("{first}:40,{FATAL_PART}:60,own-{id}:90"))
+        });
+    }
+
+    /// Starts a thread that sends requests, numbered from 0, to the running entries in turn for
+    /// this time.
+    fn repeat(&self, span: Duration, request: impl Fn(usize) -> Ask + Send + 'static) {
         let addrs: Vec<String> = self.running.iter().map(|it| self.site.http(*it)).collect();
         let until = Instant::now() + span;
         std::thread::spawn(move || {
@@ -347,8 +370,7 @@
                 if Instant::now() >= until {
                     break;
                 }
-                let id = format!("fatal-{}-{number}", clock::now());
-                site::ask("POST", "/stream/x", &id, FATAL_BODY).send(addr);
+                request(number).send(addr);
                 std::thread::sleep(FATAL_REPEAT_INTERVAL);
             }
         });
@@ -488,6 +510,10 @@
                 self.repeat_fatal_request(Duration::from_millis(planned.duration_ms));
                 Some(0)
             }
+            Fault::FatalPart => {
+                self.repeat_fatal_part(Duration::from_millis(planned.duration_ms));
+                Some(0)
+            }
             Fault::Link(link) => {
                 self.record_fault(Component::Replica(replica?), planned);
                 self.set_link(replica?, link.command());
@@ -570,9 +596,10 @@
                 let id = self.site.replicas[index].id.clone();
                 self.site.store.remove(&format!("servers/{id}"));
             }
-            Fault::ReplicaRestarted | Fault::FatalRequest | Fault::HallReturnsCold => {
-                self.restart_replicas()
-            }
+            Fault::ReplicaRestarted
+            | Fault::FatalRequest
+            | Fault::FatalPart
+            | Fault::HallReturnsCold => self.restart_replicas(),
             Fault::HallEvacuated => self.release(HALLS[index]),
             Fault::ListItemCorrupted => {
                 // The replica may have ended or left since the fault's start.
--- a/crates/sablepass-stand/src/soak/judge.rs
+++ b/crates/sablepass-stand/src/soak/judge.rs
@@ -12,7 +12,7 @@
 use crate::replica::{self, Arrival, Replica, max_in_pause};
 use crate::soak::callers::{Kind, Sample};
 use crate::soak::fleet::{
-    COLD_MS, COLD_PER_S, Component, Evacuation, FATAL_BODY, FaultWindow, Fleet,
+    COLD_MS, COLD_PER_S, Component, Evacuation, FATAL_BODY, FATAL_PART, FaultWindow, Fleet,
 };
 
 /// Time after a fault in which its effects may still show, in milliseconds.
@@ -30,6 +30,9 @@
 /// Targets that one request may crash: three, and three more to which the request is already in
 /// flight when entries learn of the third crash.
 const MAX_FATAL_RUNS: usize = 6;
+/// Requests with the fatal prompt part that may crash targets: five, and three more that are sent
+/// later.
+const MAX_FATAL_PART_RUNS: usize = 5 + 3;
 /// Requests from one entry that may still reach a target during a back-off that it asked for,
 /// as on the platform.
 const MAX_SENT_IN_BACKOFF: usize = 2;
@@ -65,6 +68,8 @@
     Shutdown,
     /// A request that crashes its targets is sent to a limited number of targets.
     FatalRequest,
+    /// Requests with a prompt part that crashes targets are sent to a limited number of targets.
+    FatalPart,
     /// An entry doesn't send to a target during the back-off that the target asked it for.
     Backoff,
     /// An entry sends nothing more to a target that announced in an answer to it that it is
@@ -123,6 +128,8 @@
     stop_timeouts: Vec<usize>,
     /// Number of runs of the fatal request; each crashes its target.
     fatal_runs: usize,
+    /// Number of runs of requests with the fatal prompt part; each crashes its target.
+    fatal_part_runs: usize,
     /// Requests that reached each replica, and the ids and times of its answers that announced
     /// that it was leaving.
     arrivals: Vec<Vec<Arrival>>,
@@ -139,13 +146,14 @@
         std::thread::sleep(STEP_TIMEOUT);
         let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
         let mut fault_windows = fleet.fault_windows.clone();
-        let mut fatal_runs = 0;
+        let (mut fatal_runs, mut fatal_part_runs) = (0, 0);
         for (replica, it) in fleet.site.replicas.iter().enumerate() {
             if let Some(at) = it.crashed_at() {
                 let component = Component::Replica(replica);
                 fault_windows.push(FaultWindow { component, from: at, until: at + FAULT_GRACE_MS });
             }
             fatal_runs += it.runs().iter().filter(|it| it.body == FATAL_BODY.as_bytes()).count();
+            fatal_part_runs += it.runs().iter().filter(|it| it.shares_part(FATAL_PART)).count();
             for run in it.runs() {
                 runs.entry(run.id).or_default().push(Run { replica, at: run.began });
             }
@@ -155,6 +163,7 @@
             runs,
             fault_windows,
             fatal_runs,
+            fatal_part_runs,
             started_at: fleet.started_at.clone(),
             leaving: fleet.leaving.clone(),
             routes: fleet.routes.clone(),
@@ -223,6 +232,13 @@
         );
         violations.push(Violation { guarantee: Guarantee::FatalRequest, seen });
     }
+    if observed.fatal_part_runs > MAX_FATAL_PART_RUNS {
+        let seen = format!(
+            "requests with one prompt part crashed {} targets, at most {MAX_FATAL_PART_RUNS} are allowed",
+            observed.fatal_part_runs
+        );
+        violations.push(Violation { guarantee: Guarantee::FatalPart, seen });
+    }
     if !observed.stop_timeouts.is_empty() {
         let seen = format!(
             "entries {:?} did not exit in time after the request to shut down",
--- a/crates/sablepass-stand/src/soak/schedule.rs
+++ b/crates/sablepass-stand/src/soak/schedule.rs
@@ -50,6 +50,9 @@
     ListItemCorrupted,
     /// A caller repeats a request that crashes each replica that starts to run it.
     FatalRequest,
+    /// Callers send different requests with one prompt part that crashes each replica that starts
+    /// to run it.
+    FatalPart,
     /// The link to a replica has this fault.
     Link(Link),
     /// The store is in this mode for the fault's duration.
@@ -222,7 +225,7 @@
 /// Draws a schedule whose faults start within `length` milliseconds and may overlap, sorted by
 /// start time: 4 to 12 general faults, and up to 4 faults of replica processes, 4 notices of
 /// replicas, 2 announced limits, 2 restores of the store, 2 replicas that are unlisted without
-/// notice, and 2 faults of data halls. Kinds that were added later are drawn last, so that earlier
+/// notice, 2 faults of data halls, and a fatal prompt part. Kinds that were added later are drawn last, so that earlier
 /// faults of a seed stay the same.
 pub fn draw(seed: u64, length: u64) -> Vec<PlannedFault> {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -241,6 +244,8 @@
     schedule.extend((0..count).map(|_| draw_planned(&mut rng, length, replica_unlisted)));
     let count = rng.random_range(0..=2);
     schedule.extend((0..count).map(|_| draw_hall_fault(&mut rng, length)));
+    let count = rng.random_range(0..=1);
+    schedule.extend((0..count).map(|_| draw_planned(&mut rng, length, |_| Fault::FatalPart)));
     schedule.sort_by_key(|it| it.at);
     schedule
 }
--- a/crates/sablepass-stand/tests/soak.rs
+++ b/crates/sablepass-stand/tests/soak.rs
@@ -105,3 +105,22 @@
             .violations;
     assert!(violations.iter().any(|it| it.guarantee == Guarantee::ColdRate), "{violations:?}");
 }
+
+/// Different requests with one prompt part that crashes replicas, while entries are killed,
+/// suspended and stopped. The seeds above may draw none of these.
+#[test]
+fn verify_a_fatal_prompt_part_violates_no_guarantee() {
+    let options = Options { entries: 3, replicas: 6, callers: 12, length: 2_000 };
+    let planned =
+        |at, duration_ms, selector, fault| PlannedFault { at, duration_ms, selector, fault };
+    let plan = [
+        planned(100, 2_500, 0, Fault::FatalPart),
+        planned(700, 400, 1, Fault::EntryKilled),
+        planned(1_200, 600, 0, Fault::EntryPaused),
+        planned(1_800, 1_500, 0, Fault::FatalPart),
+        planned(2_200, 300, 2, Fault::EntryStopped),
+    ];
+    let outcome = soak::run(&options, &plan);
+    assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
+    assert!(outcome.answered > 0, "no request was answered with status 200");
+}
