Ranks that have not reported their group count as ranks of the same group

Cause: a rank without a report has group 0, so that a service with one group seemed to have two, for good if the rank ended before its agent's first report. Why it works: only groups that ranks reported count.

--- a/crates/sablepass-entry/src/targets/groups.rs
+++ b/crates/sablepass-entry/src/targets/groups.rs
@@ -49,10 +49,13 @@
     }
 
     /// Whether all targets of a service are ranks of one group, so that the end of one target stops
-    /// all of them.
+    /// all of them. Ranks that have not reported their group are assumed to be in the same one: a
+    /// rank may end before its first report.
     pub fn is_single_group(&self, served: &Served) -> bool {
+        let reported =
+            |groups: &BTreeMap<u32, Forming>| groups.keys().filter(|it| **it != 0).count();
         self.forming_time(served).is_some()
-            && self.groups.get(served).is_some_and(|it| it.len() == 1)
+            && self.groups.get(served).is_some_and(|it| !it.is_empty() && reported(it) <= 1)
     }
 
     /// Updates the set of groups that have lost a rank and have not noticed yet.
--- a/crates/sablepass-stand/tests/crashing.rs
+++ b/crates/sablepass-stand/tests/crashing.rs
@@ -26,6 +26,8 @@
 const FATAL: &str = "ends whatever runs it";
 /// Maximum number of targets that the request may end: two identify it, and a third may run it concurrently.
 const MAX_ENDED: usize = 3;
+/// Time within which agents report the group of their ranks.
+const REPORT_TIME: Duration = Duration::from_millis(500);
 /// How many times the request is sent.
 const ROUNDS: usize = 12;
 fn end_all_on_fatal(replicas: &[Replica]) {
@@ -231,3 +233,25 @@
     }
     assert_eq!(metric(&admin, "sablepass_retries_total", ""), 0.0, "attempts at the ended target");
 }
+
+/// Guards against trying a request at other ranks of a group because some ranks, as the one that
+/// ended, have not reported their group.
+#[test]
+fn verify_ranks_that_have_not_reported_count_for_the_group() {
+    let beside = SiteWithAgents::spawn(4);
+    let site = &beside.site;
+    end_all_on_fatal(&site.replicas);
+    let group = Group { open: true, size: 4, steps: true };
+    site.replicas[..2].iter().for_each(|it| it.report_group(group));
+    thread::sleep(REPORT_TIME);
+    let admin = site.entries[0].addr("admin");
+    send(site, 0, "once", "first", FATAL);
+    wait_for("the entry knows that the rank ended", || {
+        metric(&admin, "sablepass_deaths_total", "") >= 1.0
+    });
+    for round in 0..4 {
+        let again = send(site, 0, "once", &format!("again-{round}"), FATAL);
+        assert_eq!(again.status, 503, "{again:?}");
+    }
+    assert_eq!(ended(site), 1, "the request was tried again");
+}
