Re-examine open requests only when a part or request is blocked

Cause: each recorded death compared all open requests, and each suspected part all others; with a thousand requests lost at once that would hold up the event loop. Change: open requests are examined only if one of the record's parts is blocked, and explanations compared only with parts that have as many deaths. Measured: core/tests/parts.rs, crashing.rs, crashing_part.rs, crashing_message.rs, unsized_streams.rs pass; no timing was taken.

--- a/crates/sablepass-core/src/parts.rs
+++ b/crates/sablepass-core/src/parts.rs
@@ -68,6 +68,8 @@
     pub is_new: bool,
     /// Parts that this death blocks.
     pub blocked: Vec<Fingerprint>,
+    /// Whether any of the parts is blocked now, by this death or earlier ones.
+    pub is_blocked: bool,
     /// Parts that had not been suspected although an answer on them is known to have completed, and
     /// when.
     pub completed: Vec<(Fingerprint, Millis)>,
@@ -212,7 +214,9 @@
             self.make_room(now, part);
             let was_blocked = self.blocked_until(now, part).is_some();
             recorded.is_new |= self.record_part(part, it);
-            if !was_blocked && self.blocked_until(now, part).is_some() {
+            let is_blocked = self.blocked_until(now, part).is_some();
+            recorded.is_blocked |= is_blocked;
+            if is_blocked && !was_blocked {
                 recorded.blocked.push(part);
             }
         }
@@ -297,7 +301,8 @@
         let rivals = self.seen.iter().filter(|(other, it)| {
             let likely = completed || !self.completions.last.contains_key(other);
             let differs = **other != part && !seen.companions.contains(other);
-            differs && likely && it.covers(seen) && it.series().len() >= deaths
+            let enough = it.deaths.len() >= deaths;
+            differs && likely && enough && it.covers(seen) && it.series().len() >= deaths
         });
         let mut needed = if completed { CONSECUTIVE_DEATHS_DOUBTFUL } else { CONSECUTIVE_DEATHS };
         for (_, rival) in rivals {
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -315,7 +315,7 @@
         }
         let blocked = parts.blocked.first().copied();
         let blocked = blocked.or((change == Change::Blocked).then_some(request));
-        let (request, parts) = (record.request, record.parts.clone());
+        let blocked_parts = if parts.is_blocked { record.parts.clone() } else { Vec::new() };
         if self.watch.unsent.deaths.len() < MAX_BACKLOG {
             self.watch.unsent.deaths.push(record);
         }
@@ -323,14 +323,16 @@
             // Sent at once, since another entry may be about to send a duplicate of the request.
             self.send_suspects();
         }
-        self.fail_blocked(cx, now, request, &parts);
+        if parts.is_blocked || change == Change::Blocked {
+            self.fail_blocked(cx, now, request, &blocked_parts);
+        }
         if let Some(blocked) = blocked {
             self.store_blocked(now, blocked);
         }
     }
 
-    /// Fails the open requests that are blocked since a target ended under a request with these
-    /// parts: its duplicates, and requests that share parts with it.
+    /// Fails the open requests that are blocked since a target ended under a request: its
+    /// duplicates, and requests that share some of these parts with it.
     fn fail_blocked(
         &mut self,
         cx: CX![],
