--- a/crates/sablepass-core/src/parts.rs
+++ b/crates/sablepass-core/src/parts.rs
@@ -350,9 +350,15 @@
         self.seen.keys().filter_map(|it| Some((*it, *self.completions.last.get(it)?)))
     }
 
-    /// Number of blocked parts.
-    pub fn blocked_count(&self, now: Millis) -> usize {
-        self.seen.keys().filter(|it| self.blocked_until(now, **it).is_some()).count()
+    /// Blocked parts, in order, with the ends of their blocks. After the end a single request with
+    /// the part is tried.
+    pub fn blocks(&self, now: Millis) -> Vec<Block> {
+        let block = |part: &Fingerprint| {
+            Some(Block { part: *part, until: self.blocked_until(now, *part)? })
+        };
+        let mut blocks: Vec<Block> = self.seen.keys().filter_map(block).collect();
+        blocks.sort_unstable_by_key(|it| it.part);
+        blocks
     }
 
     /// If the table is full, evicts the parts that are too old or, if there are none, the one with
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -101,6 +101,8 @@
     /// Suspect requests, during which targets had ended, that were evicted because the table was
     /// full.
     pub suspects_evicted: IntCounter,
+    /// Prompt parts with which no request is sent, because targets ended under them.
+    pub blocked_parts: IntGauge,
 }
 
 /// Histogram buckets: 1 ms to about 16 s.
@@ -228,6 +230,7 @@
                 "suspects_evicted_total",
                 "Requests that ended targets forgotten",
             )?,
+            blocked_parts: gauge(r, "blocked_parts", "Prompt parts that end targets")?,
             registry,
         };
         metrics.create_labels();
--- a/crates/sablepass-entry/src/answers.rs
+++ b/crates/sablepass-entry/src/answers.rs
@@ -55,6 +55,7 @@
         let connections = self.pool.len();
         let entries = self.targets.sharers().count();
         let suspects = self.watch.status(now);
+        let blocked_parts = self.watch.blocked_parts(now);
         let evacuations = self.evacuation_status();
         let ret = ret_some_do!(move |mesh: serde_json::Value| {
             let mut status = mesh;
@@ -64,6 +65,7 @@
             status["targets"] = targets.into();
             status["entries"] = entries.into();
             status["suspects"] = suspects;
+            status["blocked_parts"] = blocked_parts;
             status["evacuations"] = evacuations;
             reply.send(admin::Reply::ok(&status));
         });
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -146,6 +146,13 @@
         Some(message).filter(|it| !it.is_empty())
     }
 
+    /// Blocked prompt parts as JSON, for operators.
+    pub(crate) fn blocked_parts(&self, now: Millis) -> serde_json::Value {
+        let line =
+            |it: &Block| serde_json::json!({ "part": it.part.to_string(), "held_until": it.until });
+        self.parts.blocks(now).iter().map(line).collect()
+    }
+
     /// Suspected requests as JSON, for operators.
     pub(crate) fn status(&self, now: Millis) -> serde_json::Value {
         let mut requests: BTreeMap<Fingerprint, Vec<&Death>> = BTreeMap::new();
--- a/crates/sablepass-entry/src/ticks.rs
+++ b/crates/sablepass-entry/src/ticks.rs
@@ -37,6 +37,7 @@
             self.apply_pending_limits(now);
             self.expire_cold(now);
             self.update_target_metrics();
+            self.metrics.blocked_parts.set(self.watch.parts.blocks(now).len() as i64);
         }
         self.refuse_evacuated(cx, now);
         self.start_waiting(cx);
--- a/crates/sablepass-stand/tests/crashing.rs
+++ b/crates/sablepass-stand/tests/crashing.rs
@@ -126,16 +126,18 @@
     assert_eq!(ended(&beside.site), before, "the new entry forwarded the request");
 }
 
-/// Ranks of one group stop together, so that one more end would cost all requests that the
-/// service runs. A request under which one rank ended is not tried at the others; requests that
-/// did not run at this rank are.
-#[test]
-fn verify_a_request_that_ended_a_rank_is_not_tried_at_other_ranks() {
+/// A group of ranks that end when they start to run the request, of which the first `reporting`
+/// report that they belong to it.
+fn group(reporting: usize) -> SiteWithAgents {
     let beside = SiteWithAgents::spawn(4);
-    let site = &beside.site;
-    end_all_on_fatal(&site.replicas);
+    end_all_on_fatal(&beside.site.replicas);
     let group = Group { open: true, size: 4, steps: true };
-    site.replicas.iter().for_each(|it| it.report_group(group));
+    beside.site.replicas[..reporting].iter().for_each(|it| it.report_group(group));
+    beside
+}
+
+/// Ends a rank with the request, and checks that the request is not tried at the others.
+fn check_other_ranks_are_spared(site: &Site) {
     let admin = site.entries[0].addr("admin");
     send(site, 0, "once", "first", FATAL);
     wait_for("the entry knows that the rank ended", || {
@@ -146,11 +148,29 @@
         assert_eq!(again.status, 503, "{again:?}");
     }
     assert_eq!(ended(site), 1, "the request was tried again");
+}
+
+/// Ranks of one group stop together, so that one more end would cost all requests that the
+/// service runs. A request under which one rank ended is not tried at the others; requests that
+/// did not run at this rank are.
+#[test]
+fn verify_a_request_that_ended_a_rank_is_not_tried_at_other_ranks() {
+    let beside = group(4);
+    check_other_ranks_are_spared(&beside.site);
     wait_for("a request that did not run at the rank is served", || {
-        send(site, 0, "once", "innocent", "ends nothing").status == 200
+        send(&beside.site, 0, "once", "innocent", "ends nothing").status == 200
     });
 }
 
+/// Guards against trying a request at other ranks of a group because some ranks, as the one that
+/// ended, have not reported their group.
+#[test]
+fn verify_ranks_that_have_not_reported_count_for_the_group() {
+    let beside = group(2);
+    thread::sleep(REPORT_TIME);
+    check_other_ranks_are_spared(&beside.site);
+}
+
 /// Slightly longer than the 30 s for which entries block a request under which two targets ended
 /// at the same time.
 const TRIAL_PAUSE: Duration = Duration::from_millis(30_500);
@@ -233,25 +253,3 @@
     }
     assert_eq!(metric(&admin, "sablepass_retries_total", ""), 0.0, "attempts at the ended target");
 }
-
-/// Guards against trying a request at other ranks of a group because some ranks, as the one that
-/// ended, have not reported their group.
-#[test]
-fn verify_ranks_that_have_not_reported_count_for_the_group() {
-    let beside = SiteWithAgents::spawn(4);
-    let site = &beside.site;
-    end_all_on_fatal(&site.replicas);
-    let group = Group { open: true, size: 4, steps: true };
-    site.replicas[..2].iter().for_each(|it| it.report_group(group));
-    thread::sleep(REPORT_TIME);
-    let admin = site.entries[0].addr("admin");
-    send(site, 0, "once", "first", FATAL);
-    wait_for("the entry knows that the rank ended", || {
-        metric(&admin, "sablepass_deaths_total", "") >= 1.0
-    });
-    for round in 0..4 {
-        let again = send(site, 0, "once", &format!("again-{round}"), FATAL);
-        assert_eq!(again.status, 503, "{again:?}");
-    }
-    assert_eq!(ended(site), 1, "the request was tried again");
-}
--- a/crates/sablepass-stand/tests/crashing_part.rs
+++ b/crates/sablepass-stand/tests/crashing_part.rs
@@ -10,7 +10,7 @@
 use std::thread;
 
 use common::crashes::{ended, replace_ended};
-use sablepass_stand::client::{Answer, metric};
+use sablepass_stand::client::{Answer, metric, wait_for};
 use sablepass_stand::site::{Site, ask};
 use sablepass_stand::site_with_agents::SiteWithAgents;
 
@@ -88,6 +88,8 @@
     let admin = site.entries[0].addr("admin");
     let count = metric(&admin, "sablepass_refusals_total", "reason=\"ends-targets\"");
     assert!(count >= 1.0, "refusals for the reason ends-targets: {count}");
+    wait_for("the gauge shows the part", || metric(&admin, "sablepass_blocked_parts", "") == 1.0);
+    assert_eq!(site.status(0)["blocked_parts"].as_array().map(Vec::len), Some(1));
     let sound = send(&site, 0, "once", "last-part", &["f1"]);
     assert_eq!(sound.status, 200, "{sound:?}");
 }
