Agents limit the time of the probe after an interrupted attempt

Cause: found by reading. A target on another machine that falls silent would hold the attempt's thread, and its failure, for as long as the kernel tries to connect. Change: 300 ms. Measured: crashing_message.rs and unsized_streams.rs pass.

--- a/crates/sablepass-agent/src/run.rs
+++ b/crates/sablepass-agent/src/run.rs
@@ -5,7 +5,7 @@
 //! answer to the keeper.
 
 use std::io::Read;
-use std::net::TcpStream;
+use std::net::{TcpStream, ToSocketAddrs};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -24,6 +24,9 @@
 /// socket too.
 const END_SETTLE_TIME: Duration = Duration::from_millis(10);
 
+/// Time to connect to a target whose process may have ended. It is on the agent's machine.
+const END_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// An attempt to run on the target.
 #[derive(Debug)]
 pub struct Job {
@@ -150,8 +153,9 @@
 fn has_ended(base: &str) -> bool {
     std::thread::sleep(END_SETTLE_TIME);
     let uri = base.parse::<ureq::http::Uri>().ok();
-    let address = uri.as_ref().and_then(|it| Some((it.host()?, it.port_u16().unwrap_or(80))));
-    let connected = address.map(TcpStream::connect);
+    let host = uri.as_ref().and_then(|it| Some((it.host()?, it.port_u16().unwrap_or(80))));
+    let address = host.and_then(|it| it.to_socket_addrs().ok()?.next());
+    let connected = address.map(|it| TcpStream::connect_timeout(&it, END_PROBE_TIMEOUT));
     matches!(connected, Some(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
