Soak: ids of requests and replicas differ between runs on one machine

Cause: three soaks ran at once. Requests were numbered alike in all runs, and so were replicas, so that an entry or a caller of one run that met another run at a reused port was served there.

--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -234,7 +234,9 @@
 
     /// Starts a replica at a loopback address that stands for a machine of its own.
     pub fn spawn_at(service: &str, ip: IpAddr) -> Self {
-        let id = format!("i-{:08x}", STARTED.fetch_add(1, Ordering::Relaxed));
+        // Another run on the machine may listen at the address of a replica that ended.
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let id = format!("i-{:x}-{number:08x}", std::process::id());
         Self::spawn_as(service, ip, id)
     }
 
--- a/crates/sablepass-stand/src/soak/callers.rs
+++ b/crates/sablepass-stand/src/soak/callers.rs
@@ -121,7 +121,8 @@
         _ if routes > 0 => Kind::Added(1 + round as u64 % routes),
         _ => Kind::Stream,
     };
-    let id = format!("c{number}-{round}");
+    // Another run on the machine may listen at the address of an entry that was killed.
+    let id = format!("c{number}-{round}-{}", std::process::id());
     let request = match kind {
         Kind::Stream => site::ask("POST", "/stream/x", &id, "prompt")
             .with("x-prompt-prefix", &format!("{}:40,own-{id}:90", first_part(round))),
