--- a/crates/sablepass-core/src/parts.rs
+++ b/crates/sablepass-core/src/parts.rs
@@ -28,9 +28,9 @@
 /// Consecutive deaths that block a part if another one explains the same deaths and occurs in fewer
 /// requests, so that its block refuses less.
 const CONSECUTIVE_DEATHS_GENERAL: usize = 4;
-/// Records of deaths kept per part, and requests among them per target that ended. Further ones add
-/// no information.
+/// Maximum number of records of deaths kept per part; further ones add no information.
 const MAX_RECORDS: usize = 16;
+/// Maximum number of requests with a part that are kept for one target that ended.
 const MAX_REQUESTS_PER_TARGET: usize = 3;
 /// How long the first block of a part lasts. It doubles with each further death, up to
 /// [`BLOCK_DURATION`]. Then a single entry tries a single request with the part.
@@ -86,7 +86,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Observations {
-    /// Deaths with the requests that the targets were running, in order of their recording.
+    /// Each request with the part and the end of the target that was running it.
     deaths: Vec<(Fingerprint, Death)>,
     /// Parts that all of these requests contain.
     companions: Vec<Fingerprint>,
--- a/crates/sablepass-core/tests/parts.rs
+++ b/crates/sablepass-core/tests/parts.rs
@@ -129,8 +129,9 @@
     assert!(!is_blocked(&suspects, 3 * GAP, &[OTHER]));
 }
 
-/// Two requests with the cause in common run at the same targets, so that each other part of
-/// theirs is present at all deaths too.
+/// Guards against taking a part that occurs in a single request for the better explanation: two
+/// requests with the cause in common run at the same targets, so that each other part of theirs is
+/// present at all deaths too.
 #[test]
 fn verify_parts_of_a_single_request_do_not_hide_the_cause() {
     let mut suspects = PartSuspects::default();
@@ -155,7 +156,8 @@
     assert!(!is_blocked(&suspects, 3 * GAP, &[FIRST]));
 }
 
-/// Each target that ends was running more requests with the part than records are kept.
+/// Guards against unblocking a part because records of one target displace those of others: each
+/// target that ends was running more requests with the part than records are kept.
 #[test]
 fn verify_many_requests_at_one_target_do_not_unblock_a_part() {
     let mut suspects = PartSuspects::default();
--- a/crates/sablepass-entry/src/suspects.rs
+++ b/crates/sablepass-entry/src/suspects.rs
@@ -36,8 +36,8 @@
 /// entries that observed the same deaths send them.
 const MAX_BACKLOG: usize = 4_096;
 
-/// Time after its end for which a target gets no requests. The instance list shows the end within
-/// seconds, and until then an attempt finds out by itself once this time is over.
+/// Time after its end for which a target gets no requests: about as long as the instance list takes
+/// to show the end. If it takes longer, an attempt is refused and backs the target off again.
 const ENDED_BACK_OFF: Millis = 2_000;
 /// Delay of the second probe of a target without an agent. The kernel, or a proxy in between,
 /// refuses new connections within a tenth of this time after it has closed the established ones; a
--- a/crates/sablepass-stand/tests/crashing.rs
+++ b/crates/sablepass-stand/tests/crashing.rs
@@ -8,7 +8,7 @@
 //! shortly after its restart, until the service was unavailable most of the time. A caller
 //! repeated the request under a new id at any entry. Entries dropped what they knew of a request
 //! with the attempt and didn't send it to other entries, so that each took it for a new request
-//! each time. The entries' log lines about the ended targets had the same fingerprint.
+//! each time.
 
 mod common;
 
