review: case 2, a leaving replica serves on for drainMs and a little longer

The replica that leaves now ends 2.3 s after its notice, so that its end is the planned end of PROTOCOL.md and needs no spot notice.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,8 +5,8 @@
 - frozen: while the entry is frozen (`node_freeze`), the replica's process is killed and is started
   again at its address (`srv_crash`). The entry wakes, finds the end of the channel, and asks the
   address whether the replica still lives; the new process accepts.
-- spot: the replica says `draining` and is gone two seconds later (`scale_in`, how = "spot"). The
-  entry does not ask whether a leaving replica still lives.
+- leaving: the replica says `draining`, serves on for `drainMs` and a little longer, and ends (`scale_in`).
+  The entry does not ask whether a leaving replica still lives.
 
 The callers compare what they got with the replica's whole answer (MIXED, ORDER).
 """
@@ -26,8 +26,8 @@
 EVENTS, PAUSE_S = 28, 0.09
 BODY = b"order line confirmed;" * 38
 FREEZE_S, DOWN_S = 1.5, 0.5
-NOTICE_S, OTHERS_S = 2.0, 4.0
-ROUNDS = [("unsafe", "frozen"), ("stream", "frozen"), ("stream", "spot")] * 2
+NOTICE_S, OTHERS_S = 2.3, 4.0
+ROUNDS = [("unsafe", "frozen"), ("stream", "frozen"), ("stream", "leaving")] * 2
 
 
 def route(name, kind, more):
@@ -195,7 +195,7 @@
 
 
 def take_away(replica, record):
-    """The replica is gone two seconds after its notice; another comes four seconds later."""
+    """The replica serves on for `drainMs` and a little longer, and ends; another comes later."""
     record(f"replica {replica.name} says draining")
     replica.tell("draining")
     time.sleep(NOTICE_S)
