--- a/review/stands.py
+++ b/review/stands.py
@@ -26,10 +26,10 @@
 
 
 class Record:
-    """The file `record.txt`: one line for each thing sent, answered or run."""
+    """The file that `run.sh` names, `record.txt`: one line for each thing sent, answered or run."""
 
     def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+        self.file = open(os.path.join(folder, sys.argv[1]), "w")
         self.lock = threading.Lock()
 
     def __call__(self, *words):
