Log on what grounds the end of an answer without length is passed on

Cause: the log did not tell which of the possible grounds was taken when an answer ended with its connection: another open connection, an accepted one, a probe without a result, or no check at all. Change: a line for each such end, with the result of the check.

--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -88,7 +88,13 @@
                         Some((target, started_at)) if !framed && !leaving => {
                             self.check_end(cx, it, target, started_at);
                         }
-                        _ => {
+                        target => {
+                            if !framed && let Some(open) = self.requests.get(&it.request) {
+                                slog::info!(self.log, "answer without length ended";
+                                    "id" => &open.run.label, "target" => target.map(|it| it.0),
+                                    "attempt" => it.attempt, "bytes" => it.offset,
+                                    "probe" => "none", "leaving" => leaving);
+                            }
                             let done = Event::Done { length: it.offset };
                             self.handle_event(cx, it.request, it.attempt, done);
                         }
--- a/crates/sablepass-entry/src/ends.rs
+++ b/crates/sablepass-entry/src/ends.rs
@@ -65,6 +65,7 @@
         let end = UnconfirmedEnd { attempt, target };
         let incarnation = TargetIncarnation { name: &end.target, started_at };
         if self.pool.is_connected(incarnation) {
+            slog::info!(self.log, "target has another connection"; "target" => &end.target);
             self.resolve_end(cx, &end, EndProbe::Accepted);
             return;
         }
@@ -92,6 +93,8 @@
         if open.flight.attempt().number != attempt {
             return;
         }
+        slog::info!(self.log, "answer without length ended"; "id" => &open.run.label,
+            "target" => &end.target, "attempt" => attempt, "bytes" => offset, "probe" => ?probe);
         match probe {
             EndProbe::Accepted => {}
             // An answer that may be incomplete does not clear the parts of its prompt.
