leaving_table: entries use all targets, as on the users' platform

Cause: the test. Its entries kept the default `subset` of 8, so that each uses eight of the 12 to 14 targets that are listed at the end, chosen by a hash of both names, and the names contain the process id. Nothing makes the five entries that live to the end cover each target. Evidence: a scratch copy printed for each target that stays the living entries that have it among their eight, computed with `balance::subset` from the list at the end, and its arrivals by entry. In each of the four failures the unused target is in no living entry's subset, and each other target that stays is used. Its last requests came from the entry that the test kills, or from entries that dropped it as the list changed: the entries do what their setting says. Change: the entries of `Running` use all targets (`subset = 1024`, as in platform/entry.toml). All checks and bounds stay. They are as strict: each target that stays must be in use, and each target that leaves is now one that every entry uses, so that each entry must stop using it.

--- a/crates/sablepass-stand/tests/common/running.rs
+++ b/crates/sablepass-stand/tests/common/running.rs
@@ -24,6 +24,9 @@
 pub const DRAIN_LIMIT_MS: u64 = 2_000;
 /// Era of the store after its first restore from a backup.
 pub const RESTORED_ERA: u64 = 2;
+/// Settings of the entries, which use all targets, as on the users' platform. With the default
+/// subset, a target may be left without an entry that uses it.
+const ENTRY_SETTINGS: &str = "subset = 1024";
 /// Interval at which targets renew their entries in the store.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -71,13 +74,18 @@
         let mut site = Site::open(targets);
         site.pace = Pace::Platform;
         for _ in 0..ENTRIES {
-            site.add_entry_with_seeds("", SEEDS);
+            site.add_entry_with_seeds(ENTRY_SETTINGS, SEEDS);
         }
         site.settle(targets);
         let writers = Arc::new(Mutex::new(site.replicas.clone()));
         Self { site, writers, stopped: Arc::default(), threads: Vec::new() }
     }
 
+    /// Starts another entry; returns its index.
+    pub fn add_entry(&mut self) -> usize {
+        self.site.add_entry_with_seeds(ENTRY_SETTINGS, SEEDS)
+    }
+
     fn call_all(&mut self) {
         (0..ENTRIES).for_each(|entry| self.call(entry));
         thread::sleep(Duration::from_secs(1));
--- a/crates/sablepass-stand/tests/draining.rs
+++ b/crates/sablepass-stand/tests/draining.rs
@@ -166,7 +166,7 @@
 fn site_of_seven() -> (Running, usize) {
     let mut running = Running::start_quiet(3);
     for _ in 0..2 {
-        let entry = running.site.add_entry_with_seeds("", SEEDS);
+        let entry = running.add_entry();
         running.call(entry);
     }
     let count = running.site.entries.len();
@@ -210,7 +210,7 @@
         let left_at = running.leave(&leaving, way);
         thread::sleep(Duration::from_millis(1_500));
         running.site.store.restore(&backup, RESTORED_ERA);
-        let fresh = running.site.add_entry_with_seeds("", SEEDS);
+        let fresh = running.add_entry();
         let started_at = clock::now();
         let status = || running.site.status(fresh)["revision"].as_u64();
         wait_for("the new entry has a configuration", || status() > Some(0));
--- a/crates/sablepass-stand/tests/leaving_table.rs
+++ b/crates/sablepass-stand/tests/leaving_table.rs
@@ -15,7 +15,7 @@
 use sablepass_stand::keys::{Backup, Mode, Store};
 use sablepass_stand::replica::Replica;
 
-use crate::common::running::{DRAIN_LIMIT_MS, ENTRIES, RESTORED_ERA, Running, SEEDS, Way};
+use crate::common::running::{DRAIN_LIMIT_MS, ENTRIES, RESTORED_ERA, Running, Way};
 
 const WAYS: [Way; 3] = [Way::Draining, Way::Removed, Way::Announced];
 const MOMENTS: [Moment; 4] = [Moment::Before, Moment::During, Moment::After, Moment::Later];
@@ -147,7 +147,7 @@
     thread::sleep(Duration::from_millis(1_500));
     fault.end(&store, &backup);
     let fault_end = clock::now();
-    let entry = running.site.add_entry_with_seeds("", SEEDS);
+    let entry = running.add_entry();
     let fresh = (entry, clock::now());
     running.call(entry);
     departures.extend(leave(&running, &mut unused, Moment::After, &WAYS));
