Pass on the end of an answer without length only if its target answers after it

Cause: an answer without length ends with its connection, as does that of a target whose process ends. The entry took the answer for complete if the address accepted a connection, if another connection to the target seemed open, or if a timer ran out. None of these names a process: the address may be another target's by now, the end of the other connection may be on its way. Change: `core::ends` keeps answers that ended; one is complete once the same incarnation of the target answers a health check, or any request, that was sent 3 ms or more after the end. The check names the target (`X-Expect-Instance`): every other one answers 421 or names itself, and any other answer, also that of a busy, leaving or unhealthy target, is the target's. It goes over an idle connection where there is one, waits 1 ms for a slot at most, and is sent again after 250 ms, 500 ms and so on. While nothing is known, a request that may be repeated goes to another target after a second; an unsafe request and a stream that nobody can continue wait for proof until the deadline and then fail. 421 counts as the end of the target, also for suspects. Why it works: what answers a request that was sent after the end was running after the end, so the end was not that of its process; and the id belongs to one lifetime. The time to wait before the check is 3 ms in place of 5, since an answer, unlike an accepted connection, does not come from a process that was killed. Not covered: a target that starts again under its id, at its address, before the list shows it.

--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -310,6 +310,9 @@
 pub struct Service {
     /// Name, unique among all partners.
     pub name: String,
+    /// Path of the health check of its targets.
+    #[serde(default)]
+    pub health_path: Option<String>,
     /// Maximum number of connections to one target, from all processes together.
     pub connections: u32,
     /// Parameters of its targets, if they are model engines.
--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -135,6 +135,8 @@
     TargetDegraded,
     /// The target's machine is unresponsive, and no part of this answer has arrived for a while.
     TargetUnresponsive,
+    /// The answer ended with its connection, and nothing has proved for a while that it is complete.
+    EndUnconfirmed,
     /// The request is blocked as a suspect: several targets terminated while they ran it.
     EndsTargets,
     /// The caller closed its connection.
@@ -354,6 +356,7 @@
             }
             Event::TargetDegraded => self.switch_target(now, Retry::SlowTarget, budget),
             Event::TargetUnresponsive => self.switch_target(now, Retry::QuietTarget, budget),
+            Event::EndUnconfirmed => self.switch_target(now, Retry::UnconfirmedEnd, budget),
             Event::EndsTargets => self.on_ends_targets(),
             Event::CallerGone => self.on_caller_gone(),
         }
@@ -599,7 +602,7 @@
     }
 
     /// Cancels the current attempt and retries the request at another target, if it may be
-    /// retried. Otherwise the attempt continues: the target is slow but has not failed.
+    /// retried. Otherwise the attempt continues: the target is slow or silent but has not failed.
     fn switch_target(
         &mut self,
         now: Millis,
--- a/crates/sablepass-core/src/lib.rs
+++ b/crates/sablepass-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod deaths;
 pub mod declaration;
 pub mod duty;
+pub mod ends;
 pub mod events;
 pub mod expert;
 pub mod fingerprint;
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -182,6 +182,9 @@
         /// The target asked for a pause, announced that it leaves, or was evacuated before any part
         /// of the attempt was sent.
         TargetRests = 9, "target-rests";
+        /// The answer stated no length and ended, and its target did not prove in time that it is
+        /// complete.
+        UnconfirmedEnd = 10, "unconfirmed-end";
     }
 }
 
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -67,6 +67,9 @@
     pub sleeps: IntCounter,
     /// Targets by state: listed, connected to their agent, and usable now.
     pub targets: IntGaugeVec,
+    /// Answers that stated no length and ended, by what was found out: complete, interrupted, or not
+    /// confirmed in time.
+    pub unsized_ends: IntCounterVec,
     /// Targets that ended during a request, by source: observed here or reported by others.
     pub deaths: IntCounterVec,
     /// Requests sent to targets that had asked for a pause. Always 0 unless this program has a
@@ -172,6 +175,12 @@
             )?,
             sleeps: counter(r, "sleeps_total", "Times that the process woke")?,
             targets: gauges(r, "targets", "Targets by how they are known", &["state"])?,
+            unsized_ends: counters(
+                r,
+                "unsized_ends_total",
+                "Answers that ended with their connection",
+                &["result"],
+            )?,
             deaths: counters(r, "deaths_total", "Targets that ended under a request", &["source"])?,
             sent_to_resting: counter(
                 r,
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -4,6 +4,8 @@
 //! The router's side towards targets that are reached directly: sends attempts over connections of
 //! the pool, and derives from the answers what happened to the request.
 
+use std::time::Duration;
+
 use sablepass_core::fingerprint;
 use sablepass_core::flight::{Event, Head};
 use sablepass_core::id::{AttemptId, Millis, RequestId, TargetIncarnation};
@@ -16,7 +18,6 @@
 use sablepass_platform::request;
 use stakker::CX;
 
-use crate::ends::EndProbe;
 use crate::notices::Source;
 use crate::open::OpenRequest;
 use crate::pool::{ConnectionKey, Destination, InFlightAttempt};
@@ -28,7 +29,7 @@
 const BACK_OFF_FULL: Millis = 40;
 /// Back-off of a target at whose address another target answered: longer than it takes until the
 /// instance list shows the change.
-const BACK_OFF_MISDIRECTED: Millis = 5_000;
+pub(crate) const BACK_OFF_MISDIRECTED: Millis = 5_000;
 
 impl Router {
     /// Sends an attempt directly to a target. An unsafe request gets a new connection.
@@ -63,6 +64,9 @@
     pub fn direct_event(&mut self, cx: CX![], (key, event): (ConnectionKey, client::Event)) {
         match event {
             client::Event::Connected => self.direct_connected(cx, key),
+            client::Event::Head(head) if self.pool.is_checking(key) => {
+                self.check_answered(cx, key, &head);
+            }
             client::Event::Head(head) => self.direct_head(cx, key, &head),
             client::Event::Bytes(data) => {
                 let Some(in_flight) = self.pool.in_flight(key) else { return };
@@ -72,39 +76,41 @@
                 self.handle_event(cx, id, attempt, Event::Chunk { offset, data });
             }
             client::Event::End { reusable, framed, keep_alive } => {
-                let now = clock::now();
-                let in_flight = self.pool.in_flight(key).copied();
-                let target = self.pool.target(key).map(|it| (it.name.to_owned(), it.started_at));
-                let leaving =
-                    self.pool.target(key).is_some_and(|it| self.targets.has_left(now, it));
-                if reusable && !leaving {
-                    self.pool.release(now, key, keep_alive);
-                } else {
-                    self.pool.close(key);
-                }
-                if let Some(it) = in_flight {
-                    self.clear_connection(it.request, key);
-                    match target {
-                        Some((target, started_at)) if !framed && !leaving => {
-                            self.check_end(cx, it, target, started_at);
-                        }
-                        target => {
-                            if !framed && let Some(open) = self.requests.get(&it.request) {
-                                slog::info!(self.log, "answer without length ended";
-                                    "id" => &open.run.label, "target" => target.map(|it| it.0),
-                                    "attempt" => it.attempt, "bytes" => it.offset,
-                                    "probe" => "none", "leaving" => leaving);
-                            }
-                            let done = Event::Done { length: it.offset };
-                            self.handle_event(cx, it.request, it.attempt, done);
-                        }
-                    }
-                }
+                self.direct_end(cx, key, framed, reusable, keep_alive);
             }
             client::Event::Closed { cause, sent } => self.direct_closed(cx, key, &cause, sent),
         }
     }
 
+    /// Handles the end of an answer.
+    fn direct_end(
+        &mut self,
+        cx: CX![],
+        key: ConnectionKey,
+        framed: bool,
+        reusable: bool,
+        keep_alive: Option<Duration>,
+    ) {
+        let now = clock::now();
+        let in_flight = self.pool.in_flight(key).copied();
+        let unframed = if framed { None } else { self.checked_target(key) };
+        let leaving = self.pool.target(key).is_some_and(|it| self.targets.has_left(now, it));
+        if reusable && !leaving {
+            self.pool.release(now, key, keep_alive);
+        } else {
+            self.pool.close(key);
+        }
+        let Some(in_flight) = in_flight else { return };
+        self.clear_connection(in_flight.request, key);
+        match unframed {
+            Some(target) if !leaving => self.check_end(cx, in_flight, target),
+            _ => {
+                let done = Event::Done { length: in_flight.offset };
+                self.handle_event(cx, in_flight.request, in_flight.attempt, done);
+            }
+        }
+    }
+
     /// Records that a request no longer uses a connection.
     pub(crate) fn clear_connection(&mut self, id: RequestId, key: ConnectionKey) {
         if let Some(open) = self.requests.get_mut(&id)
@@ -140,6 +146,12 @@
             let incarnation = TargetIncarnation { name: &target, started_at };
             self.check_evacuation_respected(in_flight.request, incarnation);
         }
+        let attempt = AttemptId { request: in_flight.request, number: in_flight.attempt };
+        if meta.proof != Proof::Misdirected
+            && let Some(sent) = self.open_attempt(attempt).map(|it| it.sent_at)
+        {
+            self.target_answered(cx, TargetIncarnation { name: &target, started_at }, sent);
+        }
         if let Some(load) = meta.load {
             self.targets.record_load(now, &target, load.running + load.waiting);
         }
@@ -211,7 +223,10 @@
     /// the last moment at which an announcement of the target can be taken into account.
     fn direct_connected(&mut self, cx: CX![], key: ConnectionKey) {
         let waiting = self.pool.mark_connected(key);
-        self.end_probed(cx, key, EndProbe::Accepted);
+        if self.pool.is_checking(key) {
+            self.pool.send_waiting(key);
+            return;
+        }
         if !waiting {
             self.log_accepted_probe(key);
             return;
@@ -250,13 +265,15 @@
     /// if none was, the request provably did not run.
     fn direct_closed(&mut self, cx: CX![], key: ConnectionKey, cause: &client::Cause, sent: bool) {
         let in_flight = self.pool.in_flight(key).copied();
-        let target = self.pool.target(key).map_or_else(String::new, |it| it.name.to_owned());
+        let target = self.pool.target(key).map(|it| (it.name.to_owned(), it.started_at));
+        let (target, started_at) = target.unwrap_or_default();
         self.pool.close(key);
         if cause.is_refused() {
             self.target_refuses(cx, &target);
+            let incarnation = TargetIncarnation { name: &target, started_at };
+            self.target_exited(cx, incarnation, "refuses connections");
         }
-        let probe = if cause.is_refused() { EndProbe::Refused } else { EndProbe::Unknown };
-        self.end_probed(cx, key, probe);
+        self.check_closed(cx, key);
         let Some(in_flight) = in_flight else { return };
         self.clear_connection(in_flight.request, key);
         if let Some(open) = self.requests.get(&in_flight.request) {
--- a/crates/sablepass-entry/src/pool.rs
+++ b/crates/sablepass-entry/src/pool.rs
@@ -46,21 +46,45 @@
     pub addr: SocketAddr,
 }
 
+/// Connection over which a health check is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CheckRoute {
+    /// An idle connection, which the target may be closing.
+    Idle,
+    /// A new connection.
+    New,
+}
+
 struct PooledConnection {
     connection: ActorOwn<Connection>,
     target: String,
     /// Start time of the target's incarnation when the connection was opened.
     started_at: Millis,
+    addr: SocketAddr,
     /// Whether the connection is established.
     connected: bool,
     /// Request to be sent once the connection is established, unless the target accepts no requests
     /// by then.
     waiting: Option<Outgoing>,
     in_flight: Option<InFlightAttempt>,
+    /// Whether a health check is in flight.
+    checking: bool,
     /// When the connection is closed if it is idle.
     idle_until: Millis,
 }
 
+impl PooledConnection {
+    /// Sends a request, now or once the connection is established.
+    fn send(&mut self, request: Outgoing) {
+        self.idle_until = Millis::MAX;
+        if self.connected {
+            call!([self.connection], send(request));
+        } else {
+            self.waiting = Some(request);
+        }
+    }
+}
+
 /// All direct connections of an entry.
 pub struct Pool {
     connections: HashMap<ConnectionKey, PooledConnection>,
@@ -92,7 +116,8 @@
     /// which the rest of an answer is discarded.
     fn make_room(&mut self) {
         while self.connections.len() >= self.limit {
-            let unused = self.connections.iter().filter(|it| it.1.in_flight.is_none());
+            let is_unused = |it: &PooledConnection| it.in_flight.is_none() && !it.checking;
+            let unused = self.connections.iter().filter(|it| is_unused(it.1));
             let Some(key) = unused.min_by_key(|it| it.1.idle_until).map(|it| *it.0) else { return };
             self.close(key);
         }
@@ -111,9 +136,11 @@
             connection,
             target: to.target.to_owned(),
             started_at: to.started_at,
+            addr: to.addr,
             connected: false,
             waiting: None,
             in_flight: None,
+            checking: false,
             idle_until: Millis::MAX,
         };
         self.connections.insert(key, pooled);
@@ -127,24 +154,47 @@
         key
     }
 
-    /// Returns whether a connection to an incarnation of a target is established.
-    pub fn is_connected(&self, target: TargetIncarnation<'_>) -> bool {
-        let is_same = |it: &PooledConnection| {
-            it.connected && it.target == target.name && it.started_at == target.started_at
+    /// Sends a health check to a target's incarnation. Returns the connection and how it was chosen:
+    /// without an idle one, or if `route` says so, a new one is opened.
+    pub fn send_check(
+        &mut self,
+        core: &mut Core,
+        to: Destination<'_>,
+        head: http::Request<()>,
+        route: CheckRoute,
+    ) -> (ConnectionKey, CheckRoute) {
+        let idle = if route == CheckRoute::Idle { self.take_idle(to) } else { None };
+        let route = if idle.is_some() { CheckRoute::Idle } else { CheckRoute::New };
+        let key = idle.unwrap_or_else(|| self.connect(core, to));
+        if let Some(pooled) = self.connections.get_mut(&key) {
+            pooled.checking = true;
+            pooled.send(Outgoing { head, body: Vec::new(), echo: None });
+        }
+        (key, route)
+    }
+
+    /// Removes the idle connection to an incarnation that was released last.
+    fn take_idle(&mut self, to: Destination<'_>) -> Option<ConnectionKey> {
+        let idle = self.idle.get_mut(to.target)?;
+        let connections = &self.connections;
+        let fits = |key: &ConnectionKey| {
+            let pooled = connections.get(key);
+            pooled.is_some_and(|it| it.started_at == to.started_at && it.addr == to.addr)
         };
-        self.connections.values().any(is_same)
+        let position = idle.iter().rposition(fits)?;
+        Some(idle.remove(position))
+    }
+
+    /// Returns whether a health check is in flight on a connection.
+    pub fn is_checking(&self, key: ConnectionKey) -> bool {
+        self.connections.get(&key).is_some_and(|it| it.checking)
     }
 
     /// Sends a request, now or once the connection is established.
     pub fn send(&mut self, key: ConnectionKey, attempt: InFlightAttempt, request: Outgoing) {
         let Some(pooled) = self.connections.get_mut(&key) else { return };
         pooled.in_flight = Some(attempt);
-        pooled.idle_until = Millis::MAX;
-        if pooled.connected {
-            call!([pooled.connection], send(request));
-        } else {
-            pooled.waiting = Some(request);
-        }
+        pooled.send(request);
     }
 
     /// Records that a connection is established. Returns whether a request waits for this.
@@ -193,6 +243,15 @@
             .map(|it| TargetIncarnation { name: &it.target, started_at: it.started_at })
     }
 
+    /// Returns the target's incarnation to which a connection was opened, and its address.
+    pub fn destination(&self, key: ConnectionKey) -> Option<Destination<'_>> {
+        self.connections.get(&key).map(|it| Destination {
+            target: &it.target,
+            started_at: it.started_at,
+            addr: it.addr,
+        })
+    }
+
     /// Detaches the attempt from its connection. The rest of the answer is read and discarded.
     pub fn detach(&mut self, key: ConnectionKey) {
         if let Some(pooled) = self.connections.get_mut(&key) {
@@ -205,6 +264,7 @@
     pub fn release(&mut self, now: Millis, key: ConnectionKey, announced: Option<Duration>) {
         let Some(pooled) = self.connections.get_mut(&key) else { return };
         pooled.in_flight = None;
+        pooled.checking = false;
         let timeout = announced.map_or(IDLE_TIMEOUT, |it| it.saturating_sub(IDLE_MARGIN));
         pooled.idle_until = now + timeout.as_millis() as Millis;
         let idle = self.idle.entry(pooled.target.clone()).or_default();
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -32,7 +32,7 @@
 use slog::Logger;
 use stakker::{ActorOwn, CX, call, fwd_to};
 
-use crate::ends::UnconfirmedEnd;
+use crate::ends::EndChecks;
 use crate::open::OpenRequest;
 use crate::openai;
 use crate::pool::{ConnectionKey, Destination, Pool};
@@ -75,9 +75,8 @@
     /// Streams that wait to be started, by service.
     pub(crate) start_queues: HashMap<Served, StartQueue>,
     pub(crate) pool: Pool,
-    /// Answers whose end is not known to be that of the answer, by the connection that probes their
-    /// target.
-    pub(crate) unconfirmed_ends: HashMap<ConnectionKey, UnconfirmedEnd>,
+    /// Answers without a length whose ends are not known to be complete.
+    pub(crate) ends: EndChecks,
     pub(crate) traces: Traces,
     /// Requests suspected of terminating their targets.
     pub(crate) watch: SuspectTracker,
@@ -131,7 +130,7 @@
                 fwd_to!([cx], direct_event() as ((ConnectionKey, client::Event))),
                 settings.capacity().map_or(usize::MAX, |it| it.targets),
             ),
-            unconfirmed_ends: HashMap::new(),
+            ends: EndChecks::default(),
             traces: Traces::open(settings.stories),
             watch: SuspectTracker::default(),
             turns: PeerTurns::default(),
--- /dev/null
+++ b/crates/sablepass-stand/tests/unsized_ends.rs
@@ -0,0 +1,229 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! Answers with neither a length nor chunks, whose targets end or do not: what a caller receives as
+//! complete must be the whole answer, and whole answers must arrive.
+
+mod common;
+
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use sablepass_stand::client::{Answer, wait_for};
+use sablepass_stand::replica::{Mode, Replica, all_events};
+use sablepass_stand::site::{Site, ask, configuration};
+
+/// Body of requests that are no streams; their answers repeat it.
+const BODY: &str = "an order line, confirmed";
+/// Time for which an entry is suspended after its target has been replaced.
+const SUSPENSION: Duration = Duration::from_millis(1_500);
+
+/// Kind of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Safe,
+    Unsafe,
+    /// A stream that another target may continue.
+    ResumableStream,
+    /// A stream that no other target may continue.
+    Stream,
+}
+
+const KINDS: [Kind; 4] = [Kind::Safe, Kind::Unsafe, Kind::ResumableStream, Kind::Stream];
+
+impl Kind {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Safe => "/safe/x",
+            Self::Unsafe => "/once/x",
+            Self::ResumableStream => "/stream/x",
+            Self::Stream => "/stream/y/x",
+        }
+    }
+
+    /// The whole answer to a request with this id.
+    fn whole(self, id: &str) -> String {
+        match self {
+            Self::Safe | Self::Unsafe => BODY.to_owned(),
+            Self::ResumableStream | Self::Stream => all_events(id),
+        }
+    }
+
+    /// Whether another target may give the answer, or the rest of it.
+    fn is_repeatable(self) -> bool {
+        matches!(self, Self::Safe | Self::ResumableStream)
+    }
+}
+
+/// Runs a test for each of several cases at once.
+fn for_each_case<T: Copy + Send>(cases: &[T], test: impl Fn(T) + Sync) {
+    thread::scope(|scope| {
+        cases.iter().for_each(|it| {
+            let (case, test) = (*it, &test);
+            scope.spawn(move || test(case));
+        });
+    });
+}
+
+/// A site with one entry, and routes for all kinds of requests.
+fn site(replicas: usize) -> Site {
+    let site = common::site(replicas, 1);
+    let mut configuration = configuration(2);
+    let mut route = configuration["routes"][0].clone();
+    route["name"] = "stream-once".into();
+    route["pathPrefix"] = "/stream/y/".into();
+    route["streamResume"] = false.into();
+    configuration["routes"].as_array_mut().expect("an array").push(route);
+    let revision = site.configure(&configuration);
+    wait_for("the entry has the configuration", || {
+        site.status(0)["revision"].as_u64() >= Some(revision)
+    });
+    site
+}
+
+/// Sends a request whose answer all replicas stop in the middle. Returns the index of the replica
+/// that runs it, and the caller.
+fn hold_answer(site: &Site, kind: Kind, id: &str) -> (usize, JoinHandle<Answer>) {
+    site.replicas.iter().for_each(|it| it.set(Mode::UnsizedHold(1)));
+    let (addr, sent) = (site.http(0), id.to_owned());
+    let caller = thread::spawn(move || ask("POST", kind.path(), &sent, BODY).send(&addr));
+    let runs = |it: &Replica| it.runs().iter().any(|run| run.id == id);
+    let mut busy = None;
+    wait_for("a replica runs the request", || {
+        busy = site.replicas.iter().position(runs);
+        busy.is_some()
+    });
+    // The entry has received the first part by then.
+    thread::sleep(Duration::from_millis(50));
+    (busy.expect("a replica that runs the request"), caller)
+}
+
+/// Asserts that an answer of a target that ended within it is whole or does not look complete.
+fn check_interrupted(kind: Kind, id: &str, answer: &Answer) {
+    if answer.status == 200 {
+        assert_eq!(answer.body, kind.whole(id), "{kind:?}: the answer looks complete");
+    }
+    if kind.is_repeatable() {
+        assert_eq!(answer.status, 200, "{kind:?}: another target can answer: {answer:?}");
+    }
+}
+
+/// Guards against passing on as complete an answer whose target was replaced by another one at its
+/// address, as seen by an entry that was suspended meanwhile.
+#[test]
+fn verify_an_answer_whose_target_was_replaced_during_a_suspension_does_not_look_complete() {
+    for_each_case(&KINDS, |kind| {
+        let site = site(2);
+        let (busy, caller) = hold_answer(&site, kind, "cut");
+        site.entries[0].pause();
+        site.replicas[busy].crash();
+        let _successor = site.replicas[busy].successor();
+        site.replicas.iter().for_each(|it| it.set(Mode::Unsized));
+        thread::sleep(SUSPENSION);
+        site.entries[0].resume();
+        let answer = caller.join().expect("the caller ends");
+        check_interrupted(kind, "cut", &answer);
+    });
+}
+
+/// Guards against passing on as complete an answer whose target was replaced by another one at its
+/// address before the entry asked.
+#[test]
+fn verify_an_answer_whose_target_was_replaced_at_once_does_not_look_complete() {
+    for_each_case(&KINDS, |kind| {
+        let site = site(2);
+        let (busy, caller) = hold_answer(&site, kind, "cut");
+        site.replicas[busy].crash();
+        let _successor = site.replicas[busy].successor();
+        site.replicas.iter().for_each(|it| it.set(Mode::Unsized));
+        let answer = caller.join().expect("the caller ends");
+        check_interrupted(kind, "cut", &answer);
+    });
+}
+
+/// Guards against passing on as complete an answer whose target ended, since another connection to
+/// it still seems open.
+#[test]
+fn verify_an_answer_whose_target_ended_does_not_look_complete_while_a_connection_is_open() {
+    let site = site(1);
+    let warm = ask("POST", Kind::Safe.path(), "idle", BODY).send(&site.http(0));
+    assert_eq!(warm.status, 200, "the entry keeps a connection: {warm:?}");
+    let (_, caller) = hold_answer(&site, Kind::Unsafe, "cut");
+    site.replicas[0].crash_with_late_ends();
+    let answer = caller.join().expect("the caller ends");
+    assert_eq!(answer.status, 502, "the answer looks complete: {answer:?}");
+}
+
+/// Guards against passing on as complete an answer whose target has not shown in time that it lives.
+#[test]
+fn verify_an_answer_does_not_look_complete_while_nothing_is_known_of_its_target() {
+    for_each_case(&KINDS, |kind| {
+        let site = site(2);
+        let (busy, caller) = hold_answer(&site, kind, "cut");
+        // The successor accepts connections and does not answer.
+        let successor = {
+            site.entries[0].pause();
+            site.replicas[busy].crash();
+            let successor = site.replicas[busy].successor();
+            successor.set(Mode::Asleep);
+            site.replicas.iter().for_each(|it| it.set(Mode::Unsized));
+            site.entries[0].resume();
+            successor
+        };
+        let answer = caller.join().expect("the caller ends");
+        check_interrupted(kind, "cut", &answer);
+        successor.set(Mode::Good);
+    });
+}
+
+/// Sends a request whose answer ends well, prepares the target for its end with `prepare` while the
+/// answer is incomplete, and returns the answer.
+fn end_well(site: &Site, kind: Kind, id: &str, prepare: impl FnOnce(&Site, &Replica)) -> Answer {
+    let (busy, caller) = hold_answer(site, kind, id);
+    prepare(site, &site.replicas[busy]);
+    site.replicas[busy].set(Mode::Unsized);
+    caller.join().expect("the caller ends")
+}
+
+fn check_whole(kind: Kind, id: &str, answer: &Answer) {
+    assert_eq!((answer.status, answer.body.as_str()), (200, kind.whole(id).as_str()), "{kind:?}");
+}
+
+/// Guards against breaking off whole answers: of a target that lives on, of one whose slots are all
+/// taken, and of one whose end the entry sees only after a suspension.
+#[test]
+fn verify_whole_answers_stay_whole() {
+    for_each_case(&KINDS, |kind| {
+        let site = site(1);
+        check_whole(kind, "plain", &end_well(&site, kind, "plain", |_, _| {}));
+        let full = |_: &Site, replica: &Replica| replica.limit_slots(0);
+        check_whole(kind, "full", &end_well(&site, kind, "full", full));
+        site.replicas[0].limit_slots(u32::MAX);
+        let (busy, caller) = hold_answer(&site, kind, "slept");
+        site.entries[0].pause();
+        site.replicas[busy].set(Mode::Unsized);
+        thread::sleep(SUSPENSION);
+        site.entries[0].resume();
+        check_whole(kind, "slept", &caller.join().expect("the caller ends"));
+        assert_eq!(site.runs("plain") + site.runs("full") + site.runs("slept"), 3, "{kind:?}");
+    });
+}
+
+/// Guards against taking whole answers for interrupted ones because their target shows only after a
+/// while that it lives. Requests that may be repeated are sent to another target if it takes long.
+#[test]
+fn verify_a_whole_answer_waits_for_the_first_sign_of_its_target() {
+    for (silence, repeats) in [(Duration::from_millis(600), 0), (Duration::from_millis(1_800), 1)] {
+        for_each_case(&KINDS, |kind| {
+            let site = site(2);
+            let (busy, caller) = hold_answer(&site, kind, "late");
+            // The answer that is on its way ends; checks are read and answered after the silence.
+            site.replicas[busy].set(Mode::Asleep);
+            thread::sleep(silence);
+            site.replicas.iter().for_each(|it| it.set(Mode::Unsized));
+            check_whole(kind, "late", &caller.join().expect("the caller ends"));
+            let repeats = if kind.is_repeatable() { repeats } else { 0 };
+            assert_eq!(site.runs("late"), 1 + repeats, "{kind:?}, silent for {silence:?}");
+        });
+    }
+}
