Check the end of a leaving target's answer like any other

Cause: for a target that leaves, in whatever way, the end of the connection was passed on without a check. A leaving target ends as planned, at a time of its own, and cuts what still runs there. `verify_an_answer_whose_leaving_target_ended_does_not_look_complete` fails without this change, for targets that drain and for those whose entry is removed, with all four kinds of request. Change: the exception is gone. What it was to spare is kept: a leaving target that lives answers its health check, with 503, which names it; the check is no request, so it may reach a target after its drain time; and its address comes from the connection, so that the list need not have it. Why it works: the proof is the same as for any target, an answer to what was sent after the end. Cost: whole answers of targets that leave and live on arrive whole, in all three ways of leaving and all kinds (test).

--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -103,8 +103,8 @@
         let Some(in_flight) = in_flight else { return };
         self.clear_connection(in_flight.request, key);
         match unframed {
-            Some(target) if !leaving => self.check_end(cx, in_flight, target),
-            _ => {
+            Some(target) => self.check_end(cx, in_flight, target),
+            None => {
                 let done = Event::Done { length: in_flight.offset };
                 self.handle_event(cx, in_flight.request, in_flight.attempt, done);
             }
--- a/crates/sablepass-stand/tests/unsized_ends.rs
+++ b/crates/sablepass-stand/tests/unsized_ends.rs
@@ -227,3 +227,75 @@
         });
     }
 }
+
+/// How a target leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    /// Its entry in the store says draining.
+    Draining,
+    /// Its entry is removed from the store.
+    Removed,
+    /// Its answers announce it.
+    Announced,
+}
+
+const WAYS: [Way; 3] = [Way::Draining, Way::Removed, Way::Announced];
+/// Time from the start of a departure until the target's end, and after which an entry has removed a
+/// target that is no longer listed.
+const DEPARTURE: Duration = Duration::from_millis(1_500);
+
+/// Each way of leaving with each kind of request.
+fn cases() -> Vec<(Way, Kind)> {
+    WAYS.iter().flat_map(|way| KINDS.iter().map(|kind| (*way, *kind))).collect()
+}
+
+fn leave(site: &Site, replica: &Replica, way: Way) {
+    match way {
+        Way::Draining => site.list(replica, "draining"),
+        Way::Removed => {
+            site.store.remove(&format!("servers/{}", replica.id));
+        }
+        Way::Announced => replica.leave(),
+    }
+    thread::sleep(DEPARTURE);
+}
+
+/// Guards against passing on as complete an answer whose target ended while it was leaving.
+#[test]
+fn verify_an_answer_whose_leaving_target_ended_does_not_look_complete() {
+    for_each_case(&cases(), |(way, kind)| {
+        let site = site(2);
+        let (busy, caller) = hold_answer(&site, kind, "cut");
+        leave(&site, &site.replicas[busy], way);
+        site.replicas[busy].crash();
+        site.replicas.iter().for_each(|it| it.set(Mode::Unsized));
+        let answer = caller.join().expect("the caller ends");
+        check_interrupted(kind, "cut", &answer);
+    });
+}
+
+/// Guards against breaking off whole answers of targets that leave and have not ended yet.
+#[test]
+fn verify_whole_answers_of_leaving_targets_stay_whole() {
+    for_each_case(&cases(), |(way, kind)| {
+        let site = site(2);
+        let prepare = |site: &Site, replica: &Replica| leave(site, replica, way);
+        check_whole(kind, "whole", &end_well(&site, kind, "whole", prepare));
+        assert_eq!(site.runs("whole"), 1, "{way:?} {kind:?}");
+    });
+}
+
+/// A leaving target may end right after the last byte of its answer. Another target continues a
+/// stream that may be resumed, even if no event is left, and repeats a request that may be repeated.
+#[test]
+fn verify_repeatable_answers_are_whole_if_their_leaving_target_ends_right_after_them() {
+    for_each_case(&[Kind::Safe, Kind::ResumableStream], |kind| {
+        let site = site(2);
+        let (busy, caller) = hold_answer(&site, kind, "last");
+        leave(&site, &site.replicas[busy], Way::Draining);
+        site.replicas.iter().for_each(|it| it.set(Mode::Unsized));
+        wait_for("the answer ends", || !site.replicas[busy].unsized_ends().is_empty());
+        site.replicas[busy].crash();
+        check_whole(kind, "last", &caller.join().expect("the caller ends"));
+    });
+}
