Agents: an accepted connection does not make an answer without length complete

What callers saw: 200 with half of the answer to an unsafe request, if its target ended and was started again at its address before the agent asked, as after a suspension of the agent. The agent took the end of the connection for that of the answer unless the address refused a new connection; an accepted one, and one that timed out, counted as good. Evidence: `verify_an_agent_breaks_off_an_answer_whose_target_was_restarted` fails without this change, with the agent awake and suspended; the test on whole answers passes with and without. Change: while an answer without length arrives, the agent holds a second connection to the target, without a request, and takes the answer for complete only if that is still open 10 ms after the end. The connection is replaced once a second, and only while the old one is open, so that it always leads to the process that answers. Why it works: agent and target are on one machine, whose kernel ends all connections of a process together. Targets behind an agent have no id to ask for, so the connection stands for the process. Cost: one local connection for each answer without length, as before; whole answers arrive whole at once, after 2.5 s without a part and after a suspension (test). A target that closes connections without a request within a second has its answers without length broken off.

--- a/crates/sablepass-agent/src/run.rs
+++ b/crates/sablepass-agent/src/run.rs
@@ -5,7 +5,7 @@
 //! answer to the keeper.
 
 use std::io::Read;
-use std::net::{TcpStream, ToSocketAddrs};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -17,16 +17,11 @@
 use sablepass_platform::answer::{self, Limit, Pause};
 use stakker::sync::Channel;
 
+use crate::witness::{self, Witness};
+
 /// Size of the buffer for the answer's body; the maximum size of a part.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Time after the end of a connection within which a process that ended has closed its listening
-/// socket too.
-const END_SETTLE_TIME: Duration = Duration::from_millis(10);
-
-/// Time to connect to a target whose process may have ended. It is on the agent's machine.
-const END_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// An attempt to run on the target.
 #[derive(Debug)]
 pub struct Job {
@@ -129,13 +124,19 @@
         || matches!(status, 204 | 304);
     let notice = decode_notice(&job, head);
     send(Content::Head { status, content_type, notice });
+    let mut witness = (!is_framed).then(|| Witness::open(base));
     let end = stream_body(body.into_reader(), &job.cancelled, |bytes| {
         send(Content::Bytes(bytes));
+        if let Some(it) = &mut witness {
+            it.renew();
+        }
     });
     let reason = match &end {
         Content::Failed(failure) => Some(interruption(failure.reason, base)),
         // The connection ended, and with it the answer or the target's process.
-        Content::End if !is_framed && has_ended(base) => Some(Refusal::EngineEnded),
+        Content::End if witness.is_some_and(|it| !it.is_running()) => {
+            Some(interruption(Refusal::EngineBroke, base))
+        }
         _ => None,
     };
     send(reason.map_or(end, |reason| Content::Failed(Failure { reason, ran: Ran::Ran })));
@@ -151,11 +152,9 @@
 /// Returns whether the target refuses connections just after one of them ended, so that its process
 /// has ended too.
 fn has_ended(base: &str) -> bool {
-    std::thread::sleep(END_SETTLE_TIME);
-    let uri = base.parse::<ureq::http::Uri>().ok();
-    let host = uri.as_ref().and_then(|it| Some((it.host()?, it.port_u16().unwrap_or(80))));
-    let address = host.and_then(|it| it.to_socket_addrs().ok()?.next());
-    let connected = address.map(|it| TcpStream::connect_timeout(&it, END_PROBE_TIMEOUT));
+    std::thread::sleep(witness::SETTLE_TIME);
+    let connected =
+        witness::address(base).map(|it| TcpStream::connect_timeout(&it, witness::CONNECT_TIMEOUT));
     matches!(connected, Some(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -194,6 +194,8 @@
     crash_part: Option<String>,
     /// Where a request with this body waits for others before the replica crashes.
     crash_barrier: Option<Arc<Barrier>>,
+    /// Requests need not name the replica.
+    behind_agent: bool,
     /// Number of requests and health checks that run at once; none if it is not limited.
     slot_limit: Option<u32>,
     /// Number of requests and health checks that run.
@@ -321,6 +323,7 @@
             crash_body: None,
             crash_part: None,
             crash_barrier: None,
+            behind_agent: false,
             slot_limit: None,
             running: 0,
             part_pause: Duration::ZERO,
@@ -524,6 +527,11 @@
         self.lock().runs.clone()
     }
 
+    /// Lets the replica run requests that do not name it, as those of an agent with a gate.
+    pub fn serve_agent(&self) {
+        self.lock().behind_agent = true;
+    }
+
     /// Limits the number of requests and health checks that run at once. Others wait until one of
     /// them has ended or their deadline has passed.
     pub fn limit_slots(&self, slots: u32) {
@@ -587,7 +595,8 @@
             }
             let is_health_check = run.line.ends_with(&format!(" {HEALTH_PATH}"));
             let expected = run.field("x-expect-instance");
-            if expected != self.id && !(is_health_check && expected.is_empty()) {
+            let may_omit_id = is_health_check || self.lock().behind_agent;
+            if expected != self.id && !(may_omit_id && expected.is_empty()) {
                 let head = format!("HTTP/1.1 421 Misdirected\r\nx-replica-id: {}\r\n", self.id);
                 self.write(stream, &run, &head, b"")?;
                 continue;
