Soak: answers without a length, and replicas replaced while an entry is suspended

Change: `AnswersUnsized` (all replicas, for a second or more, up to twice a seed) and `ReplicaReplaced` (a crash, a new replica behind a proxy at the same address, an entry suspended; up to three times). They are drawn last, so that the faults of earlier seeds stay.

--- a/crates/sablepass-stand/src/soak/fleet.rs
+++ b/crates/sablepass-stand/src/soak/fleet.rs
@@ -37,6 +37,10 @@
 /// Id of a prompt part that crashes each replica that starts to run a request with it.
 pub const FATAL_PART: &str = "bad0";
 const FATAL_REPEAT_INTERVAL: Duration = Duration::from_millis(60);
+/// Pause after each part of an answer without a length.
+const PART_PAUSE: Duration = Duration::from_millis(30);
+/// Any free port at the loopback address.
+const ANY_ADDRESS: &str = "127.0.0.1:0";
 /// Interval at which a thread checks whether a replica has ended.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Time within which an entry must exit after the request to shut down.
@@ -139,6 +143,8 @@
     /// Ids of the replicas that lost power and have not restarted yet.
     without_power: Vec<String>,
     cold_items: Vec<ColdItem>,
+    /// Whether answers of replicas state no length.
+    answers_unsized: bool,
     /// Numbers of the entries that didn't exit within [`STOP_TIMEOUT`].
     pub(super) stop_timeouts: Vec<usize>,
 }
@@ -168,6 +174,7 @@
             evacuations: Vec::new(),
             without_power: Vec::new(),
             cold_items: Vec::new(),
+            answers_unsized: false,
             stop_timeouts: Vec::new(),
         };
         fleet.site.configure(&fleet.configuration());
@@ -242,18 +249,19 @@
 
     fn add_replica(&mut self) {
         let hall = HALLS[self.site.replicas.len() % HALLS.len()];
-        self.list_replica(&Replica::spawn("orders").in_hall(hall));
+        self.list_replica(&Replica::spawn("orders").in_hall(hall), ANY_ADDRESS);
     }
 
-    /// Starts a proxy for a new replica and lists the replica at the proxy's address.
-    fn list_replica(&mut self, replica: &Replica) {
+    /// Starts a proxy for a new replica at `listen`, and lists the replica at the proxy's address.
+    fn list_replica(&mut self, replica: &Replica, listen: &str) {
         replica.crash_on(FATAL_BODY);
         replica.crash_on_part(FATAL_PART);
+        replica.set_part_pause(PART_PAUSE);
+        replica.set(self.usual_mode());
         let to = replica.addr.to_string();
-        let any = "127.0.0.1:0";
         let proxy = Process::spawn(
             "sablepass-stand",
-            &["proxy", "--listen", any, "--control", any, "--to", &to],
+            &["proxy", "--listen", listen, "--control", ANY_ADDRESS, "--to", &to],
         );
         kill_proxy_with(replica.clone(), proxy.id());
         let addr: SocketAddr =
@@ -266,6 +274,29 @@
         self.ready.push(self.site.replicas.len() - 1);
     }
 
+    /// Lets a replica crash and starts another one at its address.
+    fn replace_replica(&mut self, index: usize) {
+        let former = self.site.replicas[index].clone();
+        former.crash();
+        self.proxies[index].kill();
+        self.ready.retain(|it| *it != index);
+        remove_after_lease(self.site.store.clone(), format!("servers/{}", former.id));
+        let next = Replica::spawn("orders").in_hall(&former.hall);
+        self.list_replica(&next, &former.addr.to_string());
+    }
+
+    /// Mode of replicas that no fault affects.
+    fn usual_mode(&self) -> replica::Mode {
+        if self.answers_unsized { replica::Mode::Unsized } else { replica::Mode::Good }
+    }
+
+    /// Sets whether the answers of the ready replicas state no length.
+    fn set_unsized(&mut self, answers_unsized: bool) {
+        self.answers_unsized = answers_unsized;
+        let mode = self.usual_mode();
+        self.ready.iter().for_each(|it| self.site.replicas[*it].set(mode));
+    }
+
     /// Restarts replicas that have ended, with the same ids.
     fn restart_replicas(&mut self) {
         let ended = |it: &usize| self.site.replicas[*it].crashed();
@@ -278,7 +309,7 @@
             if lost_power.is_some() {
                 next.set_cold(COLD_MS);
             }
-            self.list_replica(&next);
+            self.list_replica(&next, ANY_ADDRESS);
             if let Some(position) = lost_power {
                 self.without_power.remove(position);
                 self.renew_while_cold(self.site.replicas.len() - 1);
@@ -500,6 +531,17 @@
                     .crash();
                 replica
             }
+            Fault::ReplicaReplaced => {
+                let index = replica.filter(|_| self.ready.len() > MIN_READY_REPLICAS)?;
+                self.record_fault(Component::Entry(entry?), planned);
+                self.site.entries[entry?].pause();
+                self.replace_replica(index);
+                entry
+            }
+            Fault::AnswersUnsized => {
+                self.set_unsized(true);
+                Some(0)
+            }
             Fault::ListItemCorrupted => {
                 let index = replica.filter(|_| self.ready.len() > MIN_READY_REPLICAS)?;
                 let key = format!("servers/{}", self.site.replicas[index].id);
@@ -573,7 +615,7 @@
     fn end_fault(&mut self, planned: &PlannedFault, index: usize) {
         match planned.fault {
             Fault::EntryKilled => self.add_entry(),
-            Fault::EntryPaused => self.site.entries[index].resume(),
+            Fault::EntryPaused | Fault::ReplicaReplaced => self.site.entries[index].resume(),
             Fault::EntryStopped => {
                 // An overlapping fault may have suspended the entry, which exits only when it runs.
                 self.site.entries[index].resume();
@@ -588,7 +630,7 @@
             Fault::AgentPaused => self.agents[index].resume(),
             Fault::RankUnresponsive => self.group.set_unresponsive(None),
             Fault::ReplicaMode(_) | Fault::ReplicaSheds(_) => {
-                self.site.replicas[index].set(replica::Mode::Good)
+                self.site.replicas[index].set(self.usual_mode())
             }
             Fault::ReplicaLimits(_) => self.site.replicas[index].set_limit(None),
             Fault::ReplicaLeaves | Fault::ReplicaAnnouncesLeave => {
@@ -601,6 +643,7 @@
             | Fault::FatalPart
             | Fault::HallReturnsCold => self.restart_replicas(),
             Fault::HallEvacuated => self.release(HALLS[index]),
+            Fault::AnswersUnsized => self.set_unsized(false),
             Fault::ListItemCorrupted => {
                 // The replica may have ended or left since the fault's start.
                 if self.ready.contains(&index) {
--- a/crates/sablepass-stand/src/soak/schedule.rs
+++ b/crates/sablepass-stand/src/soak/schedule.rs
@@ -46,6 +46,12 @@
     ReplicaAdded,
     /// A replica's process crashes; it restarts with the same id after the fault's duration.
     ReplicaRestarted,
+    /// A replica's process crashes and another replica starts at its address, while an entry is
+    /// suspended for the fault's duration.
+    ReplicaReplaced,
+    /// Answers of all replicas state no length for the fault's duration, and end with their
+    /// connections.
+    AnswersUnsized,
     /// A replica's item in the instance list can't be decoded for the fault's duration.
     ListItemCorrupted,
     /// A caller repeats a request that crashes each replica that starts to run it.
@@ -201,6 +207,16 @@
     PlannedFault { duration_ms, ..planned }.with_fault(Fault::HallEvacuated)
 }
 
+/// Draws a time of answers without a length, for long enough that other faults fall into it.
+fn draw_unsized(rng: &mut StdRng, length: u64) -> PlannedFault {
+    let duration_ms = rng.random_range(1_000..length.max(1_001));
+    PlannedFault { duration_ms, ..draw_planned(rng, length, |_| Fault::AnswersUnsized) }
+}
+
+fn replica_replaced(_: &mut StdRng) -> Fault {
+    Fault::ReplicaReplaced
+}
+
 fn store_restored(_: &mut StdRng) -> Fault {
     Fault::StoreRestored
 }
@@ -225,8 +241,9 @@
 /// Draws a schedule whose faults start within `length` milliseconds and may overlap, sorted by
 /// start time: 4 to 12 general faults, and up to 4 faults of replica processes, 4 notices of
 /// replicas, 2 announced limits, 2 restores of the store, 2 replicas that are unlisted without
-/// notice, 2 faults of data halls, and a fatal prompt part. Kinds that were added later are drawn last, so that earlier
-/// faults of a seed stay the same.
+/// notice, 2 faults of data halls, a fatal prompt part, 3 replicas that are replaced and 2 times of
+/// answers without a length. Kinds that were added later are drawn last, so that earlier faults of a
+/// seed stay the same.
 pub fn draw(seed: u64, length: u64) -> Vec<PlannedFault> {
     let mut rng = StdRng::seed_from_u64(seed);
     let count = rng.random_range(4..=12);
@@ -246,6 +263,10 @@
     schedule.extend((0..count).map(|_| draw_hall_fault(&mut rng, length)));
     let count = rng.random_range(0..=1);
     schedule.extend((0..count).map(|_| draw_planned(&mut rng, length, |_| Fault::FatalPart)));
+    let count = rng.random_range(0..=3);
+    schedule.extend((0..count).map(|_| draw_planned(&mut rng, length, replica_replaced)));
+    let count = rng.random_range(0..=2);
+    schedule.extend((0..count).map(|_| draw_unsized(&mut rng, length)));
     schedule.sort_by_key(|it| it.at);
     schedule
 }
