Release a step only once the rank's state shows that it is disarmed

Cause: a rank answers 202 when an order has begun. The agent took this as done: it counted its rank as disarmed, and ordered `go` for the held step although the report that it read in between still showed the rank armed. Change: after the order was accepted, the member looks at the engine's state. While that shows the rank armed, the order is given again with each tick and the step stays held. Why it works: the step cannot begin while this rank holds it, and the rank lets it go only from a state that was read after the order and is not armed; later orders to arm carry lower fences.

--- a/crates/sablepass-core/src/expert/barrier.rs
+++ b/crates/sablepass-core/src/expert/barrier.rs
@@ -10,8 +10,8 @@
 //! it is armed. A member that cannot do so first has its engine accept a disarm order
 //! with a higher fence, after which no earlier order can arm it, and then votes no. A
 //! vote never changes. The step cannot begin while any rank holds it, and a member
-//! releases it only when all ranks are armed, or when a member voted no and its own
-//! rank is disarmed. At that step either all ranks switch to the new map or none.
+//! releases it only when all ranks are armed, or when a member voted no and the state
+//! of its own engine shows that it is disarmed. At that step either all ranks switch to the new map or none.
 //!
 //! Votes are aggregated up a [`Tree`], and their outcome is sent down it. Only latency
 //! depends on the tree: any member may forward a set of votes, and a member that waits
@@ -528,6 +528,9 @@
             if !current.rolled_back {
                 return Some(Order::Disarm(version));
             }
+            if is_armed_for(reading, version) {
+                return Some(self.repeat_disarm(version));
+            }
             if reading.held == Some(step) {
                 return Some(Order::Go(step));
             }
@@ -539,6 +542,9 @@
     }
 
     fn next_after_no(&mut self, reading: &Reading, current: ActivePlan) -> Option<Order> {
+        if is_armed_for(reading, current.plan.version) {
+            return Some(self.repeat_disarm(current.plan.version));
+        }
         if reading.held == Some(current.plan.step) {
             return Some(Order::Go(current.plan.step));
         }
@@ -546,6 +552,13 @@
         None
     }
 
+    /// Returns the order to disarm again, and waits until the next tick: the engine has accepted
+    /// the order and may still be carrying it out.
+    fn repeat_disarm(&mut self, version: u64) -> Order {
+        self.backed_off = true;
+        Order::Disarm(version)
+    }
+
     /// Completes the current plan for this member, with its own vote.
     fn settle(&mut self, plan: Plan, vote: bool) {
         self.current = None;
@@ -561,3 +574,7 @@
         self.votes.retain(|it, _| *it > plan || settled.contains_key(it));
     }
 }
+
+fn is_armed_for(reading: &Reading, version: u64) -> bool {
+    reading.armed.is_some_and(|it| it.version == version)
+}
--- a/crates/sablepass-core/tests/barrier.rs
+++ b/crates/sablepass-core/tests/barrier.rs
@@ -3,8 +3,8 @@
 
 //! Model check of `expert::barrier`, run on the production code: an exhaustive search
 //! of small settings, and random walks of larger ones. Messages may be lost,
-//! duplicated and reordered; orders may be lost, go unanswered and be carried out
-//! late; agents crash, restart with a lower fence and pause (no action is ever forced);
+//! duplicated and reordered; orders may be lost, go unanswered and be carried out late,
+//! and orders to disarm may be accepted before they are carried out; agents crash, restart with a lower fence and pause (no action is ever forced);
 //! the group forms again; plans are proposed in sequence and concurrently. No step may
 //! begin on two maps, and the group must recover from every state once messages and
 //! orders get through again.
@@ -41,6 +41,8 @@
     forms: u64,
     /// Maximum number of unanswered orders.
     unanswered: u8,
+    /// Maximum number of orders to disarm that are accepted before they are carried out.
+    begun: u8,
     /// Plans in the order of their proposal, each with its proposing member.
     plans: &'static [(u16, Plan)],
     last_step: u64,
@@ -52,17 +54,28 @@
 struct Engine {
     reading: Reading,
     fence: u64,
+    /// The version of an accepted order to disarm that is not carried out yet.
+    begun: Option<u64>,
 }
 
 impl Engine {
     fn apply(&mut self, order: Order, epoch: u64, fence: u64, mutation: Mutation) -> Done {
+        let done = self.accept(order, epoch, fence, mutation);
+        if done == Done::Taken {
+            self.carry_out(order);
+        }
+        done
+    }
+
+    /// Accepts or refuses an order, without carrying it out.
+    fn accept(&mut self, order: Order, epoch: u64, fence: u64, mutation: Mutation) -> Done {
         if epoch != self.reading.epoch {
             return Done::Refused;
         }
         if fence < self.fence && mutation != Mutation::IgnoresFences {
             return Done::Fenced;
         }
-        let state = &mut self.reading;
+        let state = &self.reading;
         let fits = match order {
             Order::Bar => true,
             Order::Hold(step) => state.step < step && state.held.is_none_or(|held| held == step),
@@ -77,6 +90,15 @@
         if !fits {
             return Done::Refused;
         }
+        let bars = matches!(order, Order::Disarm(_) | Order::Bar);
+        if !(bars && mutation == Mutation::DisarmBarsNothing) {
+            self.fence = self.fence.max(fence);
+        }
+        Done::Taken
+    }
+
+    fn carry_out(&mut self, order: Order) {
+        let state = &mut self.reading;
         match order {
             Order::Bar => {}
             Order::Hold(step) => state.held = Some(step),
@@ -84,11 +106,13 @@
             Order::Disarm(version) => state.armed = state.armed.filter(|it| it.version != version),
             Order::Go(step) => state.held = state.held.filter(|it| *it != step),
         }
-        let bars = matches!(order, Order::Disarm(_) | Order::Bar);
-        if !(bars && mutation == Mutation::DisarmBarsNothing) {
-            self.fence = self.fence.max(fence);
+    }
+
+    /// Carries out the accepted order to disarm, if there is one.
+    fn finish(&mut self) {
+        if let Some(version) = self.begun.take() {
+            self.carry_out(Order::Disarm(version));
         }
-        Done::Taken
     }
 }
 
@@ -117,6 +141,8 @@
     proposed: usize,
     /// Number of unanswered orders so far.
     unanswered: u8,
+    /// Number of orders to disarm so far that were accepted before they were carried out.
+    begun: u8,
     step: u64,
 }
 
@@ -128,6 +154,10 @@
     Execute(OrderInFlight),
     /// Carry out an order whose answer is lost.
     ExecuteUnanswered(OrderInFlight),
+    /// Accept an order to disarm and answer it, without carrying it out yet.
+    Begin(OrderInFlight),
+    /// Carry out the order to disarm that a rank has accepted.
+    Finish(u16),
     /// The agent stops waiting for the answer; the order stays in flight.
     GiveUp(u16),
     Read(u16),
@@ -143,7 +173,7 @@
         let size = limits.members;
         let reading = Reading { step: 1, ..Reading::default() };
         Self {
-            engines: vec![Engine { reading, fence: 0 }; size.into()],
+            engines: vec![Engine { reading, ..Engine::default() }; size.into()],
             agents: (0..size).map(|me| Member::open(me, size, 10).expect("valid member")).collect(),
             incarnations: vec![0; size.into()],
             mail: BTreeSet::new(),
@@ -151,6 +181,7 @@
             waits: vec![None; size.into()],
             proposed: 0,
             unanswered: 0,
+            begun: 0,
             step: 1,
         }
     }
@@ -171,8 +202,14 @@
             {
                 actions.push(Action::ExecuteUnanswered(sent));
             }
+            if self.begun < limits.begun && matches!(sent.order, Order::Disarm(_)) {
+                actions.push(Action::Begin(sent));
+            }
         }
         for rank in 0..limits.members {
+            if self.engines[usize::from(rank)].begun.is_some() {
+                actions.push(Action::Finish(rank));
+            }
             if self.waits[usize::from(rank)].is_some() {
                 if self.unanswered < limits.unanswered {
                     actions.push(Action::GiveUp(rank));
@@ -218,6 +255,23 @@
         self.orders.remove(&sent);
         let engine = &mut self.engines[usize::from(sent.rank)];
         let done = engine.apply(sent.order, sent.epoch, sent.fence, limits.mutation);
+        self.answer(sent, done, answered);
+    }
+
+    /// Accepts and answers an order to disarm, and carries it out later.
+    fn begin(&mut self, limits: &Limits, sent: OrderInFlight) {
+        self.begun += 1;
+        self.orders.remove(&sent);
+        let engine = &mut self.engines[usize::from(sent.rank)];
+        let done = engine.accept(sent.order, sent.epoch, sent.fence, limits.mutation);
+        if let (Done::Taken, Order::Disarm(version)) = (done, sent.order) {
+            engine.begun = Some(version);
+        }
+        self.answer(sent, done, true);
+    }
+
+    /// Answers an order, unless its agent no longer waits.
+    fn answer(&mut self, sent: OrderInFlight, done: Done, answered: bool) {
         let rank = usize::from(sent.rank);
         if self.waits[rank] != Some(sent) {
             return;
@@ -277,6 +331,8 @@
             }
             Action::Execute(sent) => self.execute(limits, sent, true),
             Action::ExecuteUnanswered(sent) => self.execute(limits, sent, false),
+            Action::Begin(sent) => self.begin(limits, sent),
+            Action::Finish(rank) => self.engines[usize::from(rank)].finish(),
             Action::GiveUp(rank) => {
                 self.unanswered = self.unanswered.saturating_add(1);
                 self.waits[usize::from(rank)] = None;
@@ -300,6 +356,7 @@
                     let epoch = engine.reading.epoch + 1;
                     engine.reading = Reading { epoch, step: self.step, ..Reading::default() };
                     engine.fence = 0;
+                    engine.begun = None;
                 }
             }
             Action::Step => return self.begin_step(limits),
@@ -338,6 +395,7 @@
     fn recovers(&self, limits: &Limits) -> bool {
         let mut world = self.clone();
         for _ in 0..200 {
+            world.engines.iter_mut().for_each(Engine::finish);
             for sent in world.orders.clone() {
                 world.execute(limits, sent, true);
             }
@@ -420,6 +478,7 @@
     crashes: 0,
     forms: 0,
     unanswered: 1,
+    begun: 0,
     plans: &[(0, PLAN)],
     last_step: 4,
     mutation: Mutation::None,
@@ -430,6 +489,7 @@
     crashes: 2,
     forms: 1,
     unanswered: 3,
+    begun: 0,
     plans: &[(0, PLAN), (1, NEXT), (0, Plan { version: 3, step: 6 })],
     last_step: 9,
     mutation: Mutation::None,
@@ -474,6 +534,16 @@
     }
 }
 
+/// Guards against releasing a step while a rank that has accepted the order to disarm is still
+/// armed.
+#[test]
+fn verify_no_step_on_two_maps_if_ranks_disarm_after_they_accepted_the_order() {
+    let limits = Limits { begun: 4, ..LARGE };
+    for seed in 0..env_or("SABLEPASS_WALKS", DEFAULT_WALKS) {
+        walk(&limits, seed as u64, 250).unwrap_or_else(|e| panic!("{e}"));
+    }
+}
+
 #[test]
 fn verify_mutations_are_found() {
     let found = |mutation| {
