Agents recognise surplus answers of their replica by the id of the call

A replica left the order to disarm unanswered, and a second copy of an earlier report (200) arrived in its place. Cause: an agent's calls carried no id, so that it took whatever answer came next for that of its order, and counted its rank as disarmed. Entries are protected from this by the id of the request. Change: each call to the replica carries an `X-Request-Id` of its own; an answer with another id is skipped, and the call goes unanswered until its own comes or its time is over. An answer without an id is taken, since other engines repeat none; on the users' platform every answer has it. Why it works: the id is what tells surplus answers apart there, also in the place of a report, whose state would be an earlier one.

--- a/crates/sablepass-agent/src/engine.rs
+++ b/crates/sablepass-agent/src/engine.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use sablepass_edge::caller::{self, Answer, Call as HttpCall, Caller};
-use sablepass_platform::engine;
+use sablepass_platform::{engine, request};
 use stakker::{ActorOwn, CX, Fwd, actor_new, call, fwd_to, ret_nop};
 
 /// Timeout of a reading, which stays on the machine.
@@ -42,15 +42,17 @@
         matches!(self, Self::Order(_) | Self::Prepare(_))
     }
 
+    /// Returns the call. Its id tells its answer from a surplus one to an earlier call.
     fn call(&self) -> HttpCall {
-        match self {
+        let call = match self {
             Self::Report => HttpCall::get(engine::REPORT_PATH, READ_TIMEOUT),
             Self::Counts => HttpCall::get(engine::EXPERT_COUNTS_PATH, READ_TIMEOUT),
             Self::Lists => HttpCall::get(engine::EXPERT_LISTS_PATH, READ_TIMEOUT),
             Self::Order(body) | Self::Prepare(body) => {
                 HttpCall::post(engine::ORDER_PATH, body.clone(), ORDER_TIMEOUT)
             }
-        }
+        };
+        call.with_id(request::REQUEST_ID)
     }
 }
 
--- a/crates/sablepass-edge/src/caller.rs
+++ b/crates/sablepass-edge/src/caller.rs
@@ -7,11 +7,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::header::{self, HeaderMap, HeaderValue};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use snafu::Snafu;
 use stakker::{ActorOwn, CX, Fwd, actor_new, after, call, fwd_to, ret_nop};
 
-use crate::client::{self, Connection, Outgoing};
+use crate::client::{self, Connection, Echo, Outgoing};
 
 /// Error of a call.
 #[derive(Debug, Snafu)]
@@ -62,17 +62,27 @@
     pub body: Option<Vec<u8>>,
     /// Time for the complete answer to arrive.
     pub timeout: Duration,
+    /// Header field in which the call carries an id of its own. An answer with another id belongs to
+    /// an earlier call.
+    pub id_field: Option<HeaderName>,
 }
 
 impl Call {
     /// Creates a GET call.
     pub fn get(path: impl Into<String>, timeout: Duration) -> Self {
-        Self { method: http::Method::GET, path: path.into(), body: None, timeout }
+        let (method, path) = (http::Method::GET, path.into());
+        Self { method, path, body: None, timeout, id_field: None }
     }
 
     /// Creates a POST call with a JSON body.
     pub fn post(path: impl Into<String>, body: Vec<u8>, timeout: Duration) -> Self {
-        Self { method: http::Method::POST, path: path.into(), body: Some(body), timeout }
+        let (method, path) = (http::Method::POST, path.into());
+        Self { method, path, body: Some(body), timeout, id_field: None }
+    }
+
+    /// The same call with an id of its own in this header field.
+    pub fn with_id(self, field: HeaderName) -> Self {
+        Self { id_field: Some(field), ..self }
     }
 }
 
@@ -147,7 +157,11 @@
             let json = HeaderValue::from_static("application/json");
             fields.insert(header::CONTENT_TYPE, json);
         }
-        Outgoing { head, body: request.body.unwrap_or_default(), echo: None }
+        let echo = request.id_field.map(|name| {
+            fields.insert(&name, self.calls.into());
+            Echo { name, required: false }
+        });
+        Outgoing { head, body: request.body.unwrap_or_default(), echo }
     }
 
     fn connect(&mut self, cx: CX![]) {
--- a/crates/sablepass-edge/src/client.rs
+++ b/crates/sablepass-edge/src/client.rs
@@ -119,9 +119,19 @@
     pub head: http::Request<()>,
     /// Body of the request.
     pub body: Vec<u8>,
-    /// A request header field that the response must repeat. A response with another value belongs
-    /// to an earlier request and is skipped.
-    pub echo: Option<HeaderName>,
+    /// How a response to an earlier request is told apart.
+    pub echo: Option<Echo>,
+}
+
+/// A request header field that the response repeats. A response with another value belongs to an
+/// earlier request and is skipped.
+#[derive(Clone, Debug)]
+pub struct Echo {
+    /// Name of the field.
+    pub name: HeaderName,
+    /// Whether a response without the field is an error. Otherwise it counts as that to the current
+    /// request.
+    pub required: bool,
 }
 
 /// Timeouts of a connection.
@@ -164,7 +174,7 @@
     /// Whether any byte of the current request was written to the socket.
     sent: bool,
     paused: bool,
-    echo: Option<(HeaderName, HeaderValue)>,
+    echo: Option<(Echo, HeaderValue)>,
     /// The current response belongs to an earlier request.
     skipping: bool,
     keep_alive: Option<Duration>,
@@ -213,9 +223,9 @@
     pub fn send(&mut self, cx: CX![], request: Outgoing) {
         self.sent = false;
         self.skipping = false;
-        self.echo = request.echo.and_then(|name| {
-            let value = request.head.headers().get(&name)?.clone();
-            Some((name, value))
+        self.echo = request.echo.and_then(|echo| {
+            let value = request.head.headers().get(&echo.name)?.clone();
+            Some((echo, value))
         });
         match encode(request.head, &request.body, &mut self.tcp.out) {
             Ok(call) => {
@@ -364,10 +374,11 @@
 
     /// Whether a response belongs to an earlier request.
     fn is_for_earlier_request(&self, response: &http::Response<()>) -> Result<bool, Cause> {
-        let Some((name, value)) = &self.echo else { return Ok(false) };
-        match response.headers().get(name) {
+        let Some((echo, value)) = &self.echo else { return Ok(false) };
+        match response.headers().get(&echo.name) {
             Some(it) => Ok(it != value),
-            None => Err(Cause::MissingEcho),
+            None if echo.required => Err(Cause::MissingEcho),
+            None => Ok(false),
         }
     }
 
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -12,7 +12,7 @@
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
 use sablepass_core::scope::Scope;
-use sablepass_edge::client::{self, Outgoing};
+use sablepass_edge::client::{self, Echo, Outgoing};
 use sablepass_edge::clock;
 use sablepass_platform::answer::{self, Pause, Proof};
 use sablepass_platform::request;
@@ -55,7 +55,8 @@
         let in_flight =
             InFlightAttempt { request: attempt.request, attempt: attempt.number, offset: 0 };
         let body = open.run.body.clone();
-        let outgoing = Outgoing { head, body, echo: Some(request::REQUEST_ID) };
+        let echo = Some(Echo { name: request::REQUEST_ID, required: true });
+        let outgoing = Outgoing { head, body, echo };
         open.connection = Some(key);
         self.pool.send(key, in_flight, outgoing);
     }
--- a/crates/sablepass-stand/src/ranks.rs
+++ b/crates/sablepass-stand/src/ranks.rs
@@ -14,6 +14,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
 use serde_json::{Value, json};
 use tiny_http::Request;
 
@@ -31,6 +33,27 @@
 /// Maximum number of experts that a prepared map may add to a rank.
 const SPARE_SLOTS: usize = 2;
 
+/// Time after which an order that was left unanswered is carried out.
+const LATE_TIME: Duration = Duration::from_secs(3);
+
+/// Header field with the id of a call, which its answer repeats.
+const ID_FIELD: &str = "x-request-id";
+
+/// The id of a call; empty if it has none.
+fn call_id(request: &Request) -> String {
+    let field = request.headers().iter().find(|it| it.field.equiv(ID_FIELD));
+    field.map_or(String::new(), |it| it.value.as_str().to_owned())
+}
+
+fn respond(request: Request, status: u16, body: &Value, id: &str) {
+    let mut answer = http::answer_json(status, body);
+    if let Some(field) = http::header(ID_FIELD, id) {
+        answer.add_header(field);
+    }
+    // The caller may have closed the connection.
+    let _ = request.respond(answer);
+}
+
 /// State of a rank.
 #[derive(Clone, Debug, Default)]
 struct Rank {
@@ -48,6 +71,8 @@
     held: Option<u64>,
     /// Choices of each expert so far.
     counts: Vec<u64>,
+    /// Its last report, and the id of the call that it answered.
+    last_report: (Value, String),
 }
 
 #[derive(Debug)]
@@ -61,6 +86,10 @@
     orders: u64,
     /// Rank that closes the connection on each order, without carrying it out.
     unresponsive: Option<usize>,
+    /// Rank that leaves the next order to disarm unanswered.
+    disarms_late: Option<usize>,
+    /// Rank and process: the process is killed by the next order to hold a step.
+    killed_on_hold: Option<(usize, u32)>,
     /// Relative time that each rank takes for the same work; 1 is normal.
     paces: Vec<f64>,
     /// Steps at which the ranks used different maps.
@@ -127,6 +156,8 @@
             hot_expert: 0,
             orders: 0,
             unresponsive: None,
+            disarms_late: None,
+            killed_on_hold: None,
             paces: vec![1.0; ranks],
             inconsistent_steps: Vec::new(),
         };
@@ -166,6 +197,23 @@
         self.lock().unresponsive = rank;
     }
 
+    /// Makes a rank leave the next order that disarms it unanswered and carry it out after
+    /// [`LATE_TIME`]. A second copy of the rank's last report arrives in the place of the answer.
+    pub fn disarm_late(&self, rank: usize) {
+        self.lock().disarms_late = Some(rank);
+    }
+
+    /// Whether the order of [`Self::disarm_late`] has arrived.
+    pub fn disarmed_late(&self) -> bool {
+        self.lock().disarms_late.is_none()
+    }
+
+    /// Kills a process as soon as a rank has carried out its next order to hold a step, before that
+    /// is answered.
+    pub fn kill_on_hold(&self, rank: usize, process: u32) {
+        self.lock().killed_on_hold = Some((rank, process));
+    }
+
     /// Makes a rank report that it takes `pace` times as long for the same work.
     pub fn set_pace(&self, rank: usize, pace: f64) {
         self.lock().paces[rank] = pace;
@@ -259,8 +307,13 @@
         let mut body = String::new();
         // An incomplete order is not valid JSON, so it has no epoch and is refused with 409.
         let _ = request.as_reader().read_to_string(&mut body);
+        let id = call_id(&request);
         let (status, answer) = match url.as_str() {
-            "/-/report" => (200, self.report(rank)),
+            "/-/report" => {
+                let report = self.report(rank);
+                self.lock().ranks[rank].last_report = (report.clone(), id.clone());
+                (200, report)
+            }
             "/-/picked" => {
                 let state = self.lock();
                 let counts = &state.ranks[rank].counts;
@@ -278,12 +331,46 @@
                     return;
                 }
                 let order = serde_json::from_str(&body).unwrap_or_default();
-                (self.order(rank, &order), json!({}))
+                if self.is_left_unanswered(rank, &order) {
+                    self.disarm_after_a_while(rank, order);
+                    let (report, earlier_id) = self.lock().ranks[rank].last_report.clone();
+                    respond(request, 200, &report, &earlier_id);
+                    return;
+                }
+                let status = self.order(rank, &order);
+                self.kill_if_held(rank, &order);
+                (status, json!({}))
             }
             _ => (404, json!({})),
         };
-        // The caller may have closed the connection.
-        let _ = request.respond(http::answer_json(status, &answer));
+        respond(request, status, &answer, &id);
+    }
+
+    fn is_left_unanswered(&self, rank: usize, order: &Value) -> bool {
+        let mut state = self.lock();
+        let disarms = state.ranks[rank].armed.is_some() && order["op"] == "disarm";
+        let is_left = state.disarms_late == Some(rank) && disarms;
+        if is_left {
+            state.disarms_late = None;
+        }
+        is_left
+    }
+
+    fn disarm_after_a_while(&self, rank: usize, order: Value) {
+        let group = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(LATE_TIME);
+            group.order(rank, &order);
+        });
+    }
+
+    fn kill_if_held(&self, rank: usize, order: &Value) {
+        let mut state = self.lock();
+        let is_held = state.ranks[rank].held.is_some() && order["op"] == "hold";
+        if let Some((_, process)) = state.killed_on_hold.take_if(|it| it.0 == rank && is_held) {
+            // An error means that the process has exited already.
+            let _ = signal::kill(Pid::from_raw(process as i32), Signal::SIGKILL);
+        }
     }
 
     fn report(&self, rank: usize) -> Value {
--- a/crates/sablepass-stand/tests/ranks.rs
+++ b/crates/sablepass-stand/tests/ranks.rs
@@ -5,6 +5,8 @@
 //! group records its steps; the tests check that none started with two maps.
 
 use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use std::time::Duration;
 
 use sablepass_stand::client::{self, wait_for};
 use sablepass_stand::process::Process;
@@ -255,6 +257,26 @@
     fleet.check_steps();
 }
 
+/// Guards against agents that take a surplus answer to an earlier call for the answer to an order:
+/// a step began on two maps, since a rank counted as disarmed that was still armed.
+#[test]
+fn verify_no_step_on_two_maps_if_a_surplus_answer_takes_the_place_of_another() {
+    let mut fleet = fleet(true);
+    fleet.wait_for_spread(0);
+    fleet.group.disarm_late(1);
+    fleet.group.kill_on_hold(2, fleet.agents[2].id());
+    fleet.group.set_hot_expert(5);
+    wait_for("the agent of rank 2 is killed", || fleet.agents[2].ended());
+    thread::sleep(Duration::from_secs(1));
+    fleet.start_agent(2);
+    wait_for("rank 1 leaves an order unanswered", || fleet.group.disarmed_late());
+    wait_for("the maps are switched", || {
+        let spread = fleet.group.holders(5) >= 3 && fleet.group.version().is_some();
+        spread || !fleet.group.inconsistent_steps().is_empty()
+    });
+    fleet.check_steps();
+}
+
 /// After a restore of the store from a backup, configurations have lower revisions than those that
 /// agents received before. Agents must accept them, since the store's era is newer.
 #[test]
