An entry that has read the store before the first configuration answers 503

Callers do not retry after a 404. The entry also called itself ready. Cause: an entry counted as configured once its store of documents had a revision. Reading a store without documents raises that too. Evidence: `verify_an_entry_without_a_configuration_refuses_with_503_and_is_not_ready` gets 200 from the readiness check without this change, and 404 in place of 503. Change: the catalogue tells whether a document in force declares more than evacuations and planned stops; admission, the list of models and readiness ask for that. Why it works: before such a document nothing can be known of any route, key or model, so that 503 is the only true answer, and the balancer sends callers elsewhere.

--- a/crates/sablepass-core/src/catalogue.rs
+++ b/crates/sablepass-core/src/catalogue.rs
@@ -47,6 +47,9 @@
 pub struct Catalogue {
     /// Revision of the store from which it was built.
     pub revision: Revision,
+    /// Whether a document in force declares more than evacuations. The store may have been read
+    /// before the first configuration was written.
+    pub configured: bool,
     /// Targets.
     pub targets: BTreeMap<String, Declared<Target>>,
     /// Groups.
@@ -95,6 +98,7 @@
     /// document.
     fn add(&mut self, key: &str, revision: Revision, declared: Declarations) -> Result<()> {
         let partner = declaration::partner(key)?.to_owned();
+        let configures = declared.is_configuration();
         let qualify = |name: &str| format!("{partner}/{name}");
         for target in &declared.target {
             self.check_unused(key, "target", &qualify(&target.name), |c, n| {
@@ -159,6 +163,7 @@
         let services = declared.service.into_iter().map(|it| (it.name.clone(), it));
         self.services.extend(services);
         self.limits = declared.limits.or(self.limits);
+        self.configured |= configures;
         Ok(())
     }
 
--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -404,6 +404,20 @@
     pub limits: Option<Limits>,
 }
 
+impl Declarations {
+    /// Whether requests can be admitted or refused by these declarations. Evacuations and planned
+    /// stops alone say nothing about requests.
+    pub fn is_configuration(&self) -> bool {
+        let resources = self.target.len()
+            + self.group.len()
+            + self.customer.len()
+            + self.grant.len()
+            + self.route.len()
+            + self.service.len();
+        resources > 0 || self.limits.is_some()
+    }
+}
+
 /// Returns the partner that owns the document with this key.
 pub fn partner(key: &str) -> Result<&str> {
     match key.split_once('/') {
--- a/crates/sablepass-entry/src/answers.rs
+++ b/crates/sablepass-entry/src/answers.rs
@@ -3,7 +3,6 @@
 
 //! The router's answers to queries at the admin address: readiness, status and request traces.
 
-use sablepass_core::revision::Revision;
 use sablepass_edge::admin::{self, Subject};
 use sablepass_edge::clock;
 use stakker::{CX, call, ret_some_do};
@@ -29,8 +28,9 @@
     }
 
     fn ready(&self) -> admin::Reply {
-        let revision = self.targets.catalogue().revision;
-        let ready = revision > Revision::default() && self.stopping_since.is_none();
+        let catalogue = self.targets.catalogue();
+        let (configured, revision) = (catalogue.configured, catalogue.revision);
+        let ready = configured && self.stopping_since.is_none();
         let json =
             serde_json::json!({ "ready": ready, "era": revision.era, "revision": revision.number })
                 .to_string();
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -17,7 +17,6 @@
 use sablepass_core::once::Key;
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
-use sablepass_core::revision::Revision;
 use sablepass_core::route::{Class, Route};
 use sablepass_core::scope::Scope;
 use sablepass_edge::{clock, server};
@@ -83,6 +82,10 @@
     /// Answers with the models that are granted to the partner of a key's customer.
     fn models(&self, key: &str, reply: &server::Reply) {
         let catalogue = self.targets.catalogue();
+        if !catalogue.configured {
+            self.refuse(reply, "", Refusal::NoConfiguration);
+            return;
+        }
         let Some(customer) = catalogue.keys.get(key).and_then(|it| catalogue.customers.get(it))
         else {
             self.refuse(reply, "", Refusal::UnknownKey);
@@ -213,7 +216,7 @@
             return Err(Refusal::Stopping);
         }
         let catalogue = self.targets.catalogue().clone();
-        if catalogue.revision == Revision::default() {
+        if !catalogue.configured {
             return Err(Refusal::NoConfiguration);
         }
         match &run.selector {
--- a/crates/sablepass-stand/tests/site.rs
+++ b/crates/sablepass-stand/tests/site.rs
@@ -364,6 +364,35 @@
     site.store.set(keys::Mode::Up);
 }
 
+/// Guards against an entry that answers 404 to proper requests, and calls itself ready, because it
+/// read the store before the first configuration was written.
+#[test]
+fn verify_an_entry_without_a_configuration_refuses_with_503_and_is_not_ready() {
+    let mut site = Site::open(1);
+    site.store.remove("op/config");
+    site.evacuate("ba-9");
+    site.add_entry("");
+    wait_for("the entry has read the store", || site.status(0)["revision"].as_u64() > Some(0));
+    site.store.set(keys::Mode::Silent);
+    site.configure(&site::configuration(2));
+    let admin = site.entries[0].addr("admin");
+    let ready = || ask("GET", "/-/readyz", "", "").send(&admin).status;
+    assert_eq!(ready(), 503);
+    let kinds = ["stream", "safe", "once"];
+    for kind in kinds {
+        let answer = ask("POST", &format!("/{kind}/x"), kind, "q").send(&site.http(0));
+        assert_eq!(answer.status, 503, "{kind}: {answer:?}");
+    }
+    site.store.set(keys::Mode::Up);
+    wait_for("the entry is ready", || ready() == 200);
+    for kind in kinds {
+        let id = format!("{kind}-again");
+        wait_for("requests are served", || {
+            ask("POST", &format!("/{kind}/x"), &id, "q").send(&site.http(0)).status == 200
+        });
+    }
+}
+
 #[test]
 fn verify_outage_of_the_store_does_not_affect_requests() {
     let site = site(2);
