Health checks: a new connection brings no surplus answer, and checks end

An answer with a request id counted as one to an earlier request also on a new connection, so that a target which puts ids of its own into its answers was checked again and again without a pause. And a check of a target that never answers kept its connection after the request was over. Change: only answers over connections that carried requests may be surplus; a check is given up after 10 s.

--- a/crates/sablepass-entry/src/ends.rs
+++ b/crates/sablepass-entry/src/ends.rs
@@ -27,6 +27,8 @@
 /// Time after which a target is checked again if the first check is not answered, doubled with each
 /// further one. A check of a busy target may have to wait for a slot.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after which an unanswered check is given up.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which a request whose answer may be incomplete is sent to another target, if it may
 /// be repeated: half of the time for which callers wait for the next part of a stream. Any other
 /// request waits for proof until its deadline.
@@ -139,6 +141,13 @@
         let (key, route) = self.pool.send_check(cx, to, head, route);
         let check = Check { target, sent_at: clock::now(), route };
         self.ends.checks.insert(key, check);
+        after!(CHECK_TIMEOUT, [cx], give_up_check(key));
+    }
+
+    fn give_up_check(&mut self, _cx: CX![], key: ConnectionKey) {
+        if self.ends.checks.remove(&key).is_some() {
+            self.pool.close(key);
+        }
     }
 
     /// Handles the head of an answer to a health check.
@@ -150,6 +159,11 @@
     ) {
         let Some(check) = self.ends.checks.remove(&key) else { return };
         let target = check.target;
+        if check.route == CheckRoute::Idle && health::is_surplus(head) {
+            self.pool.close(key);
+            self.send_check(cx, target, CheckRoute::New);
+            return;
+        }
         match health::identify(&target.name, head) {
             Identity::Expected => {
                 self.target_answered(cx, target.incarnation(), check.sent_at);
@@ -162,10 +176,6 @@
                 self.target_refuses(cx, &target.name);
                 self.target_exited(cx, target.incarnation(), "another target has its address");
             }
-            Identity::Unknown => {
-                self.pool.close(key);
-                self.send_check(cx, target, CheckRoute::New);
-            }
         }
     }
 
