--- a/crates/sablepass-stand/tests/unsized_ends.rs
+++ b/crates/sablepass-stand/tests/unsized_ends.rs
@@ -6,6 +6,7 @@
 
 mod common;
 
+use std::hint;
 use std::num::NonZero;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -270,7 +271,11 @@
     let processors = thread::available_parallelism().map_or(1, NonZero::get);
     thread::scope(|scope| {
         for _ in 0..2 * processors {
-            scope.spawn(|| while !is_done.load(Ordering::Relaxed) {});
+            scope.spawn(|| {
+                while !is_done.load(Ordering::Relaxed) {
+                    hint::spin_loop()
+                }
+            });
         }
         let send = |number: usize| {
             let id = format!("n-{number}");
