KNOWN-RED: an agent suspended before it has read the head of an answer without a length

Cause: found while the mend of the agents was read again. The connection that stands for the process is opened when the head has been read; if the target was restarted before that, it leads to the new process, and half of an answer is passed on as complete. It concerns targets behind an agent's gate, of the own interface; on the users' platform entries ask targets by their ids.

--- a/crates/sablepass-stand/tests/unsized_agents.rs
+++ b/crates/sablepass-stand/tests/unsized_agents.rs
@@ -80,3 +80,26 @@
         assert_eq!((answer.status, answer.body.as_str()), (200, BODY), "{pause} {suspended}");
     }
 }
+
+/// Guards against agents that pass on an answer as complete whose target ended and was started
+/// again before the agent read the answer's head.
+#[test]
+fn verify_an_agent_breaks_off_an_answer_whose_target_was_restarted_before_its_head_was_read() {
+    let (fleet, target) = fleet();
+    target.set(Mode::Asleep);
+    let addr = fleet.http(0);
+    let ask = Ask::post(common::FARM, "/services/claims/x", BODY).only_once("");
+    let caller = thread::spawn(move || ask.send(&addr));
+    wait_for("the agent connects to its target", || target.connections() > 0);
+    thread::sleep(Duration::from_millis(50));
+    fleet.targets[0].agent.pause();
+    target.set(Mode::UnsizedHold(1));
+    wait_for("the target runs the request", || !target.runs().is_empty());
+    thread::sleep(Duration::from_millis(50));
+    target.crash();
+    let _successor = target.successor();
+    thread::sleep(SUSPENSION);
+    fleet.targets[0].agent.resume();
+    let answer = caller.join().expect("the caller ends");
+    assert_eq!(answer.status, 502, "the answer looks complete: {answer:?}");
+}
