--- a/crates/sablepass-core/src/expert/barrier.rs
+++ b/crates/sablepass-core/src/expert/barrier.rs
@@ -11,7 +11,8 @@
 //! with a higher fence, after which no earlier order can arm it, and then votes no. A
 //! vote never changes. The step cannot begin while any rank holds it, and a member
 //! releases it only when all ranks are armed, or when a member voted no and the state
-//! of its own engine shows that it is disarmed. At that step either all ranks switch to the new map or none.
+//! of its own engine shows that it is disarmed. At that step either all ranks switch to
+//! the new map or none.
 //!
 //! Votes are aggregated up a [`Tree`], and their outcome is sent down it. Only latency
 //! depends on the tree: any member may forward a set of votes, and a member that waits
--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -135,7 +135,8 @@
     TargetDegraded,
     /// The target's machine is unresponsive, and no part of this answer has arrived for a while.
     TargetUnresponsive,
-    /// The answer ended with its connection, and nothing has proved for a while that it is complete.
+    /// The answer ended with its connection, and nothing has proved for a while that it is
+    /// complete.
     EndUnconfirmed,
     /// The request is blocked as a suspect: several targets terminated while they ran it.
     EndsTargets,
--- a/crates/sablepass-core/tests/barrier.rs
+++ b/crates/sablepass-core/tests/barrier.rs
@@ -4,10 +4,11 @@
 //! Model check of `expert::barrier`, run on the production code: an exhaustive search
 //! of small settings, and random walks of larger ones. Messages may be lost,
 //! duplicated and reordered; orders may be lost, go unanswered and be carried out late,
-//! and orders to disarm may be accepted before they are carried out; agents crash, restart with a lower fence and pause (no action is ever forced);
-//! the group forms again; plans are proposed in sequence and concurrently. No step may
-//! begin on two maps, and the group must recover from every state once messages and
-//! orders get through again.
+//! and orders to disarm may be accepted before they are carried out; agents crash,
+//! restart with a lower fence and pause (no action is ever forced); the group forms
+//! again; plans are proposed in sequence and concurrently. No step may begin on two
+//! maps, and the group must recover from every state once messages and orders get
+//! through again.
 
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashSet};
--- a/crates/sablepass-core/tests/ends.rs
+++ b/crates/sablepass-core/tests/ends.rs
@@ -38,7 +38,8 @@
     assert!(ends.is_empty());
 }
 
-/// Guards against dropping a check that comes a moment too early, as if there were nothing to check.
+/// Guards against dropping a check that comes a moment too early, as if there were nothing to
+/// check.
 #[test]
 fn verify_an_early_check_is_put_off() {
     let mut ends = UnconfirmedEnds::default();
--- a/crates/sablepass-edge/src/caller.rs
+++ b/crates/sablepass-edge/src/caller.rs
@@ -62,8 +62,8 @@
     pub body: Option<Vec<u8>>,
     /// Time for the complete answer to arrive.
     pub timeout: Duration,
-    /// Header field in which the call carries an id of its own. An answer with another id belongs to
-    /// an earlier call.
+    /// Header field in which the call carries an id of its own. An answer with another id belongs
+    /// to an earlier call.
     pub id_field: Option<HeaderName>,
 }
 
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -67,8 +67,8 @@
     pub sleeps: IntCounter,
     /// Targets by state: listed, connected to their agent, and usable now.
     pub targets: IntGaugeVec,
-    /// Answers that stated no length and ended, by what was found out: complete, interrupted, or not
-    /// confirmed in time.
+    /// Answers that stated no length and ended, by what was found out: complete, interrupted, or
+    /// not confirmed in time.
     pub unsized_ends: IntCounterVec,
     /// Targets that ended during a request, by source: observed here or reported by others.
     pub deaths: IntCounterVec,
--- a/crates/sablepass-entry/src/ends.rs
+++ b/crates/sablepass-entry/src/ends.rs
@@ -101,8 +101,8 @@
         after!(REPEAT_DELAY, [cx], repeat_unconfirmed(attempt));
     }
 
-    /// Checks a target while the end of one of its answers is unconfirmed. `interval` is the time to
-    /// the next check.
+    /// Checks a target while the end of one of its answers is unconfirmed. `interval` is the time
+    /// to the next check.
     fn check_target(&mut self, cx: CX![], target: CheckedTarget, interval: Duration) {
         self.forget_closed_ends();
         let now = clock::now();
@@ -192,8 +192,8 @@
         }
     }
 
-    /// Records that a target's incarnation answered a request that was sent at `sent`, and passes on
-    /// the ends that this confirms.
+    /// Records that a target's incarnation answered a request that was sent at `sent`, and passes
+    /// on the ends that this confirms.
     pub(crate) fn target_answered(
         &mut self,
         cx: CX![],
--- a/crates/sablepass-entry/src/pool.rs
+++ b/crates/sablepass-entry/src/pool.rs
@@ -154,8 +154,8 @@
         key
     }
 
-    /// Sends a health check to a target's incarnation. Returns the connection and how it was chosen:
-    /// without an idle one, or if `route` says so, a new one is opened.
+    /// Sends a health check to a target's incarnation. Returns the connection and how it was
+    /// chosen: without an idle one, or if `route` says so, a new one is opened.
     pub fn send_check(
         &mut self,
         core: &mut Core,
--- a/crates/sablepass-stand/src/soak/schedule.rs
+++ b/crates/sablepass-stand/src/soak/schedule.rs
@@ -242,8 +242,8 @@
 /// start time: 4 to 12 general faults, and up to 4 faults of replica processes, 4 notices of
 /// replicas, 2 announced limits, 2 restores of the store, 2 replicas that are unlisted without
 /// notice, 2 faults of data halls, a fatal prompt part, 3 replicas that are replaced and 2 times of
-/// answers without a length. Kinds that were added later are drawn last, so that earlier faults of a
-/// seed stay the same.
+/// answers without a length. Kinds that were added later are drawn last, so that earlier faults of
+/// a seed stay the same.
 pub fn draw(seed: u64, length: u64) -> Vec<PlannedFault> {
     let mut rng = StdRng::seed_from_u64(seed);
     let count = rng.random_range(4..=12);
--- a/crates/sablepass-stand/tests/unsized_ends.rs
+++ b/crates/sablepass-stand/tests/unsized_ends.rs
@@ -162,7 +162,8 @@
     assert_eq!(answer.status, 502, "the answer looks complete: {answer:?}");
 }
 
-/// Guards against passing on as complete an answer whose target has not shown in time that it lives.
+/// Guards against passing on as complete an answer whose target has not shown in time that it
+/// lives.
 #[test]
 fn verify_an_answer_does_not_look_complete_while_nothing_is_known_of_its_target() {
     for_each_case(&KINDS, |kind| {
@@ -323,8 +324,8 @@
 }
 
 const WAYS: [Way; 3] = [Way::Draining, Way::Removed, Way::Announced];
-/// Time from the start of a departure until the target's end, and after which an entry has removed a
-/// target that is no longer listed.
+/// Time from the start of a departure until the target's end, and after which an entry has removed
+/// a target that is no longer listed.
 const DEPARTURE: Duration = Duration::from_millis(1_500);
 
 /// Each way of leaving with each kind of request.
@@ -369,7 +370,8 @@
 }
 
 /// A leaving target may end right after the last byte of its answer. Another target continues a
-/// stream that may be resumed, even if no event is left, and repeats a request that may be repeated.
+/// stream that may be resumed, even if no event is left, and repeats a request that may be
+/// repeated.
 #[test]
 fn verify_repeatable_answers_are_whole_if_their_leaving_target_ends_right_after_them() {
     for_each_case(&[Kind::Safe, Kind::ResumableStream], |kind| {
