--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -11,6 +11,7 @@
 import shutil
 import signal
 import socket
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -433,7 +434,8 @@
 def run(case, main):
     """Runs a case. Returns the exit status: 1 if the rule was broken, 0 if it held, 2 if the case
     could not run."""
-    record = Record(os.path.join(os.path.dirname(os.path.abspath(case)), "record.txt"))
+    name = sys.argv[1] if len(sys.argv) > 1 else "record.txt"
+    record = Record(os.path.join(os.path.dirname(os.path.abspath(case)), name))
     fleet = Fleet(record)
 
     async def quiet():
