edge: read the body of a request whatever its method

Cause: whether a request has a body was left to the protocol library, which reads none after HEAD and CONNECT and does not look at the framing fields; the body's bytes were parsed as a request. Change: connections read the body that the framing announces.

--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -570,10 +570,11 @@
 }
 
 fn idle() -> Phase {
-    match proto::Reply::new() {
-        Ok(it) => Phase::Head(Box::new(it)),
-        Err(_) => Phase::Closed,
-    }
+    let Ok(mut proto) = proto::Reply::new() else { return Phase::Closed };
+    // The framing alone says whether a request has a body. By default the protocol reads none after
+    // some methods, and a body that is not read would be parsed as the next request.
+    proto.force_recv_body();
+    Phase::Head(Box::new(proto))
 }
 
 fn placeholder() -> Option<proto::Reply<state::ProvideResponse>> {
--- a/crates/sablepass-stand/src/replica.rs
+++ b/crates/sablepass-stand/src/replica.rs
@@ -704,6 +704,8 @@
         input: &mut Vec<u8>,
     ) -> std::io::Result<Option<Run>> {
         let mut proto = Reply::new().map_err(std::io::Error::other)?;
+        // Any request may have a body, also one with the method HEAD.
+        proto.force_recv_body();
         let request = loop {
             let (used, request) = proto.try_request(input).map_err(std::io::Error::other)?;
             input.drain(..used);
@@ -898,6 +900,9 @@
             body.len()
         );
         stream.write_all(head.as_bytes())?;
+        if run.line.starts_with("HEAD ") {
+            return Ok(());
+        }
         stream.write_all(body)
     }
 }
