edge: refuse requests whose body has no known end, close after ambiguous ones

Callers saw: after a request with a transfer coding other than chunked (`gzip`, `chunked, gzip`, `identity`, or chunked in HTTP/1.0), the bytes of its body were run as a further request (UNASKED); after one with both a length and chunks, whatever followed on the connection was run. Cause: the same as of the body of a HEAD request: the protocol library takes a request without a framing that it knows for one without a body. Evidence: verify_request_whose_body_has_no_known_end_is_refused_and_the_connection_closed and verify_connection_is_closed_after_a_request_with_a_length_and_chunks failed before the change: a hidden GET request was run, with a second 200. Change: Transfer-Encoding must be `chunked`, once, in HTTP/1.1, or the request gets 400 and the connection is closed; a request with a length as well is run with its chunks and the connection closed after the answer, as RFC 9112, 6.1 and 6.3 ask. Sound requests are read as before (the table of methods and framings in framing.rs).

--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -303,6 +303,14 @@
     }
 
     fn begin_request(&mut self, request: http::Request<()>) -> Step {
+        match BodyFraming::of(&request) {
+            Some(BodyFraming::Stated) => {}
+            Some(BodyFraming::Ambiguous) => self.close_after_reply = true,
+            None => {
+                self.refuse(Problem::Malformed);
+                return Ok(());
+            }
+        }
         let Phase::Head(proto) = std::mem::replace(&mut self.phase, Phase::Closed) else {
             return Ok(());
         };
@@ -564,6 +572,33 @@
     }
 }
 
+/// How the header fields of a request delimit its body (RFC 9112, section 6).
+enum BodyFraming {
+    /// By one length, by chunks, or not at all, if there is no body.
+    Stated,
+    /// By chunks and by a length. The chunks count; other readers of the connection may have gone by
+    /// the length, so nothing that follows on it is read.
+    Ambiguous,
+}
+
+impl BodyFraming {
+    /// Returns the framing of a request, or `None` if the end of its body cannot be determined.
+    fn of(request: &http::Request<()>) -> Option<Self> {
+        let fields = request.headers();
+        if !fields.contains_key(header::TRANSFER_ENCODING) {
+            return Some(Self::Stated);
+        }
+        let values = fields.get_all(header::TRANSFER_ENCODING).iter();
+        let mut codings = values.flat_map(|it| it.as_bytes().split(|byte| *byte == b','));
+        let chunked = codings.next()?.trim_ascii().eq_ignore_ascii_case(b"chunked");
+        if !chunked || codings.next().is_some() || request.version() != http::Version::HTTP_11 {
+            return None;
+        }
+        let ambiguous = fields.contains_key(header::CONTENT_LENGTH);
+        Some(if ambiguous { Self::Ambiguous } else { Self::Stated })
+    }
+}
+
 /// Returns the length of a body that its request announces.
 fn announced_length(fields: &header::HeaderMap) -> Option<usize> {
     fields.get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
--- a/crates/sablepass-stand/tests/framing.rs
+++ b/crates/sablepass-stand/tests/framing.rs
@@ -138,3 +138,41 @@
     assert_eq!(exchange(&mut connect(&site), &get).0, ["HTTP/1.1 200 OK"]);
     assert_eq!(runs(&site), [run("after", "GET /safe/x", "")]);
 }
+
+/// Guards against running what follows a request with two framings as a further request.
+#[test]
+fn verify_connection_is_closed_after_a_request_with_a_length_and_chunks() {
+    let site = site();
+    let framing = "content-length: 30\r\ntransfer-encoding: chunked\r\n";
+    let mut sent = request("POST /safe/x HTTP/1.1", "both", framing, "5\r\nhello\r\n0\r\n\r\n");
+    sent += &request("GET /safe/hidden HTTP/1.1", "hidden", "", "");
+    let (answers, closed) = exchange(&mut connect(&site), &sent);
+    assert_eq!((answers, closed), (vec!["HTTP/1.1 200 OK".to_owned()], true));
+    assert_eq!(runs(&site), [run("both", "POST /safe/x", "hello")]);
+}
+
+/// Guards against taking a request for one without a body because its framing is not understood.
+#[test]
+fn verify_request_whose_body_has_no_known_end_is_refused_and_the_connection_closed() {
+    let site = site();
+    let codings = ["gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", ""];
+    let lines = codings.map(|it| ("HTTP/1.1", format!("transfer-encoding: {it}\r\n")));
+    let others = [
+        ("HTTP/1.0", "transfer-encoding: chunked\r\n".to_owned()),
+        ("HTTP/1.1", "transfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n".to_owned()),
+        ("HTTP/1.1", "content-length: 5\r\ncontent-length: 6\r\n".to_owned()),
+        ("HTTP/1.1", "content-length: +5\r\n".to_owned()),
+        ("HTTP/1.1", "content-length: \r\n".to_owned()),
+    ];
+    let hidden = request("GET /safe/hidden HTTP/1.1", "hidden", "", "");
+    for method in ["GET", "HEAD", "POST"] {
+        for (version, framing) in lines.iter().chain(&others) {
+            let line = format!("{method} /safe/x {version}");
+            let sent = request(&line, "unknown", framing, &hidden);
+            let (answers, closed) = exchange(&mut connect(&site), &sent);
+            let refused = answers.len() == 1 && answers[0].contains(" 400 ");
+            assert!(refused && closed, "{line}, {framing:?}: {answers:?}");
+        }
+    }
+    assert_eq!(runs(&site), []);
+}
