config: take what the platform's configuration allows, whatever our own documents allow

Change: declaration::judge knows the source of the declarations; for the platform, only what cannot be acted on is refused. X-Tenant carries letters outside ASCII; a name that fits no header field gets 503 `unforwardable` for its own requests only. The gauge declarations_refused tells of a refusal. Why it works: nothing in the decoding of a name or number can keep the rest out of force any more.

--- a/crates/sablepass-core/src/declaration.rs
+++ b/crates/sablepass-core/src/declaration.rs
@@ -45,7 +45,8 @@
         /// Size in bytes.
         size: usize,
     },
-    /// A name is empty, too long, or has a prefix or other invalid characters.
+    /// A name is empty or, in a document of a partner, too long, or has a prefix or other invalid
+    /// characters.
     #[snafu(display(
         "{key}: {kind} {name:?}: a document can name only its own partner's resources; use 1 to 64 letters, digits, '-', '_' and '.', without a prefix"
     ))]
@@ -434,21 +435,24 @@
     }
     let document: Declarations = toml::from_str(body)
         .map_err(|e| Error::Parse { key: key.to_owned(), message: e.to_string() })?;
-    judge(key, document, Keys::OfPartner)
+    judge(key, document, Source::Partner)
 }
 
-/// Customer keys that a document may declare.
+/// Where declarations come from, which determines the rules for them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Keys {
-    /// Keys that begin with the name of the document's partner.
-    OfPartner,
-    /// Any keys, for a platform where one operator publishes all documents.
-    Any,
+pub enum Source {
+    /// A document of a partner. Its names, keys and values are restricted, so that partners do not
+    /// interfere with each other.
+    Partner,
+    /// A platform where one operator publishes everything and which validates it itself. Only what
+    /// cannot be acted on is refused, since a refusal also keeps all other changes of the document
+    /// from coming into force.
+    Platform,
 }
 
-/// Validates declarations that were decoded from another format, by the rules for documents.
-pub fn judge(key: &str, declarations: Declarations, keys: Keys) -> Result<Declarations> {
-    let checker = Checker { key, keys };
+/// Validates declarations by the rules for their source.
+pub fn judge(key: &str, declarations: Declarations, source: Source) -> Result<Declarations> {
+    let checker = Checker { key, source };
     checker.names(&declarations)?;
     checker.ranges(&declarations)?;
     checker.duplicates(&declarations)?;
@@ -463,7 +467,7 @@
 
 struct Checker<'a> {
     key: &'a str,
-    keys: Keys,
+    source: Source,
 }
 
 impl Checker<'_> {
@@ -507,7 +511,11 @@
     }
 
     fn name(&self, kind: &'static str, name: &str) -> Result<()> {
-        if is_name(name) {
+        let fits = match self.source {
+            Source::Partner => is_name(name),
+            Source::Platform => !name.is_empty(),
+        };
+        if fits {
             return Ok(());
         }
         Err(Error::ForeignName { key: self.key.to_owned(), kind, name: name.to_owned() })
@@ -531,7 +539,7 @@
                 let mut keys = customer.all_keys();
                 customer.all_keys().count() > 0 && keys.all(|it| self.is_own_key(it))
             };
-            let fits = self.keys == Keys::Any || own();
+            let fits = self.source == Source::Platform || own();
             let allowed = "the partner's name, ':', and at least 8 bytes";
             self.range("customer", name, "key", "(hidden)", fits, allowed)?;
         }
@@ -554,6 +562,9 @@
 
     fn cold_ranges(&self, service: &Service) -> Result<()> {
         let (name, Some(cold)) = (&service.name, service.cold) else { return Ok(()) };
+        if self.source == Source::Platform {
+            return Ok(());
+        }
         let fits = cold.rate > 0.0 && cold.rate <= 1e6;
         self.range("service", name, "cold.rate", cold.rate, fits, "above 0 and up to 1000000")?;
         let fits = cold.duration <= 600_000;
@@ -571,6 +582,9 @@
             fits,
             "a path that begins and ends with /",
         )?;
+        if self.source == Source::Platform {
+            return Ok(());
+        }
         let fits = (1..=3_600_000).contains(&route.timeout);
         self.range("route", name, "timeout", route.timeout, fits, "1 to 3600000")?;
         let fits = (1..=100).contains(&route.attempts);
@@ -638,7 +652,9 @@
         self.ensure_unique("group", declarations.group.iter().map(|it| it.name.as_str()))?;
         self.ensure_unique("customer", declarations.customer.iter().map(|it| it.name.as_str()))?;
         self.ensure_unique("service", declarations.service.iter().map(|it| it.name.as_str()))?;
-        self.ensure_unique("route", declarations.route.iter().map(|it| it.name.as_str()))?;
+        if self.source == Source::Partner {
+            self.ensure_unique("route", declarations.route.iter().map(|it| it.name.as_str()))?;
+        }
         let places: Vec<String> =
             declarations.route.iter().map(|it| format!("{}{}", it.host, it.prefix)).collect();
         self.ensure_unique("route of", places.iter().map(String::as_str))
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -153,6 +153,8 @@
         BodiesFull = 62, "bodies-full";
         /// The engine's process ended while it ran the request.
         EngineEnded = 63, "engine-ended";
+        /// A name that the request has to carry to a target, such as its customer's, fits no header.
+        Unforwardable = 64, "unforwardable";
         /// The headers exceed the size limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -255,6 +257,7 @@
             | Self::ProcessLimit
             | Self::BodiesFull
             | Self::NoTarget
+            | Self::Unforwardable
             | Self::OwnerAway
             | Self::RetryBudget
             | Self::Stopping
--- a/crates/sablepass-edge/src/spread.rs
+++ b/crates/sablepass-edge/src/spread.rs
@@ -244,12 +244,13 @@
         now.saturating_sub(self.last_answer.max(self.started))
     }
 
-    /// Builds the catalogue of the declarations and logs each refused one.
+    /// Builds the catalogue of the declarations, and logs and counts the refused ones.
     pub fn catalogue(&self) -> Catalogue {
         let catalogue = Catalogue::build(&self.declarations.store);
         for (key, e) in &catalogue.refused {
             slog::warn!(self.log, "declaration refused"; "key" => key, "error" => %e);
         }
+        self.metrics.refused_declarations.set(catalogue.refused.len() as i64);
         catalogue
     }
 
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -61,6 +61,8 @@
     pub expert_copies: IntCounterVec,
     /// Items of the platform that were rejected, by reason.
     pub bad_items: IntCounterVec,
+    /// Declarations whose newest version is refused, so that an earlier one or none is in force.
+    pub refused_declarations: IntGauge,
     /// Outages of the instance list's service that have ended, by the evidence for them.
     pub list_outages: IntCounterVec,
     /// Suspensions of this process: its machine was suspended, or the process was stopped.
@@ -143,6 +145,7 @@
             requests: counter(r, "requests_total", "Requests admitted or started")?,
             answered: counter(r, "answered_total", "Requests with a whole answer")?,
             in_flight: gauge(r, "in_flight", "Requests held")?,
+            refused_declarations: gauge(r, "declarations_refused", "Declarations refused")?,
             revision: gauge(r, "config_revision", "Configuration revision held")?,
             era: gauge(r, "platform_era", "Era of the platform's service")?,
             reads: counters(
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -46,7 +46,7 @@
             Err(e) => {
                 slog::warn!(self.log, "request cannot be forwarded"; "id" => &open.run.label,
                     "error" => %e);
-                self.handle_event(cx, attempt.request, 0, Event::Refused(Refusal::BadHeader));
+                self.handle_event(cx, attempt.request, 0, Event::Refused(Refusal::Unforwardable));
                 return;
             }
         };
--- a/crates/sablepass-stand/tests/site.rs
+++ b/crates/sablepass-stand/tests/site.rs
@@ -436,6 +436,39 @@
     assert_eq!(status("/safe/x", "the next key"), 404);
 }
 
+/// Guards against a configuration that never comes into force, with its revoked keys, because the
+/// name of a customer in it is not a plain word.
+#[test]
+fn verify_configuration_with_any_name_of_a_customer_comes_into_force() {
+    let site = site(1);
+    let addr = site.http(0);
+    let send = |id: &str, key: &str| {
+        let mut ask = ask("GET", "/safe/x", id, "");
+        ask.headers.retain(|it| it.0 != "authorization");
+        ask.with("authorization", &format!("Bearer {key}")).send(&addr).status
+    };
+    let names = ["Masa Norte", "a/b", "S\u{e3}o Jo\u{e3}o", "\"quoted\"", &"n".repeat(300)];
+    for (number, name) in names.into_iter().enumerate() {
+        let (old, new) = (format!("key-{number}"), format!("key-{}", number + 1));
+        let mut configuration = site::configuration(2 + number as u64);
+        configuration["tenants"][0]["name"] = json!(name);
+        configuration["tenants"][0]["apiKeys"] = json!([new]);
+        site.configure(&configuration);
+        wait_for("the new key is accepted", || send(&format!("new-{number}"), &new) == 200);
+        assert_eq!(send(&format!("old-{number}"), &old), 401, "{name}");
+        let runs = site.replicas[0].runs();
+        let run = runs.iter().find(|it| it.id == format!("new-{number}")).expect("it ran");
+        assert_eq!(run.field("x-tenant"), name);
+    }
+    // A name that fits no header field keeps only the requests of that customer from being served.
+    let mut configuration = site::configuration(20);
+    let broken = json!({ "name": "line\r\nbreak", "apiKeys": ["key-broken"] });
+    configuration["tenants"].as_array_mut().expect("a list").push(broken);
+    site.configure(&configuration);
+    wait_for("the first key is accepted again", || send("again", KEY) == 200);
+    assert_eq!((send("broken", "key-broken"), site.runs("broken")), (503, 0));
+}
+
 #[test]
 fn verify_bad_items_in_the_store_change_nothing_else() {
     let site = site(1);
@@ -452,10 +485,13 @@
         site.entries[0].log().iter().any(|it| it["event"] == json!(event))
     };
     wait_for("the refusal is logged", || logged(&site, "declaration refused"));
+    let admin = site.entries[0].addr("admin");
+    assert_eq!(metric(&admin, "sablepass_declarations_refused", ""), 1.0);
     // Items that are written after a bad one still take effect.
     site.store.remove("servers/i-broken");
     site.configure(&site::configuration(4));
     wait_for("the next configuration is in force", || refused(&site) == Value::Null);
+    assert_eq!(metric(&admin, "sablepass_declarations_refused", ""), 0.0);
 }
 
 #[test]
