experts: a version of a map names its content

Cause: a map was named by a number that the planner chose from what agents knew. A rank that copies reports nothing of it, so the next planner used the number again for another map; ranks that had accepted the first one refused the order, and their "prepared" was then taken for the second. Change: the lower 32 bits of a version are a digest of its map, the upper ones count. Agents reject a proposal whose version does not fit its map. A planner leaves out 64 numbers before its first map. Why it works: equal versions mean equal maps, whoever ordered them and whatever agents forgot.

--- a/crates/sablepass-agent/src/ranks.rs
+++ b/crates/sablepass-agent/src/ranks.rs
@@ -143,6 +143,8 @@
     search_backoff: Option<SearchBackoff>,
     /// Highest version known to have been used.
     highest_version: u64,
+    /// Whether this agent has proposed a map.
+    has_proposed: bool,
     /// Condition that prevents planning, its start, and whether it has been logged.
     obstacle: Option<(Obstacle, Millis, bool)>,
     /// Time at which the latest step was first read, and its number.
@@ -191,6 +193,7 @@
             proposed: None,
             search_backoff: None,
             highest_version: 0,
+            has_proposed: false,
             obstacle: None,
             last_step: None,
             pass_ms: 0.0,
--- a/crates/sablepass-agent/src/ranks/maps.rs
+++ b/crates/sablepass-agent/src/ranks/maps.rs
@@ -8,6 +8,7 @@
 use sablepass_core::expert::difference;
 use sablepass_core::expert::map::{self, Expert, Map};
 use sablepass_core::expert::tree::Tree;
+use sablepass_core::expert::version;
 use sablepass_core::reason::Ignored;
 use sablepass_edge::mesh::PeerKey;
 use sablepass_platform::engine;
@@ -44,6 +45,12 @@
             parse_full_map(shape, proposal)
         };
         match map {
+            Ok(map) if !version::names(proposal.version, map.digest()) => {
+                slog::warn!(self.log, "proposed map rejected"; "version" => proposal.version,
+                    "error" => "the version names another map");
+                self.metrics.ignored(Ignored::BadFrame);
+                Vec::new()
+            }
             Ok(map) => {
                 let mut list = self.forward_proposal(proposal);
                 list.extend(self.prepare(proposal.version, map));
--- a/crates/sablepass-agent/src/ranks/planner.rs
+++ b/crates/sablepass-agent/src/ranks/planner.rs
@@ -8,6 +8,7 @@
 use sablepass_core::expert::difference;
 use sablepass_core::expert::map::{Bounds, Paces};
 use sablepass_core::expert::rebalance::{self, SearchBackoff};
+use sablepass_core::expert::version;
 use sablepass_core::id::Millis;
 use sablepass_edge::clock;
 use sablepass_wire::generated as wire;
@@ -38,9 +39,9 @@
 /// Minimum lead of a switch in passes, in addition to the pass that starts next. An idle group
 /// runs no pass until a request arrives.
 const MIN_LEAD_PASSES: u64 = 1;
-/// Increment of the version after a proposal that ranks did not prepare in time: another
-/// planner may have used higher versions.
-const VERSION_JUMP: u64 = 1_000;
+/// Number of versions left out before the first proposal of a planner, and after one that ranks did
+/// not prepare in time: an earlier planner may have used higher versions than are known.
+const SKIPPED_VERSIONS: u64 = 64;
 /// Average number of running requests per rank below which its group counts as idle, so that
 /// copying experts slows down no request.
 const IDLE_REQUESTS: f64 = 0.05;
@@ -130,7 +131,7 @@
             slog::warn!(self.log, "proposed map dropped"; "version" => dropped.map(|it| it.version),
                 "why" => ?why);
             if why == DropReason::Late {
-                self.highest_version += VERSION_JUMP;
+                self.highest_version = version::skip(self.highest_version, SKIPPED_VERSIONS);
             }
         }
         self.propose_if_better(now)
@@ -320,7 +321,12 @@
     /// Sends a map to the other ranks and has the own rank prepare it.
     fn propose(&mut self, now: Millis, change: &rebalance::Change, cause: Cause) -> Vec<Action> {
         let Some(group) = &self.group else { return Vec::new() };
-        let version = self.highest_version.max(group.reading.version) + 1;
+        let mut highest = self.highest_version.max(group.reading.version);
+        if !std::mem::replace(&mut self.has_proposed, true) {
+            highest = version::skip(highest, SKIPPED_VERSIONS);
+        }
+        let digest = change.map.digest();
+        let version = version::next(highest, digest);
         slog::info!(self.log, "map proposed"; "version" => version, "epoch" => group.reading.epoch,
             "skew" => change.lag_before, "expected" => change.lag_after, "moves" => change.moves,
             "copies" => change.max_copies, "saved" => change.saved_ms, "cause" => cause.label(),
@@ -334,7 +340,7 @@
             map: bytes::Bytes::new(),
             base: old.version,
             changes: difference::between(&old.map, &change.map),
-            digest: change.map.digest(),
+            digest,
         };
         let copying = self.bounds.map_or(0.0, |it| f64::from(it.copy) / MICROS_PER_MILLI);
         let copying = copying * change.max_copies as f64 * PREPARE_TIMEOUT_FACTOR;
--- a/crates/sablepass-core/src/expert.rs
+++ b/crates/sablepass-core/src/expert.rs
@@ -18,4 +18,5 @@
 pub mod rebalance;
 pub mod switch;
 pub mod tree;
+pub mod version;
 pub mod watch;
--- a/crates/sablepass-stand/src/ranks.rs
+++ b/crates/sablepass-stand/src/ranks.rs
@@ -12,7 +12,7 @@
 use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nix::sys::signal::{self, Signal};
 use nix::unistd::Pid;
@@ -61,10 +61,14 @@
     fence: u64,
     /// Version of the map in use.
     version: u64,
+    /// Experts that the map in use places on each rank; null for the first map.
+    map: Value,
     /// Experts that the map in use places on the rank.
     experts: Vec<u64>,
-    /// Version and experts of the prepared map.
-    prepared: Option<(u64, Vec<u64>)>,
+    /// Highest version of an accepted order to prepare a map.
+    highest: u64,
+    /// The map that the rank prepares or has prepared.
+    prepared: Option<Prepared>,
     /// Version of the map to switch to, and the step of the switch.
     armed: Option<(u64, u64)>,
     /// Step before which the rank stops.
@@ -75,6 +79,24 @@
     last_report: (Value, String),
 }
 
+/// A map that a rank prepares.
+#[derive(Clone, Debug)]
+struct Prepared {
+    version: u64,
+    /// Experts of each rank.
+    map: Value,
+    /// Experts of this rank.
+    experts: Vec<u64>,
+    /// Time at which the experts that are new to the rank have been copied.
+    copied_at: Instant,
+}
+
+impl Prepared {
+    fn is_copied(&self) -> bool {
+        Instant::now() >= self.copied_at
+    }
+}
+
 #[derive(Debug)]
 struct State {
     epoch: u64,
@@ -90,6 +112,11 @@
     disarms_late: Option<usize>,
     /// Rank and process: the process is killed by the next order to hold a step.
     killed_on_hold: Option<(usize, u32)>,
+    /// Time to copy one expert.
+    copy_time: Duration,
+    /// Processes that are killed as soon as a rank has accepted an order to prepare a map for which
+    /// it has to copy experts.
+    killed_on_prepare: Vec<u32>,
     /// Relative time that each rank takes for the same work; 1 is normal.
     paces: Vec<f64>,
     /// Steps at which the ranks used different maps.
@@ -158,6 +185,8 @@
             unresponsive: None,
             disarms_late: None,
             killed_on_hold: None,
+            copy_time: Duration::ZERO,
+            killed_on_prepare: Vec::new(),
             paces: vec![1.0; ranks],
             inconsistent_steps: Vec::new(),
         };
@@ -203,6 +232,11 @@
         self.lock().disarms_late = Some(rank);
     }
 
+    /// Whether the processes of [`Self::kill_on_prepare`] have been killed.
+    pub fn killed_on_prepare(&self) -> bool {
+        self.lock().killed_on_prepare.is_empty()
+    }
+
     /// Whether the order of [`Self::disarm_late`] has arrived.
     pub fn disarmed_late(&self) -> bool {
         self.lock().disarms_late.is_none()
@@ -214,6 +248,17 @@
         self.lock().killed_on_hold = Some((rank, process));
     }
 
+    /// Sets the time that a rank takes to copy one expert.
+    pub fn set_copy_time(&self, time: Duration) {
+        self.lock().copy_time = time;
+    }
+
+    /// Kills processes as soon as a rank has accepted its next order to prepare a map for which it
+    /// has to copy experts.
+    pub fn kill_on_prepare(&self, processes: Vec<u32>) {
+        self.lock().killed_on_prepare = processes;
+    }
+
     /// Makes a rank report that it takes `pace` times as long for the same work.
     pub fn set_pace(&self, rank: usize, pace: f64) {
         self.lock().paces[rank] = pace;
@@ -286,9 +331,10 @@
         for rank in &mut state.ranks {
             if let Some((version, _)) = rank.armed.filter(|it| it.1 <= next) {
                 rank.armed = None;
-                if let Some((_, experts)) = rank.prepared.take() {
+                if let Some(prepared) = rank.prepared.take() {
                     rank.version = version;
-                    rank.experts = experts;
+                    rank.map = prepared.map;
+                    rank.experts = prepared.experts;
                 }
             }
             for (expert, count) in rank.counts.iter_mut().enumerate() {
@@ -296,8 +342,9 @@
                     if expert == hot { HOT_CHOICES_PER_STEP } else { HOT_CHOICES_PER_STEP / 20 };
             }
         }
-        let first = state.ranks[0].version;
-        if state.ranks.iter().any(|it| it.version != first) {
+        let first = &state.ranks[0];
+        let differs = |it: &Rank| it.version != first.version || it.map != first.map;
+        if state.ranks.iter().any(differs) {
             state.inconsistent_steps.push(next);
         }
     }
@@ -368,8 +415,7 @@
         let mut state = self.lock();
         let is_held = state.ranks[rank].held.is_some() && order["op"] == "hold";
         if let Some((_, process)) = state.killed_on_hold.take_if(|it| it.0 == rank && is_held) {
-            // An error means that the process has exited already.
-            let _ = signal::kill(Pid::from_raw(process as i32), Signal::SIGKILL);
+            kill(process);
         }
     }
 
@@ -380,7 +426,8 @@
         json!({
             "queued": 0, "active": 1, "pace": state.paces[rank], "size": state.ranks.len(), "step": state.step,
             "group": { "name": "g", "epoch": state.epoch, "rank": rank, "state": "open" },
-            "map": own.version, "prepared": own.prepared.as_ref().map(|it| it.0), "armed": armed,
+            "map": own.version, "armed": armed,
+            "prepared": own.prepared.as_ref().filter(|it| it.is_copied()).map(|it| it.version),
             "held": own.held,
         })
     }
@@ -388,7 +435,7 @@
     /// Carries out an order; returns the HTTP status.
     fn order(&self, rank: usize, order: &Value) -> u16 {
         let mut state = self.lock();
-        let (epoch, step) = (state.epoch, state.step);
+        let (epoch, step, copy_time) = (state.epoch, state.step, state.copy_time);
         state.orders += 1;
         let own = &mut state.ranks[rank];
         let number = |name: &str| order[name].as_u64().unwrap_or(0);
@@ -399,18 +446,22 @@
             return 412;
         }
         let (version, at) = (number("version"), number("step"));
+        let mut kills = false;
         let accepted = match order["op"].as_str() {
             Some("prepare") => {
-                let latest = own.prepared.as_ref().map_or(0, |it| it.0).max(own.version);
                 let experts: Vec<u64> = order["map"][0][rank]
                     .as_array()
                     .map(|it| it.iter().filter_map(Value::as_u64).collect())
                     .unwrap_or_default();
                 let new = experts.iter().filter(|expert| !own.experts.contains(expert)).count();
-                let accepted = version > latest && own.armed.is_none() && new <= SPARE_SLOTS;
+                let accepted = version > own.highest && own.armed.is_none() && new <= SPARE_SLOTS;
                 if accepted {
-                    own.prepared = Some((version, experts));
+                    own.highest = version;
+                    let (map, copied_at) =
+                        (order["map"].clone(), Instant::now() + copy_time * new as u32);
+                    own.prepared = Some(Prepared { version, map, experts, copied_at });
                 }
+                kills = accepted && new > 0;
                 accepted
             }
             Some("hold") => {
@@ -419,7 +470,8 @@
                 accepted
             }
             Some("arm") => {
-                let prepared = own.prepared.as_ref().is_some_and(|it| it.0 == version);
+                let is_prepared = |it: &Prepared| it.version == version && it.is_copied();
+                let prepared = own.prepared.as_ref().is_some_and(is_prepared);
                 let accepted = prepared && step < at && own.armed.is_none_or(|it| it.0 == version);
                 own.armed = if accepted { Some((version, at)) } else { own.armed };
                 accepted
@@ -438,6 +490,16 @@
             return 409;
         }
         own.fence = own.fence.max(number("fence"));
+        if kills {
+            for process in state.killed_on_prepare.drain(..) {
+                kill(process);
+            }
+        }
         200
     }
 }
+
+fn kill(process: u32) {
+    // An error means that the process has exited already.
+    let _ = signal::kill(Pid::from_raw(process as i32), Signal::SIGKILL);
+}
--- a/crates/sablepass-stand/tests/ranks.rs
+++ b/crates/sablepass-stand/tests/ranks.rs
@@ -277,6 +277,32 @@
     fleet.check_steps();
 }
 
+/// Rounds of the test in which all agents are killed. Each makes two experts hot that were not before.
+const KILLS: u64 = 3;
+
+/// Guards against a map that is prepared by an order of agents that were lost, and is taken for
+/// another map of the same version: a step began on two maps.
+#[test]
+fn verify_no_step_on_two_maps_if_all_agents_are_killed_while_ranks_copy_a_map() {
+    let mut fleet = fleet(true);
+    fleet.wait_for_spread(0);
+    fleet.group.set_copy_time(Duration::from_millis(900));
+    for round in 1..=KILLS {
+        fleet.group.kill_on_prepare(fleet.agents.iter().map(Process::id).collect());
+        fleet.group.set_hot_expert(round);
+        wait_for("all agents are killed", || {
+            fleet.group.killed_on_prepare() && fleet.agents.iter_mut().all(Process::ended)
+        });
+        // The next planner proposes a map that differs from the one that some ranks are copying.
+        fleet.group.set_hot_expert(round + 3);
+        for rank in 0..RANKS {
+            fleet.start_agent(rank);
+        }
+        fleet.wait_for_spread(round + 3);
+        fleet.check_steps();
+    }
+}
+
 /// After a restore of the store from a backup, configurations have lower revisions than those that
 /// agents received before. Agents must accept them, since the store's era is newer.
 #[test]
