agent: a reset ends no answer of the target

Cause: ureq takes a reset while it reads a body for the end of the connection; the agent's witness finds the target's process running, which it is. Evidence: verify_agent_breaks_off_an_answer_without_length_that_is_reset failed before the change in its first round: 200, "half", ran. Change: agents connect to their target through a transport that reports a reset under a kind that ureq passes on as an error.

--- a/crates/sablepass-agent/src/main.rs
+++ b/crates/sablepass-agent/src/main.rs
@@ -22,6 +22,7 @@
 mod run;
 mod settings;
 mod target;
+mod transport;
 mod witness;
 
 use std::net::SocketAddr;
--- a/crates/sablepass-agent/src/target.rs
+++ b/crates/sablepass-agent/src/target.rs
@@ -11,9 +11,11 @@
 use sablepass_edge::clock;
 use serde::Deserialize;
 use stakker::sync::Channel;
+use ureq::unversioned::resolver::DefaultResolver;
 
 use crate::run::{self, Job, Part};
 use crate::settings::Settings;
+use crate::transport;
 
 /// Interval between readings of an engine's load.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
@@ -62,7 +64,8 @@
             .output_buffer_size(BUFFER_BYTES)
             .max_idle_connections_per_host(settings.limit)
             .build();
-        let agent: ureq::Agent = config.into();
+        let agent =
+            ureq::Agent::with_parts(config, transport::connector(), DefaultResolver::default());
         let base: Arc<str> = settings.target.trim_end_matches('/').into();
         let (cancels, cancel_rx) = mpsc::channel();
         if settings.engine {
--- /dev/null
+++ b/crates/sablepass-stand/tests/answers_agents.rs
@@ -0,0 +1,55 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! Bytes of targets in trouble that are no answer, or only a part of one, behind an agent with a
+//! gate: no caller may get them as an answer.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use sablepass_stand::client::{Answer, Ask};
+use sablepass_stand::fleet::{Fleet, Timers};
+
+use crate::common::raw::{self, RawReplica, Respond};
+
+const DOCUMENT: &str = "[[target]]\nname = \"s1\"\nkind = \"service\"\nserves = \"claims\"\nhall = \"ba-1\"\ncapacity = 64\n[[customer]]\nname = \"farm\"\nkey = \"tatranska:key-build-farm\"\nshare = 10\n";
+/// Time after a part of an answer within which it has been passed on.
+const PART_TIME: Duration = Duration::from_millis(50);
+
+/// Starts a target that answers by `respond`, with an agent and an entry.
+fn fleet(respond: Arc<Respond>) -> (Fleet, RawReplica) {
+    let target = RawReplica::spawn(respond);
+    let mut fleet = Fleet::open(Timers::default());
+    let revision = fleet.publish("tatranska/main.toml", DOCUMENT);
+    fleet.add_service_at("tatranska/s1", "ba-1", &target.addr.to_string());
+    fleet.add_entry("entry-1", "ba-1", "");
+    fleet.settle(1, revision);
+    (fleet, target)
+}
+
+fn send(fleet: &Fleet, path: &str) -> Answer {
+    Ask::post(common::FARM, &format!("/services/claims/{path}"), "q")
+        .only_once("")
+        .send(&fleet.http(0))
+}
+
+/// Guards against agents that take a reset for the end of an answer without length.
+#[test]
+fn verify_agent_breaks_off_an_answer_without_length_that_is_reset() {
+    let respond = |_: &str, _: &str, stream: &mut TcpStream| {
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").expect("answer sent");
+        thread::sleep(PART_TIME);
+        raw::reset(stream);
+    };
+    let (fleet, target) = fleet(Arc::new(respond));
+    for round in 0..3 {
+        let answer = send(&fleet, "x");
+        assert_ne!(answer.status, 200, "round {round}: {answer:?}");
+    }
+    assert_eq!(target.requests(), 3);
+}
