edge: give up answers without end

Cause: the unread input of a chunked body and an incomplete event were kept without a bound and scanned again with each read; connections whose request was refused or whose health check was answered were read without a limit; an agent's read of a trailer without end never returned. Change: limits on bytes without content, on an event, and on the time to discard the rest of an answer; agents end a cancelled read. Callers' chunk lines have the limit of a head. Why it works: everything that a peer can send without end has a bound in bytes or in time now, and nothing is scanned twice.

--- a/crates/sablepass-agent/src/run.rs
+++ b/crates/sablepass-agent/src/run.rs
@@ -17,6 +17,7 @@
 use sablepass_platform::answer::{self, Limit, Pause};
 use stakker::sync::Channel;
 
+use crate::transport;
 use crate::witness::{self, Witness};
 
 /// Size of the buffer for the answer's body; the maximum size of a part.
@@ -102,6 +103,7 @@
 ) {
     let attempt = job.attempt;
     let send = |content| parts.send(Part { attempt, content });
+    transport::watch(job.cancelled.clone());
     let response = match call(agent, base, engine, read_timeout, job.body.as_slice(), &job) {
         Ok(it) if framing::check_response(&it).is_ok() => it,
         Ok(_) => {
@@ -216,8 +218,12 @@
         }
         match from.read(&mut buffer) {
             Ok(0) => return Content::End,
-            Ok(length) => to(buffer[..length].to_vec()),
+            Ok(length) => {
+                transport::record_content();
+                to(buffer[..length].to_vec());
+            }
             Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(_) if cancelled.load(Ordering::Relaxed) => return failed(Refusal::CallerGone),
             Err(_) => return failed(Refusal::EngineBroke),
         }
     }
--- a/crates/sablepass-core/src/events.rs
+++ b/crates/sablepass-core/src/events.rs
@@ -21,7 +21,13 @@
 impl Splitter {
     /// Appends bytes of the stream and returns those of all events that are complete now.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        let ends_line = |it: &u8| matches!(it, b'\n' | b'\r');
+        let may_end_line = self.pending.last() == Some(&b'\r') || bytes.iter().any(ends_line);
         self.pending.extend_from_slice(bytes);
+        if !may_end_line {
+            // A long line is not scanned again with each of its parts.
+            return Vec::new();
+        }
         let mut complete_len = 0;
         while let Some((line, rest)) = parser::parse_line(&self.pending[self.lines_len..]) {
             let end = self.pending.len() - rest.len();
@@ -47,6 +53,11 @@
         self.last_id.as_deref()
     }
 
+    /// Returns the number of bytes of the incomplete event.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn is_partial(&self) -> bool {
         !self.pending.is_empty()
--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -448,6 +448,9 @@
         self.received = end;
         if let Some(splitter) = &mut self.splitter {
             let complete = splitter.push(&data);
+            if splitter.pending_bytes() > self.options.max_answer_bytes {
+                return self.refuse_answer();
+            }
             // Incomplete events are held back only if another target may continue the stream.
             let ready = if self.request.resumable { complete } else { data };
             return if ready.is_empty() { Vec::new() } else { vec![Action::Deliver(ready)] };
@@ -456,14 +459,19 @@
             return vec![Action::Deliver(data)];
         }
         if self.body.len() + data.len() > self.options.max_answer_bytes {
-            let mut actions = vec![Action::Cancel(self.attempt())];
-            actions.extend(self.fail(Refusal::AnswerTooLarge, Ran::Ran));
-            return actions;
+            return self.refuse_answer();
         }
         self.body.extend_from_slice(&data);
         Vec::new()
     }
 
+    /// Fails a request whose answer, or an event of it, exceeds the buffer limit.
+    fn refuse_answer(&mut self) -> Vec<Action> {
+        let mut actions = vec![Action::Cancel(self.attempt())];
+        actions.extend(self.fail(Refusal::AnswerTooLarge, Ran::Ran));
+        actions
+    }
+
     fn on_done(
         &mut self,
         now: Millis,
--- a/crates/sablepass-edge/src/client.rs
+++ b/crates/sablepass-edge/src/client.rs
@@ -13,7 +13,7 @@
 
 use http::HeaderName;
 use http::header::{self, HeaderValue};
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 use stakker::{CX, Fwd, after, fwd_to, stop};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
@@ -26,8 +26,12 @@
 
 /// Size of one read.
 const READ_SIZE: usize = 4 * 1024;
-/// Size of an incomplete response head beyond which the response is rejected.
+/// Size of a response head, with the interim responses before it, beyond which the response is
+/// rejected.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Number of bytes of a chunked body that carry no data, as in a trailer, beyond which the response
+/// is rejected.
+const MAX_OVERHEAD_BYTES: usize = 64 * 1024;
 /// Allowance in bytes for a request line, and for other parts of a head.
 const LINE_OVERHEAD: usize = 64;
 /// Maximum number of bytes that the chunked encoding adds to each chunk.
@@ -70,6 +74,9 @@
         /// Underlying error.
         source: framing::Error,
     },
+    /// The response has a head or a trailer that does not end.
+    #[snafu(display("response has too many bytes without content"))]
+    Endless,
     /// The response lacks the header field of [`Outgoing::echo`].
     #[snafu(display("response lacks the header field that identifies the request"))]
     MissingEcho,
@@ -183,6 +190,8 @@
     echo: Option<(Echo, HeaderValue)>,
     /// The current response belongs to an earlier request.
     skipping: bool,
+    /// Number of bytes received of the current response since it last had content.
+    overhead: usize,
     keep_alive: Option<Duration>,
     input_closed: bool,
     /// Error of a write. The kernel reports an error of the connection once, so that the input then
@@ -223,6 +232,7 @@
             paused: false,
             echo: None,
             skipping: false,
+            overhead: 0,
             keep_alive: None,
             input_closed: false,
             write_error: None,
@@ -232,6 +242,7 @@
     /// Sends a request. The previous exchange must have ended.
     pub fn send(&mut self, cx: CX![], request: Outgoing) {
         self.sent = false;
+        self.overhead = 0;
         self.skipping = false;
         self.echo = request.echo.and_then(|echo| {
             let value = request.head.headers().get(&echo.name)?.clone();
@@ -364,11 +375,13 @@
             call.try_response(input, false).map_err(|source| Cause::Protocol { source })?;
         self.tcp.rd += used;
         let Some(response) = response else {
-            if self.tcp.wr - self.tcp.rd > MAX_HEAD_BYTES {
-                return Err(Cause::Protocol { source: ureq_proto::Error::HttpParseTooManyHeaders });
-            }
+            // Interim responses are skipped.
+            self.overhead += used;
+            let unread = self.tcp.wr - self.tcp.rd;
+            ensure!(self.overhead + unread <= MAX_HEAD_BYTES, EndlessSnafu);
             return Ok(used > 0);
         };
+        self.overhead = 0;
         framing::check_response(&response).context(ResponseSnafu)?;
         self.skipping = self.is_for_earlier_request(&response)?;
         self.keep_alive = keep_alive_timeout(&response);
@@ -423,12 +436,15 @@
         }
         self.tcp.rd += used;
         bytes.truncate(decoded);
+        self.overhead = if decoded > 0 { 0 } else { self.overhead + used };
+        let unread = self.tcp.wr - self.tcp.rd;
         let unsized_body = call.body_mode() == ureq_proto::BodyMode::CloseDelimited;
         let complete = call.can_proceed() && !unsized_body;
         if !bytes.is_empty() && !self.skipping {
             self.owner.fwd(Event::Bytes(bytes));
         }
         if !complete {
+            ensure!(self.overhead + unread <= MAX_OVERHEAD_BYTES, EndlessSnafu);
             return Ok(false);
         }
         let Phase::Body(call) = std::mem::replace(&mut self.phase, Phase::Closed) else {
--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -391,6 +391,10 @@
             return Ok(());
         }
         if !it.proto.is_ended() {
+            // The line with a chunk's size, or of a trailer, does not end.
+            if self.tcp.wr - self.tcp.rd > self.limits.head {
+                self.refuse(Problem::Malformed);
+            }
             return Ok(());
         }
         let Phase::Body(it) = std::mem::replace(&mut self.phase, Phase::Closed) else {
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -213,7 +213,7 @@
         }
         match &event {
             // The rest of the answer is discarded, and the connection is reused.
-            Event::Refused(_) => self.pool.detach(key),
+            Event::Refused(_) => self.pool.detach(now, key),
             _ => self.pool.close(key),
         }
         self.handle_event(cx, in_flight.request, in_flight.attempt, event);
--- a/crates/sablepass-entry/src/ends.rs
+++ b/crates/sablepass-entry/src/ends.rs
@@ -168,6 +168,7 @@
             self.send_check(cx, target, CheckRoute::New);
             return;
         }
+        self.pool.detach(clock::now(), key);
         match health::identify(&target.name, head) {
             Identity::Expected => {
                 self.target_answered(cx, target.incarnation(), check.sent_at);
--- a/crates/sablepass-entry/src/pool.rs
+++ b/crates/sablepass-entry/src/pool.rs
@@ -4,7 +4,7 @@
 //! Pool of HTTP connections to targets that are reached directly. Each connection carries one
 //! request at a time and is reused. The router sends requests over it and handles its events.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,6 +17,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time by which an idle connection is closed before the target's announced timeout.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Time in which the rest of an answer that nobody awaits must arrive.
+const DISCARD_TIMEOUT: Millis = 1_000;
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
@@ -90,6 +92,8 @@
     connections: HashMap<ConnectionKey, PooledConnection>,
     /// Idle connections by target, the one released last at the end.
     idle: HashMap<String, Vec<ConnectionKey>>,
+    /// Connections on which the rest of an answer is discarded, and when they are closed, in order.
+    discarding: VecDeque<(Millis, ConnectionKey)>,
     last_key: u64,
     /// Number of connections from which on one that no request uses is closed before the next is
     /// opened.
@@ -101,7 +105,14 @@
     /// Creates a pool without connections. Events of its connections are sent to `events`. It has
     /// at most `limit` connections if no more requests than that are sent at once.
     pub fn open(events: Fwd<(ConnectionKey, client::Event)>, limit: usize) -> Self {
-        Self { connections: HashMap::new(), idle: HashMap::new(), last_key: 0, limit, events }
+        Self {
+            connections: HashMap::new(),
+            idle: HashMap::new(),
+            discarding: VecDeque::new(),
+            last_key: 0,
+            limit,
+            events,
+        }
     }
 
     /// Returns an idle connection to a target, or a new one. `fresh` requires a new one, for unsafe
@@ -252,10 +263,13 @@
         })
     }
 
-    /// Detaches the attempt from its connection. The rest of the answer is read and discarded.
-    pub fn detach(&mut self, key: ConnectionKey) {
+    /// Detaches the attempt or the health check from its connection. The rest of the answer is read
+    /// and discarded; the connection is closed if that takes too long.
+    pub fn detach(&mut self, now: Millis, key: ConnectionKey) {
         if let Some(pooled) = self.connections.get_mut(&key) {
             pooled.in_flight = None;
+            pooled.checking = false;
+            self.discarding.push_back((now + DISCARD_TIMEOUT, key));
         }
     }
 
@@ -290,8 +304,17 @@
         }
     }
 
-    /// Closes the connections whose idle time is over.
+    /// Closes the connections whose idle time is over, and those on which the rest of an answer has
+    /// not arrived in time.
     pub fn close_expired(&mut self, now: Millis) {
+        while let Some((_, key)) = self.discarding.pop_front_if(|it| it.0 <= now) {
+            let is_discarding = |it: &PooledConnection| {
+                it.in_flight.is_none() && !it.checking && it.idle_until == Millis::MAX
+            };
+            if self.connections.get(&key).is_some_and(is_discarding) {
+                self.close(key);
+            }
+        }
         let connections = &mut self.connections;
         for idle in self.idle.values_mut() {
             idle.retain(|key| {
--- a/crates/sablepass-stand/tests/common/mod.rs
+++ b/crates/sablepass-stand/tests/common/mod.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code, reason = "each test binary uses only some of the items")]
 
 pub mod crashes;
+pub mod endless;
 pub mod invalid;
 pub mod load;
 pub mod raw;
