entry: answer the remaining requests before a planned stop ends in a kill

Cause: an entry did not know when it would be killed, and waited for its last answer without a limit. Evidence: verify_requests_in_progress_are_answered_before_the_process_is_killed failed on the unchanged code (without the new setting, which that code refuses): no answer, where 502 is due. Half a second before, each request that is left gets 503 if it was not sent to a target, or else 502. Requests are admitted in the first half of the grace at most. Why it works: every request that was read gets an answer while the process can still write.

--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -142,6 +142,8 @@
     EndsTargets,
     /// The caller closed its connection.
     CallerGone,
+    /// The process is about to be killed.
+    ProcessEnds,
 }
 
 /// State of an attempt, as an agent reports it in answer to a probe.
@@ -359,6 +361,7 @@
             Event::TargetUnresponsive => self.switch_target(now, Retry::QuietTarget, budget),
             Event::EndUnconfirmed => self.switch_target(now, Retry::UnconfirmedEnd, budget),
             Event::EndsTargets => self.on_ends_targets(),
+            Event::ProcessEnds => self.give_up(Refusal::Stopping),
             Event::CallerGone => self.on_caller_gone(),
         }
     }
@@ -586,7 +589,7 @@
 
     fn on_tick(&mut self, now: Millis, budget: &mut dyn FnMut() -> bool) -> Vec<Action> {
         if now >= self.request.deadline {
-            return self.on_deadline();
+            return self.give_up(Refusal::DeadlinePassed);
         }
         match self.state {
             State::Probing { since } if now >= since + self.options.probe_timeout => {
@@ -627,14 +630,15 @@
         actions
     }
 
-    fn on_deadline(&mut self) -> Vec<Action> {
+    /// Fails a request for which no time is left.
+    fn give_up(&mut self, reason: Refusal) -> Vec<Action> {
         let ran = match self.state {
             State::Choosing => Ran::NotRun,
             _ if self.head.is_some() => Ran::Ran,
             _ => Ran::Unknown,
         };
         let mut actions = self.cancel_sent();
-        actions.extend(self.fail(Refusal::DeadlinePassed, ran));
+        actions.extend(self.fail(reason, ran));
         actions
     }
 
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -211,7 +211,7 @@
 
     /// Admits a request, or returns the reason for refusing it.
     fn admit(&mut self, now: Millis, run: &Run) -> Result<Admitted, Refusal> {
-        let wait = self.settings.stop_wait;
+        let wait = self.settings.admission_time();
         if self.stopping_since.is_some_and(|since| now >= since + wait) {
             return Err(Refusal::Stopping);
         }
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -9,6 +9,7 @@
 use sablepass_core::balance::Policy;
 use sablepass_core::capacity::{self, Capacity};
 use sablepass_core::cold::Bound;
+use sablepass_core::id::Millis;
 use sablepass_core::sharers::Sharers;
 use sablepass_core::{admit, budget, flight};
 use sablepass_edge::server;
@@ -89,6 +90,10 @@
     /// notice that this entry is not ready. Default 0.
     #[serde(default)]
     pub stop_wait: u64,
+    /// Time in seconds from a stop signal until the process is killed. If absent, the process may take
+    /// as long as its requests.
+    #[serde(default)]
+    pub stop_grace_s: Option<f64>,
     /// Number of requests whose traces are kept. Default 10,000.
     #[serde(default = "default_stories")]
     pub stories: usize,
@@ -117,6 +122,8 @@
     pub slack: f64,
 }
 
+/// Minimum of `stop_grace_s`, in which answers can be written.
+const MIN_STOP_GRACE_S: f64 = 1.0;
 /// Maximum number of data halls in the table of regions; known deployments have three.
 const MAX_HALLS: usize = 1_024;
 /// Maximum length of the name of a data hall or region in bytes.
@@ -217,6 +224,9 @@
         checker.ensure("retry_slack", slack, (0.0..=1e6).contains(&slack), "0 to 1000000")?;
         let wait = self.stop_wait;
         checker.ensure("stop_wait", wait, wait <= 3_600_000, "0 to 3600000")?;
+        let grace = self.stop_grace_s.unwrap_or(MIN_STOP_GRACE_S);
+        let fits = (MIN_STOP_GRACE_S..=3_600.0).contains(&grace);
+        checker.ensure("stop_grace_s", grace, fits, "1 to 3600")?;
         let stories = self.stories;
         checker.ensure("stories", stories, (1..=1_000_000).contains(&stories), "1 to 1000000")?;
         let halls = self.regions.len();
@@ -262,6 +272,18 @@
         }
     }
 
+    /// Returns the time from a stop signal until the process is killed, if it is known.
+    pub fn stop_grace(&self) -> Option<Millis> {
+        self.stop_grace_s.map(|it| (it * 1_000.0) as Millis)
+    }
+
+    /// Returns the time after a stop signal in which requests are admitted: at most half of the time
+    /// that is left, so that those requests can be completed.
+    pub fn admission_time(&self) -> Millis {
+        let half = self.stop_grace().map_or(Millis::MAX, |it| it / 2);
+        self.stop_wait.min(half)
+    }
+
     /// Returns the bound on the requests to a cold target, if they are limited.
     pub fn cold_bound(&self) -> Option<Bound> {
         self.cold.map(|it| Bound { overshoot: it.overshoot, slack: it.slack })
--- a/crates/sablepass-entry/src/stops.rs
+++ b/crates/sablepass-entry/src/stops.rs
@@ -6,7 +6,8 @@
 
 use std::time::Duration;
 
-use sablepass_core::id::Millis;
+use sablepass_core::flight::Event;
+use sablepass_core::id::{Millis, RequestId};
 use sablepass_edge::{clock, runtime, settings};
 use stakker::{CX, after, call};
 
@@ -16,6 +17,8 @@
 
 /// Time from the last answer until a stopping process ends, so that the caller can read the answer.
 const LINGER: Duration = Duration::from_millis(200);
+/// Time before the process is killed in which the answers to the remaining requests are written.
+const ANSWER_TIME: Millis = 500;
 
 impl Router {
     /// Processes a signal.
@@ -66,7 +69,7 @@
     /// and no request is in progress.
     pub(crate) fn check_stop(&mut self, cx: CX![], now: Millis) {
         let Some(since) = self.stopping_since else { return };
-        let accepts_callers = now < since + self.settings.stop_wait;
+        let accepts_callers = now < since + self.settings.admission_time();
         if self.shutting_down || accepts_callers || !self.requests.is_empty() {
             return;
         }
@@ -77,4 +80,17 @@
             stakker::stop!(cx);
         });
     }
+
+    /// Answers the requests that are still in progress just before this process is killed. A closed
+    /// connection would tell their callers nothing.
+    pub(crate) fn answer_before_kill(&mut self, cx: CX![], now: Millis) {
+        let killed_at = self.stopping_since.zip(self.settings.stop_grace());
+        if killed_at.is_none_or(|(since, grace)| now + ANSWER_TIME < since + grace) {
+            return;
+        }
+        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in ids {
+            self.handle_event(cx, id, 0, Event::ProcessEnds);
+        }
+    }
 }
--- a/crates/sablepass-entry/src/ticks.rs
+++ b/crates/sablepass-entry/src/ticks.rs
@@ -49,6 +49,7 @@
         self.pool.close_expired(now);
         let gone = self.targets.remove_expired_if_missing(now);
         self.remove_targets(cx, &gone);
+        self.answer_before_kill(cx, now);
         self.check_stop(cx, now);
         after!(TICK_INTERVAL, [cx], tick());
     }
