store: parse the items of an answer one by one

Cause: the items of a page or a watch were parsed as one document, so one of them failed all, in each read anew. Evidence: verify_items_in_another_form_keep_no_other_from_being_read timed out at its first item before the change. verify_odd_replica_entries_neither_end_a_reader_nor_stop_it (25 odd contents of an entry, by watch and by full read) passed before as well: contents never had this effect. Change: items are parsed one by one and field by field; an error belongs to its item and has the effect that other bad values have.

--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -272,7 +272,8 @@
         page: store::Page,
     ) -> Option<Result<Batch, Error>> {
         let request = pending.request;
-        let last = page.items.last().map(|it| it.key.clone());
+        let last = page.items.iter().rev().find(|it| !it.key.is_empty());
+        let last = last.map(|it| it.key.clone());
         let read = Revision::new(era, page.revision);
         let (revision, items) = pending.pages.get_or_insert((read, Vec::new()));
         if revision.era != era {
@@ -305,8 +306,9 @@
         let mut documents = Vec::new();
         let mut problems = Vec::new();
         for change in changes {
+            let names_item = !change.key.is_empty();
             let (document, problem) = to_document(self.kind, self.list_cold, revision.era, change);
-            documents.push(document);
+            documents.extend(names_item.then_some(document));
             problems.extend(problem);
         }
         let whole = whole.then_some(Coverage::All(revision));
--- a/crates/sablepass-stand/src/keys.rs
+++ b/crates/sablepass-stand/src/keys.rs
@@ -47,6 +47,8 @@
     Value(String),
     /// The item exists, but has no value.
     NoValue,
+    /// The whole item as it is sent, which need not be a valid one.
+    Whole(String),
     /// The key was removed; it is kept for watches.
     Gone,
 }
@@ -158,6 +160,11 @@
         self.change(key, Content::NoValue)
     }
 
+    /// Writes an item that is sent as this text; returns its revision.
+    pub fn put_item(&self, key: &str, text: &str) -> u64 {
+        self.change(key, Content::Whole(text.to_owned()))
+    }
+
     /// Removes a key; returns the revision of the removal.
     pub fn remove(&self, key: &str) -> u64 {
         self.change(key, Content::Gone)
@@ -275,7 +282,8 @@
             }
             (_, _) => Reply { status: 400, body: json!({ "error": "unknown call" }), era },
         };
-        let mut response = http::answer_json(status, &body);
+        let text = self.insert_whole_items(body.to_string());
+        let mut response = http::answer(status, "application/json", text.into_bytes());
         if let Some(header) = era.and_then(|it| http::header("Store-Era", &it)) {
             response.add_header(header);
         }
@@ -287,6 +295,16 @@
         let _ = request.respond(response);
     }
 
+    /// Replaces the placeholders of items that are sent as they are.
+    fn insert_whole_items(&self, mut text: String) -> String {
+        for (key, it) in &self.lock().items {
+            if let Content::Whole(item) = &it.content {
+                text = text.replace(&placeholder(key).to_string(), item);
+            }
+        }
+        text
+    }
+
     /// Blocks until the mode is no longer [`Mode::Silent`].
     fn wait_while_silent(&self) {
         let silent = |state: &mut State| state.mode == Mode::Silent;
@@ -361,6 +379,12 @@
         Content::NoValue => json!({
             "tlsKey": key, "revision": it.revision, "made": it.revision, "lease": 0,
         }),
+        Content::Whole(_) => placeholder(key),
         Content::Gone => json!({ "tlsKey": key, "revision": it.revision, "gone": true }),
     }
 }
+
+/// Stands for an item that is sent as it is.
+fn placeholder(key: &str) -> Value {
+    format!("whole item {key}").into()
+}
--- a/crates/sablepass-stand/tests/garbled.rs
+++ b/crates/sablepass-stand/tests/garbled.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use sablepass_stand::client::{Answer, metric, wait_for};
+use sablepass_stand::process::Process;
 use sablepass_stand::replica::{Mode, Replica, all_events};
 use sablepass_stand::site::{Site, ask};
 
@@ -110,3 +111,128 @@
         wait_for("the replica with the invalid entry is not usable", || usable(&site, 0) == 2.0);
     }
 }
+
+/// Entries of replicas that JSON or the entry's own types can hardly hold. `ADDRESS` stands for the
+/// address of the replica.
+fn odd_entries() -> Vec<(&'static str, String)> {
+    let entry = |field: &str, value: &str| {
+        let fields = [
+            ("service", "\"orders\""),
+            ("address", "\"ADDRESS\""),
+            ("zone", "\"ba-1\""),
+            ("version", "\"v1\""),
+            ("slots", "12"),
+            ("state", "\"ready\""),
+            ("coldRemainingMs", "0"),
+            ("seq", "4"),
+        ];
+        let others = fields.iter().filter(|it| it.0 != field);
+        let text: Vec<String> = others.map(|(name, value)| format!("\"{name}\":{value}")).collect();
+        format!("{{{},\"{field}\":{value}}}", text.join(","))
+    };
+    let nested = |depth: usize| format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+    let objects = |depth: usize| format!("{}0{}", "{\"a\":".repeat(depth), "}".repeat(depth));
+    let huge = "9".repeat(400);
+    vec![
+        ("nested", nested(200_000)),
+        ("nested objects", objects(100_000)),
+        ("unclosed", "[".repeat(300_000)),
+        ("nested field", entry("zone", &nested(200_000))),
+        ("nested unknown field", entry("other", &nested(200_000))),
+        ("slots", entry("slots", &huge)),
+        ("slots in powers", entry("slots", "1e400")),
+        ("negative slots", entry("slots", "-1")),
+        ("fraction of a slot", entry("slots", "0.5")),
+        ("sequence", entry("seq", &huge)),
+        ("negative sequence", entry("seq", "-1")),
+        ("remaining", entry("coldRemainingMs", "1e400")),
+        ("start", entry("born", &huge)),
+        ("port", entry("address", "\"127.0.0.1:65536\"")),
+        ("port 0", entry("address", "\"127.0.0.1:0\"")),
+        ("negative port", entry("address", "\"127.0.0.1:-1\"")),
+        ("no port", entry("address", "\"127.0.0.1\"")),
+        ("any address", entry("address", "\"0.0.0.0:80\"")),
+        ("number as address", entry("address", "80")),
+        ("field twice", format!("{}", entry("zone", "\"ba-1\",\"zone\":\"ba-2\""))),
+        ("long", entry("zone", &format!("\"{}\"", "z".repeat(1 << 20)))),
+        ("null", "null".to_owned()),
+        ("empty", String::new()),
+        ("half a pair", entry("zone", "\"\\ud800\"")),
+        ("control byte", entry("zone", "\"a\u{1}b\"")),
+        ("escaped line end", entry("zone", "\"a\\n\\u0000\\\"b\"")),
+    ]
+}
+
+/// Checks that an entry uses a replica that was listed last: it follows the list.
+fn check_follows(site: &Site, entry: usize, newest: usize, what: &str) {
+    let replica = &site.replicas[newest];
+    let before = replica.runs().len();
+    let mut number = 0;
+    wait_for(&format!("{what}: entry {entry} uses the newest replica"), || {
+        number += 1;
+        send(site, entry, &format!("{what}-{entry}-{number}"));
+        replica.runs().len() > before
+    });
+}
+
+/// Guards against entries of the list, left by another writer, under which the processes that read
+/// it end, or stop to follow it. Each is read by a watch, and by a process that starts.
+#[test]
+fn verify_odd_replica_entries_neither_end_a_reader_nor_stop_it() {
+    let mut site = site();
+    for (name, text) in odd_entries() {
+        let odd = &site.replicas[0];
+        let text = text.replace("ADDRESS", &odd.addr.to_string());
+        site.store.put(&format!("servers/{}", odd.id), &text);
+        site.store.put("servers/i-odd", &text);
+        let newest = site.add_replica("orders");
+        check_follows(&site, 0, newest, name);
+        let fresh = site.add_entry("");
+        check_follows(&site, fresh, newest, name);
+        let ended = site.entries.iter_mut().any(Process::ended);
+        assert!(!ended, "{name}: a process ended");
+        // The next sound version of the same entry is used.
+        site.store.remove("servers/i-odd");
+        site.list(&site.replicas[0], "ready");
+        check_follows(&site, 0, 0, name);
+        site.entries.truncate(1);
+        let newest = site.replicas.pop().expect("the newest replica");
+        site.store.remove(&format!("servers/{}", newest.id));
+    }
+}
+
+/// Guards against one item of the store, in another form than expected, that keeps all others from
+/// being read.
+#[test]
+fn verify_items_in_another_form_keep_no_other_from_being_read() {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let key = "\"tlsKey\":\"servers/i-odd\"";
+    let items = [
+        format!("{{{key},\"revision\":1,\"value\":{nested}}}"),
+        format!("{{{key},\"revision\":1,\"value\":\"e30=\",\"more\":{nested}}}"),
+        format!("{{{key},\"revision\":{},\"value\":\"e30=\"}}", "9".repeat(400)),
+        format!("{{{key},\"revision\":-1,\"value\":\"e30=\"}}"),
+        format!("{{{key},\"revision\":1,\"value\":1e999}}"),
+        format!("{{{key},\"revision\":1,\"gone\":7}}"),
+        "{\"tlsKey\":7,\"revision\":1,\"value\":\"e30=\"}".to_owned(),
+        "{\"revision\":1}".to_owned(),
+        "7".to_owned(),
+        "null".to_owned(),
+        nested.clone(),
+    ];
+    let mut site = site();
+    for (number, item) in items.iter().enumerate() {
+        let what = format!("item-{number}");
+        site.store.put_item("servers/i-odd", item);
+        let newest = site.add_replica("orders");
+        check_follows(&site, 0, newest, &what);
+        let fresh = site.add_entry("");
+        check_follows(&site, fresh, newest, &what);
+        let ended = site.entries.iter_mut().any(Process::ended);
+        assert!(!ended, "{what}: a process ended");
+        site.store.remove("servers/i-odd");
+        site.entries.truncate(1);
+        let newest = site.replicas.pop().expect("the newest replica");
+        site.store.remove(&format!("servers/{}", newest.id));
+    }
+}
