edge: an answer is done when it is written

Cause: an exchange ended when its last part was in the output buffer; the idle time, the time to linger and the end of a stopping process counted from there. Change: both times start when the output buffer is empty; without progress in writing a connection is closed after the idle time (4 s if the owner was asked to pause, as before). A closing server reports the end of its last connection, and a stopping entry waits for it. Why it works: everything that closes a connection now asks whether output is left.

--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -26,7 +26,8 @@
 const WRITE_HIGH_WATER: usize = 64 * 1024;
 /// Size of the output buffer below which the owner may continue.
 const WRITE_LOW_WATER: usize = 8 * 1024;
-/// Time without progress in writing after which the caller counts as disconnected.
+/// Time without progress in writing after which the caller counts as disconnected, if the owner was
+/// asked to pause. With less output, that time is [`Limits::idle_time`].
 const WRITE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for a caller to read the last answer before its connection is closed.
 const LINGER: Duration = Duration::from_secs(1);
@@ -138,10 +139,15 @@
     close_after_reply: bool,
     /// The caller has closed its sending side.
     input_closed: bool,
-    /// Time of the last progress in writing since the output buffer exceeded [`WRITE_HIGH_WATER`].
-    blocked_since: Option<Instant>,
-    /// Time by which the current phase must make progress.
+    /// The owner was asked to pause, since the output buffer exceeded [`WRITE_HIGH_WATER`].
+    output_full: bool,
+    /// Time of the last progress in writing, while the output buffer is not empty.
+    written_at: Option<Instant>,
+    /// Time by which the current phase must make progress. Times of an idle or lingering connection
+    /// count from the moment at which its last answer is written.
     deadline: Option<Instant>,
+    /// The connection closes as soon as no exchange is in progress.
+    closing: bool,
 }
 
 impl Connection {
@@ -176,8 +182,10 @@
                 .handle_part(cx, it.0, it.1)),
             close_after_reply,
             input_closed: false,
-            blocked_since: None,
+            output_full: false,
+            written_at: None,
             deadline: Some(Instant::now() + limits.idle_time),
+            closing: false,
         })
     }
 
@@ -185,7 +193,7 @@
     pub fn limit(&mut self, _cx: CX![], limits: Limits) {
         self.limits = limits;
         if matches!(self.phase, Phase::Head(_)) {
-            self.deadline = Some(Instant::now() + limits.idle_time);
+            self.start_idle_time();
         }
     }
 
@@ -194,10 +202,17 @@
         self.close_after_reply = true;
     }
 
-    /// Closes the connection if no exchange is in progress.
-    pub fn close_idle(&mut self, cx: CX![]) {
+    /// Closes the connection as soon as no exchange is in progress and its answers are written.
+    pub fn close_when_idle(&mut self, cx: CX![]) {
+        self.closing = true;
+        self.close_after_reply = true;
+        self.close_if_idle(cx);
+    }
+
+    fn close_if_idle(&mut self, cx: CX![]) {
         let idle = matches!(self.phase, Phase::Head(_)) && self.tcp.rd == self.tcp.wr;
-        if idle || matches!(self.phase, Phase::Lingering) {
+        let done = idle || matches!(self.phase, Phase::Lingering);
+        if self.closing && done && self.tcp.out.is_empty() {
             self.close(cx);
         }
     }
@@ -205,7 +220,8 @@
     /// Closes the connection if it has been idle or blocked for too long, and refuses a request
     /// that has not arrived in time.
     pub fn sweep(&mut self, cx: CX![], now: Instant) {
-        if self.blocked_since.is_some_and(|it| now >= it + WRITE_TIMEOUT) {
+        let write_time = if self.output_full { WRITE_TIMEOUT } else { self.limits.idle_time };
+        if self.written_at.is_some_and(|it| now >= it + write_time) {
             self.close_on_error(cx, Err(StopCause::Disconnected));
             return;
         }
@@ -229,6 +245,7 @@
                 self.close_on_error(cx, flushed);
                 return;
             }
+            self.close_if_idle(cx);
         }
         if ready.is_readable() || self.input_closed {
             let step = self.read();
@@ -569,12 +586,12 @@
         self.held.release();
         if must_close || self.close_after_reply {
             self.tcp.out_eof = true;
-            self.deadline = Some(Instant::now() + LINGER);
             self.phase = Phase::Lingering;
+            self.start_idle_time();
             return Ok(());
         }
-        self.deadline = Some(Instant::now() + self.limits.idle_time);
         self.phase = idle();
+        self.start_idle_time();
         // The caller may have sent its next request already.
         let read_ahead_full = self.tcp.wr - self.tcp.rd >= MAX_READ_AHEAD;
         self.advance()?;
@@ -585,17 +602,36 @@
         let before = self.tcp.out.len();
         self.tcp.flush()?;
         let left = self.tcp.out.len();
-        if left > WRITE_HIGH_WATER && self.blocked_since.is_none() {
-            self.blocked_since = Some(Instant::now());
+        if left > WRITE_HIGH_WATER && !self.output_full {
+            self.output_full = true;
             self.owner.fwd(Event::OutputFull(self.key));
-        } else if self.blocked_since.is_some() && left < WRITE_LOW_WATER {
-            self.blocked_since = None;
+        } else if self.output_full && left < WRITE_LOW_WATER {
+            self.output_full = false;
             self.owner.fwd(Event::OutputReady(self.key));
-        } else if self.blocked_since.is_some() && left < before {
-            self.blocked_since = Some(Instant::now());
+        }
+        if left == 0 {
+            self.written_at = None;
+            if before > 0 {
+                self.start_idle_time();
+            }
+        } else if left < before || self.written_at.is_none() {
+            self.written_at = Some(Instant::now());
         }
         Ok(())
     }
+
+    /// Starts the time after which an idle or lingering connection is closed, unless a part of the
+    /// last answer is still to be written.
+    fn start_idle_time(&mut self) {
+        let has_input = self.tcp.rd != self.tcp.wr;
+        let time = match self.phase {
+            Phase::Head(_) if has_input => self.limits.head_time,
+            Phase::Head(_) => self.limits.idle_time,
+            Phase::Lingering => LINGER,
+            _ => return,
+        };
+        self.deadline = self.tcp.out.is_empty().then(|| Instant::now() + time);
+    }
 }
 
 /// Returns the length of a body that its request announces.
--- a/crates/sablepass-edge/src/server.rs
+++ b/crates/sablepass-edge/src/server.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use snafu::{ResultExt, Snafu};
-use stakker::{ActorOwn, CX, Fwd, actor_new, after, call, fwd_to, ret_some_to};
+use stakker::{ActorOwn, CX, Fwd, Ret, actor_new, after, call, fwd_to, ret, ret_some_to};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::{TcpListener, TcpStream};
 use stakker_mio::{MioPoll, MioSource, Ready};
@@ -206,6 +206,8 @@
     bodies: BodyBytes,
     next_key: u64,
     draining: bool,
+    /// Receives the end of the last connection once the server closes.
+    closed: Option<Ret<()>>,
 }
 
 impl Server {
@@ -235,6 +237,7 @@
             bodies: BodyBytes::default(),
             next_key: 0,
             draining: false,
+            closed: None,
         })
     }
 
@@ -254,11 +257,22 @@
         }
     }
 
-    /// Stops accepting, and closes connections without an exchange in progress.
-    pub fn close(&mut self, _cx: CX![]) {
+    /// Stops accepting, and closes each connection as soon as no exchange is in progress and its
+    /// answers are written. Returns to `closed` after the last one.
+    pub fn close(&mut self, _cx: CX![], closed: Ret<()>) {
         self.listener = None;
         for it in self.connections.values() {
-            call!([it], close_idle());
+            call!([it], close_when_idle());
+        }
+        self.closed = Some(closed);
+        self.check_closed();
+    }
+
+    fn check_closed(&mut self) {
+        if self.connections.is_empty()
+            && let Some(closed) = self.closed.take()
+        {
+            ret!([closed], ());
         }
     }
 
@@ -275,6 +289,7 @@
         let key = self.next_key;
         let ended = ret_some_to!([cx], |this, _cx, _cause: stakker::StopCause| {
             this.connections.remove(&key);
+            this.check_closed();
         });
         let connection = actor_new!(cx, Connection, ended);
         let (limits, owner, draining) = (self.limits, self.owner.clone(), self.draining);
--- a/crates/sablepass-entry/src/stops.rs
+++ b/crates/sablepass-entry/src/stops.rs
@@ -9,13 +9,13 @@
 use sablepass_core::flight::Event;
 use sablepass_core::id::{Millis, RequestId};
 use sablepass_edge::{clock, runtime, settings};
-use stakker::{CX, after, call};
+use stakker::{CX, after, call, ret_some_to};
 
 use crate::openai;
 use crate::router::Router;
 use crate::settings::Settings;
 
-/// Time from the last answer until a stopping process ends, so that the caller can read the answer.
+/// Time from the end of the last connection until a stopping process ends.
 const LINGER: Duration = Duration::from_millis(200);
 /// Time before the process is killed in which the answers to the remaining requests are written.
 const ANSWER_TIME: Millis = 500;
@@ -66,7 +66,7 @@
     }
 
     /// Ends the process if it is stopping, the time in which callers are still accepted is over,
-    /// and no request is in progress.
+    /// and no request is in progress, once the answers are written.
     pub(crate) fn check_stop(&mut self, cx: CX![], now: Millis) {
         let Some(since) = self.stopping_since else { return };
         let accepts_callers = now < since + self.settings.admission_time();
@@ -74,11 +74,17 @@
             return;
         }
         self.shutting_down = true;
-        call!([self.server], close());
-        after!(LINGER, [cx], |this, cx| {
-            slog::info!(this.log, "stopped");
-            stakker::stop!(cx);
-        });
+        let closed = ret_some_to!([cx], |this, cx, _it: ()| this.connections_closed(cx));
+        call!([self.server], close(closed));
+    }
+
+    fn connections_closed(&mut self, cx: CX![]) {
+        after!(LINGER, [cx], end());
+    }
+
+    fn end(&mut self, cx: CX![]) {
+        slog::info!(self.log, "stopped");
+        stakker::stop!(cx);
     }
 
     /// Answers the requests that are still in progress just before this process is killed. A closed
