edge: refuse CONNECT and several hosts, charge no target for what cannot be sent

Cause: the client's library takes the target of a CONNECT request for an authority and panics without one; a request that it cannot encode counted as a connection that the target refused. Change: CONNECT and several hosts get 400 where requests are read. The buffer for a head has room for the method. A request that cannot be encoded gets 400 and backs off no target.

--- a/crates/sablepass-edge/src/client.rs
+++ b/crates/sablepass-edge/src/client.rs
@@ -62,7 +62,13 @@
         /// Underlying error.
         source: std::io::Error,
     },
-    /// The response or the outgoing request violates the protocol.
+    /// The request cannot be sent in this protocol; no byte of it was sent.
+    #[snafu(display("request: {source}"))]
+    Request {
+        /// Underlying error.
+        source: ureq_proto::Error,
+    },
+    /// The response violates the protocol.
     #[snafu(display("protocol: {source}"))]
     Protocol {
         /// Underlying error.
@@ -253,7 +259,7 @@
                 self.phase = Phase::Answer(Box::new(call));
                 self.flush(cx);
             }
-            Err(source) => self.close(cx, Cause::Protocol { source }),
+            Err(source) => self.close(cx, Cause::Request { source }),
         }
     }
 
@@ -511,7 +517,8 @@
     let fields = head.headers().iter();
     let size: usize =
         fields.map(|(name, value)| name.as_str().len() + value.len() + 4).sum::<usize>()
-            + head.uri().path_and_query().map_or(1, |it| it.as_str().len());
+            + head.uri().path_and_query().map_or(1, |it| it.as_str().len())
+            + head.method().as_str().len();
     let with_body = head.headers().contains_key(header::CONTENT_LENGTH);
     let mut call = proto::Call::new(head)?;
     call.allow_non_standard_methods(true);
--- a/crates/sablepass-edge/src/framing.rs
+++ b/crates/sablepass-edge/src/framing.rs
@@ -8,8 +8,8 @@
 //! this project reads, also to those read by `ureq`.
 
 use http::header::{self, HeaderMap};
-use http::{Request, Response, Version};
-use snafu::Snafu;
+use http::{Method, Request, Response, Version};
+use snafu::{Snafu, ensure};
 
 /// Status codes of final responses.
 const FINAL_STATUS: std::ops::RangeInclusive<u16> = 200..=599;
@@ -20,6 +20,12 @@
     /// The transfer coding is unknown, or the protocol version has none.
     #[snafu(display("unknown transfer coding"))]
     Coding,
+    /// The method asks for a tunnel, which nothing here provides.
+    #[snafu(display("CONNECT request"))]
+    Tunnel,
+    /// A request names several hosts.
+    #[snafu(display("several Host fields"))]
+    Hosts,
     /// A chunk does not begin with its size.
     #[snafu(display("a chunk without size"))]
     ChunkSize,
@@ -44,9 +50,12 @@
     Ambiguous,
 }
 
-/// Returns the framing of a request, or an error if the end of its body cannot be determined.
+/// Returns the framing of a request, or an error if it cannot be read or the end of its body cannot
+/// be determined.
 pub fn of_request(request: &Request<()>) -> Result<RequestFraming, Error> {
     let fields = request.headers();
+    ensure!(request.method() != Method::CONNECT, TunnelSnafu);
+    ensure!(fields.get_all(header::HOST).iter().count() <= 1, HostsSnafu);
     if !is_chunked(request.version(), fields)? {
         return Ok(RequestFraming::Stated);
     }
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -289,6 +289,8 @@
         let event = if sent {
             self.record_failure(clock::now(), &target);
             failed_unproven(Refusal::EngineBroke)
+        } else if matches!(cause, client::Cause::Request { .. }) {
+            Event::Refused(Refusal::BadRequest)
         } else {
             self.targets.back_off(&target, clock::now() + BACK_OFF_REFUSED);
             Event::Refused(Refusal::EngineAway)
--- a/crates/sablepass-stand/tests/framing.rs
+++ b/crates/sablepass-stand/tests/framing.rs
@@ -124,15 +124,18 @@
     assert_eq!(runs(&site), expected);
 }
 
-/// Guards against the end of the process by a CONNECT request, whose target is no path.
+/// Guards against the end of the process by a CONNECT request.
 #[test]
 fn verify_connect_requests_are_refused() {
     let site = site();
-    for framing in ["", "content-length: 5\r\n"] {
-        let body = if framing.is_empty() { "" } else { "hello" };
-        let connect_request = request("CONNECT users.example:443 HTTP/1.1", "c", framing, body);
-        let (answers, _) = exchange(&mut connect(&site), &connect_request);
-        assert!(answers.len() == 1 && answers[0].starts_with("HTTP/1.1 4"), "{answers:?}");
+    for target in ["users.example:443", "/safe/x", "*", "http://users.example/safe/x"] {
+        for framing in ["", "content-length: 5\r\n"] {
+            let body = if framing.is_empty() { "" } else { "hello" };
+            let sent = request(&format!("CONNECT {target} HTTP/1.1"), "c", framing, body);
+            let (answers, _) = exchange(&mut connect(&site), &sent);
+            let refused = answers.len() == 1 && answers[0].starts_with("HTTP/1.1 4");
+            assert!(refused, "{target}: {answers:?}");
+        }
     }
     let get = request("GET /safe/x HTTP/1.1", "after", "", "");
     assert_eq!(exchange(&mut connect(&site), &get).0, ["HTTP/1.1 200 OK"]);
@@ -179,3 +182,19 @@
     }
     assert_eq!(runs(&site), []);
 }
+
+/// Guards against requests that cannot be sent to a target and are held against it.
+#[test]
+fn verify_requests_that_cannot_be_forwarded_are_refused_and_charge_no_target() {
+    let site = site();
+    let long = "M".repeat(300);
+    let sent = request(&format!("{long} /safe/x HTTP/1.1"), "long", "", "");
+    assert_eq!(exchange(&mut connect(&site), &sent).0, ["HTTP/1.1 200 OK"]);
+    let twice = "host: users.example\r\n";
+    let sent = request("GET /safe/x HTTP/1.1", "twice", twice, "");
+    assert_eq!(exchange(&mut connect(&site), &sent).0, ["HTTP/1.1 400 Bad Request"]);
+    let get = request("GET /safe/x HTTP/1.1", "after", "", "");
+    assert_eq!(exchange(&mut connect(&site), &get).0, ["HTTP/1.1 200 OK"]);
+    let line = format!("{long} /safe/x");
+    assert_eq!(runs(&site), [run("long", &line, ""), run("after", "GET /safe/x", "")]);
+}
