--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -613,6 +613,7 @@
             self.written_at = None;
             if before > 0 {
                 self.start_idle_time();
+                release_buffer(&mut self.tcp.out);
             }
         } else if left < before || self.written_at.is_none() {
             self.written_at = Some(Instant::now());
@@ -634,6 +635,13 @@
     }
 }
 
+/// Frees an empty buffer that has grown, as for a long answer.
+fn release_buffer(buffer: &mut Vec<u8>) {
+    if buffer.capacity() > WRITE_HIGH_WATER {
+        *buffer = Vec::new();
+    }
+}
+
 /// Returns the length of a body that its request announces.
 fn announced_length(fields: &header::HeaderMap) -> Option<usize> {
     fields.get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
--- a/crates/sablepass-stand/tests/stopping.rs
+++ b/crates/sablepass-stand/tests/stopping.rs
@@ -4,6 +4,8 @@
 //! Planned stops of entries on the users' platform, which kills a process some time after it asked
 //! it to stop, and changes of the configuration, while callers read their answers slowly.
 
+mod common;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread::{self, JoinHandle};
@@ -14,6 +16,8 @@
 use sablepass_stand::site::{self, HOST, KEY, Site, ask};
 use serde_json::{Value, json};
 
+use crate::common::endless;
+
 /// Time from the stop signal until the process is killed.
 const GRACE: Duration = Duration::from_secs(2);
 /// Time after the stop signal in which requests are admitted.
@@ -160,3 +164,31 @@
     // The shorter time is in force for answers that are sent now.
     check_whole(slow_callers(&site, "short"));
 }
+
+/// Number of callers that keep their connections after a long answer.
+const KEPT: usize = 64;
+/// Memory that an entry may use on the users' platform.
+const ENTRY_MEMORY_BYTES: usize = 260 << 20;
+
+/// Guards against connections that keep the buffer of a long answer after it is written.
+#[test]
+fn verify_connections_keep_no_buffer_of_a_long_answer() {
+    let site = site_for_long_answers(60_000);
+    let addr = site.http(0);
+    let head = format!(
+        "POST /once/x HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\ncontent-length: {ANSWER_BYTES}\r\n"
+    );
+    let call = |number: usize| {
+        let mut socket = TcpStream::connect(&addr).expect("the entry listens");
+        let id = format!("x-request-id: kept-{number}\r\n\r\n");
+        socket.write_all(head.as_bytes()).expect("request sent");
+        socket.write_all(id.as_bytes()).expect("request sent");
+        socket.write_all(&vec![b'b'; ANSWER_BYTES]).expect("request sent");
+        socket.read_exact(&mut vec![0; ANSWER_BYTES]).expect("answer received");
+        socket
+    };
+    let kept: Vec<TcpStream> = (0..KEPT).map(call).collect();
+    let memory = endless::memory(site.entries[0].id());
+    println!("memory of the entry with {} connections: {} MB", kept.len(), memory >> 20);
+    assert!(memory < ENTRY_MEMORY_BYTES, "the entry uses {} MB", memory >> 20);
+}
