stand: a link that breaks resets its connections

The proxy that stands for a link closed the connections of a cut link in order, in both directions, and did so as well when it met a reset. An answer that states no length ends with an orderly close, so a link that forges one cannot be told from its replica; real links reset, lose or delay, and the users' page says that a reset leaves such an answer incomplete. Change: a cut, and an error of either side, resets both sides. The judge and its checks are as before. verify_broken_links_violate_no_guarantee_while_answers_state_no_length cuts links again and again while answers state no length.

--- a/crates/sablepass-stand/src/proxy.rs
+++ b/crates/sablepass-stand/src/proxy.rs
@@ -3,14 +3,15 @@
 
 //! TCP proxy that injects faults on command over HTTP.
 //!
-//! `POST /control` takes one of these modes: `pass`; `cut` (close all connections, and new ones
+//! `POST /control` takes one of these modes: `pass`; `cut` (reset all connections, and new ones
 //! as soon as they are accepted); `hold` (keep connections open and forward nothing);
-//! `delay MS` (delay each block of bytes); `cut-up N` and `cut-down N` (close one connection
+//! `delay MS` (delay each block of bytes); `cut-up N` and `cut-down N` (reset one connection
 //! after N more bytes towards the server or the client, counted over all connections, then
 //! return to `pass`). `GET /control` returns the mode and the bytes forwarded so far.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -97,31 +98,64 @@
     web::json(request, 200, &status);
 }
 
+/// Handles of a connection that is forwarded.
+struct Forwarded {
+    client: TcpStream,
+    server: TcpStream,
+    /// The link broke: both ends are reset, and not closed in order, since an answer may end with
+    /// its connection.
+    broken: AtomicBool,
+}
+
+impl Forwarded {
+    fn break_off(&self) {
+        self.broken.store(true, Ordering::Relaxed);
+        reset_on_close(&self.client);
+        reset_on_close(&self.server);
+    }
+}
+
+/// Has a socket reset its connection when the last handle of it is dropped.
+fn reset_on_close(socket: &TcpStream) {
+    // Fails if the connection has ended already.
+    let _ = socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO));
+}
+
+/// Connects an accepted client to the server and forwards bytes until either side closes.
 fn connect(state: &Shared, client: TcpStream, to: SocketAddr) {
     if lock(state).mode == Mode::Cut {
+        reset_on_close(&client);
         return;
     }
     let Ok(server) = TcpStream::connect(to) else {
         return;
     };
-    let (Ok(client_reader), Ok(server_writer)) = (client.try_clone(), server.try_clone()) else {
-        return;
-    };
-    let up = state.clone();
-    std::thread::spawn(move || pump(&up, Direction::Up, client_reader, server_writer));
-    pump(state, Direction::Down, server, client);
+    let forwarded = Arc::new(Forwarded { client, server, broken: AtomicBool::new(false) });
+    let (up, other) = (state.clone(), forwarded.clone());
+    std::thread::spawn(move || pump(&up, Direction::Up, &other));
+    pump(state, Direction::Down, &forwarded);
 }
 
-fn pump(state: &Shared, direction: Direction, mut from: TcpStream, mut to: TcpStream) {
+/// Forwards bytes in one direction until the connection closes or is cut.
+fn pump(state: &Shared, direction: Direction, forwarded: &Forwarded) {
+    let (mut from, mut to) = match direction {
+        Direction::Up => (&forwarded.client, &forwarded.server),
+        Direction::Down => (&forwarded.server, &forwarded.client),
+    };
     let mut buffer = [0; 16 * 1024];
     // The timeout lets the loop check the mode while no bytes arrive.
     let _ = from.set_read_timeout(Some(MODE_POLL_INTERVAL));
-    loop {
+    while !forwarded.broken.load(Ordering::Relaxed) {
         if lock(state).mode == Mode::Cut {
-            break;
+            forwarded.break_off();
+            return;
         }
         let length = match from.read(&mut buffer) {
-            Ok(0) => break,
+            Ok(0) => {
+                let _ = from.shutdown(Shutdown::Both);
+                let _ = to.shutdown(Shutdown::Both);
+                return;
+            }
             Ok(length) => length,
             Err(e)
                 if matches!(
@@ -131,15 +165,16 @@
             {
                 continue;
             }
-            Err(_) => break,
+            Err(_) => {
+                forwarded.break_off();
+                return;
+            }
         };
         let (length, cut) = admit(state, direction, length);
         if to.write_all(&buffer[..length]).is_err() || cut {
-            break;
+            forwarded.break_off();
         }
     }
-    let _ = from.shutdown(Shutdown::Both);
-    let _ = to.shutdown(Shutdown::Both);
 }
 
 /// Applies the mode to a block of `length` bytes. Returns the number of bytes to forward, and
--- a/crates/sablepass-stand/tests/soak.rs
+++ b/crates/sablepass-stand/tests/soak.rs
@@ -7,7 +7,7 @@
 
 use sablepass_stand::soak::fleet::HALLS;
 use sablepass_stand::soak::judge::Guarantee;
-use sablepass_stand::soak::schedule::{self, Fault, PlannedFault};
+use sablepass_stand::soak::schedule::{self, Fault, Link, PlannedFault};
 use sablepass_stand::soak::{self, Options};
 
 /// Seeds of every run.
@@ -124,3 +124,21 @@
     assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
     assert!(outcome.answered > 0, "no request was answered with status 200");
 }
+
+/// Links that break while answers state no length and end with their connections. The seeds above
+/// may draw none of these.
+#[test]
+fn verify_broken_links_violate_no_guarantee_while_answers_state_no_length() {
+    let options = Options { entries: 2, replicas: 6, callers: 12, length: 2_000 };
+    let planned =
+        |at, duration_ms, selector, fault| PlannedFault { at, duration_ms, selector, fault };
+    let cuts = [Link::Cut, Link::CutDown, Link::CutUp, Link::Cut, Link::CutDown, Link::Cut];
+    let cut = |(number, link): (usize, &Link)| {
+        planned(300 + 250 * number as u64, 200, number, Fault::Link(*link))
+    };
+    let mut plan = vec![planned(50, 3_000, 0, Fault::AnswersUnsized)];
+    plan.extend(cuts.iter().enumerate().map(cut));
+    let outcome = soak::run(&options, &plan);
+    assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
+    assert!(outcome.answered > 0, "no request was answered with status 200");
+}
