entry: take any grace, and give a slow caller four seconds at least

Cause: found while the diff was read again. A grace below one second in the platform's settings would have kept the entry from starting; and a caller with little output left was closed after an idle time that a configuration may set to a fraction of a second. Change: stop_grace_s may be 0 to 86,400; the time to answer is half of it at most. Without progress in writing a connection has the longer of the idle time and 4 s. Measured: the tests of stopping, stops and site pass.

--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -27,7 +27,7 @@
 /// Size of the output buffer below which the owner may continue.
 const WRITE_LOW_WATER: usize = 8 * 1024;
 /// Time without progress in writing after which the caller counts as disconnected, if the owner was
-/// asked to pause. With less output, that time is [`Limits::idle_time`].
+/// asked to pause. With less output, it is [`Limits::idle_time`] if that is longer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for a caller to read the last answer before its connection is closed.
 const LINGER: Duration = Duration::from_secs(1);
@@ -220,7 +220,8 @@
     /// Closes the connection if it has been idle or blocked for too long, and refuses a request
     /// that has not arrived in time.
     pub fn sweep(&mut self, cx: CX![], now: Instant) {
-        let write_time = if self.output_full { WRITE_TIMEOUT } else { self.limits.idle_time };
+        let min_time = if self.output_full { Duration::ZERO } else { self.limits.idle_time };
+        let write_time = WRITE_TIMEOUT.max(min_time);
         if self.written_at.is_some_and(|it| now >= it + write_time) {
             self.close_on_error(cx, Err(StopCause::Disconnected));
             return;
--- a/crates/sablepass-edge/src/reader.rs
+++ b/crates/sablepass-edge/src/reader.rs
@@ -306,9 +306,9 @@
         let mut documents = Vec::new();
         let mut problems = Vec::new();
         for change in changes {
-            let names_item = !change.key.is_empty();
+            let has_key = !change.key.is_empty();
             let (document, problem) = to_document(self.kind, self.list_cold, revision.era, change);
-            documents.extend(names_item.then_some(document));
+            documents.extend(has_key.then_some(document));
             problems.extend(problem);
         }
         let whole = whole.then_some(Coverage::All(revision));
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -122,8 +122,8 @@
     pub slack: f64,
 }
 
-/// Minimum of `stop_grace_s`, in which answers can be written.
-const MIN_STOP_GRACE_S: f64 = 1.0;
+/// Maximum of `stop_grace_s`: a day.
+const MAX_STOP_GRACE_S: f64 = 86_400.0;
 /// Maximum number of data halls in the table of regions; known deployments have three.
 const MAX_HALLS: usize = 1_024;
 /// Maximum length of the name of a data hall or region in bytes.
@@ -224,9 +224,9 @@
         checker.ensure("retry_slack", slack, (0.0..=1e6).contains(&slack), "0 to 1000000")?;
         let wait = self.stop_wait;
         checker.ensure("stop_wait", wait, wait <= 3_600_000, "0 to 3600000")?;
-        let grace = self.stop_grace_s.unwrap_or(MIN_STOP_GRACE_S);
-        let fits = (MIN_STOP_GRACE_S..=3_600.0).contains(&grace);
-        checker.ensure("stop_grace_s", grace, fits, "1 to 3600")?;
+        let grace = self.stop_grace_s.unwrap_or_default();
+        let fits = (0.0..=MAX_STOP_GRACE_S).contains(&grace);
+        checker.ensure("stop_grace_s", grace, fits, "0 to 86400")?;
         let stories = self.stories;
         checker.ensure("stories", stories, (1..=1_000_000).contains(&stories), "1 to 1000000")?;
         let halls = self.regions.len();
--- a/crates/sablepass-entry/src/stops.rs
+++ b/crates/sablepass-entry/src/stops.rs
@@ -17,7 +17,8 @@
 
 /// Time from the end of the last connection until a stopping process ends.
 const LINGER: Duration = Duration::from_millis(200);
-/// Time before the process is killed in which the answers to the remaining requests are written.
+/// Time before the process is killed in which the answers to the remaining requests are written, at
+/// most half of the whole time.
 const ANSWER_TIME: Millis = 500;
 
 impl Router {
@@ -90,8 +91,10 @@
     /// Answers the requests that are still in progress just before this process is killed. A closed
     /// connection would tell their callers nothing.
     pub(crate) fn answer_before_kill(&mut self, cx: CX![], now: Millis) {
-        let killed_at = self.stopping_since.zip(self.settings.stop_grace());
-        if killed_at.is_none_or(|(since, grace)| now + ANSWER_TIME < since + grace) {
+        let Some((since, grace)) = self.stopping_since.zip(self.settings.stop_grace()) else {
+            return;
+        };
+        if now < since + grace - ANSWER_TIME.min(grace / 2) {
             return;
         }
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
