--- a/crates/sablepass-stand/tests/answers.rs
+++ b/crates/sablepass-stand/tests/answers.rs
@@ -74,8 +74,8 @@
     assert!(replica.requests() >= RACES);
 }
 
-/// An answer that is complete by its length is passed on although the upload was interrupted, and
-/// the rest of the upload becomes no other request.
+/// Guards against breaking off an answer that is complete by its length because the upload was
+/// interrupted, and against taking the rest of the upload for another request.
 #[test]
 fn verify_whole_answer_is_passed_on_if_a_reset_interrupts_the_upload() {
     let respond = |id: &str, _: &str, stream: &mut TcpStream| {
@@ -126,7 +126,7 @@
     assert!(passed_on.is_empty(), "{passed_on:#?}");
 }
 
-/// Answers that are sound although they look unusual.
+/// Guards against refusing answers that are sound although they look unusual.
 #[test]
 fn verify_sound_answers_in_all_framings_are_passed_on_whole() {
     let common = "x-request-id: ID\r\nx-server-stamp: s\r\n";
--- a/crates/sablepass-stand/tests/soak.rs
+++ b/crates/sablepass-stand/tests/soak.rs
@@ -125,8 +125,8 @@
     assert!(outcome.answered > 0, "no request was answered with status 200");
 }
 
-/// Links that break while answers state no length and end with their connections. The seeds above
-/// may draw none of these.
+/// Guards against taking the end of a broken link for that of an answer, while answers state no
+/// length and end with their connections. The seeds above may draw no such links.
 #[test]
 fn verify_broken_links_violate_no_guarantee_while_answers_state_no_length() {
     let options = Options { entries: 2, replicas: 6, callers: 12, length: 2_000 };
