unsized_streams: the stand-in reads the whole request before it answers

The stand-in read once and closed. Agents send head and body in two pieces, so that the body was often unread, and a close with unread bytes is a reset. Change: the stand-in reads to the end of the request's body. What the test checks is as before. Conclusion: the product is right here, the stand-in was not.

--- a/crates/sablepass-stand/tests/unsized_streams.rs
+++ b/crates/sablepass-stand/tests/unsized_streams.rs
@@ -110,9 +110,16 @@
     while answered < 2
         && let Ok((mut stream, _)) = listener.accept()
     {
-        // The request is small and arrives in one piece; a connection without one is a probe.
-        let received = stream.read(&mut [0; 4096]).unwrap_or(0);
-        if received > 0 {
+        // A connection without a request is a probe. A target that closes with unread bytes resets
+        // its answer, so the request is read to the end of its body.
+        let mut request = Vec::new();
+        let mut part = [0; 4096];
+        while !request.ends_with(b"\r\n\r\nq")
+            && let Ok(received @ 1..) = stream.read(&mut part)
+        {
+            request.extend_from_slice(&part[..received]);
+        }
+        if !request.is_empty() {
             let written = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nwhole or not");
             answered += usize::from(written.is_ok());
         }
