edge: free the buffer of a large request once it is sent

Cause: the output buffer of a connection to a target or an agent grows to the size of a request and keeps that capacity when it is empty; idle connections keep it for seconds, connections to agents for ever. The input of a connection between processes keeps that of a large frame. Change: an empty output buffer above 8 KiB is freed, in all connections by one function; so is the input after a frame above 64 KiB. Why it works: what a connection keeps no longer depends on what it has carried.

--- a/crates/sablepass-edge/src/client.rs
+++ b/crates/sablepass-edge/src/client.rs
@@ -22,7 +22,7 @@
     self as proto, RecvBodyResult, RecvResponseResult, SendRequestResult, state,
 };
 
-use crate::{framing, socket};
+use crate::{buffers, framing, socket};
 
 /// Size of one read.
 const READ_SIZE: usize = 4 * 1024;
@@ -297,6 +297,7 @@
         let before = self.tcp.out.len();
         let flushed = self.tcp.flush();
         self.sent |= self.tcp.out.len() < before;
+        buffers::release_empty(&mut self.tcp.out);
         if let Err(source) = flushed {
             self.input_closed = true;
             self.write_error = Some(source);
--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -14,6 +14,7 @@
 use ureq_proto::server::{self as proto, RecvRequestResult, SendResponseResult, state};
 
 use crate::bodies::HeldBody;
+use crate::buffers;
 use crate::framing::{self, RequestFraming};
 use crate::server::{Event, ExchangeKey, Framing, Incoming, Limits, Part, Problem, Reply};
 
@@ -614,7 +615,7 @@
             self.written_at = None;
             if before > 0 {
                 self.start_idle_time();
-                release_buffer(&mut self.tcp.out);
+                buffers::release_empty(&mut self.tcp.out);
             }
         } else if left < before || self.written_at.is_none() {
             self.written_at = Some(Instant::now());
@@ -636,13 +637,6 @@
     }
 }
 
-/// Frees an empty buffer that has grown, as for a long answer.
-fn release_buffer(buffer: &mut Vec<u8>) {
-    if buffer.capacity() > WRITE_HIGH_WATER {
-        *buffer = Vec::new();
-    }
-}
-
 /// Returns the length of a body that its request announces.
 fn announced_length(fields: &header::HeaderMap) -> Option<usize> {
     fields.get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
--- a/crates/sablepass-edge/src/lib.rs
+++ b/crates/sablepass-edge/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admin;
 mod bodies;
+mod buffers;
 pub mod caller;
 pub mod cli;
 pub mod client;
--- a/crates/sablepass-edge/src/link.rs
+++ b/crates/sablepass-edge/src/link.rs
@@ -17,8 +17,8 @@
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
 
-use crate::socket;
 use crate::telemetry::Metrics;
+use crate::{buffers, socket};
 
 /// Size of one read, and of the buffer that each connection keeps. An agent in a group of 72 ranks
 /// has 83 connections; with 64 KB their buffers took 9 MB of its 13 MB of memory.
@@ -165,7 +165,9 @@
     }
 
     fn flush(&mut self, cx: CX![]) {
-        if let Err(source) = self.tcp.flush() {
+        let flushed = self.tcp.flush();
+        buffers::release_empty(&mut self.tcp.out);
+        if let Err(source) = flushed {
             self.close(cx, Cause::Socket { source });
         }
     }
--- a/crates/sablepass-stand/tests/common/mod.rs
+++ b/crates/sablepass-stand/tests/common/mod.rs
@@ -7,6 +7,8 @@
 #![allow(dead_code, reason = "each test binary uses only some of the items")]
 
 pub mod crashes;
+pub mod crowd;
+pub mod crowd_site;
 pub mod endless;
 pub mod invalid;
 pub mod load;
--- a/crates/sablepass-stand/tests/common/raw.rs
+++ b/crates/sablepass-stand/tests/common/raw.rs
@@ -125,5 +125,10 @@
 pub fn finish(stream: &mut TcpStream) {
     // Fails if the caller has closed the connection.
     let _ = stream.shutdown(Shutdown::Write);
+    read_to_end(stream);
+}
+
+/// Reads until the caller closes the connection.
+pub fn read_to_end(stream: &mut TcpStream) {
     while stream.read(&mut [0; 4_096]).is_ok_and(|it| it > 0) {}
 }
--- /dev/null
+++ b/crates/sablepass-stand/tests/crowds.rs
@@ -0,0 +1,35 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! Crowds of clients that send only a part of a request, or more than one, and stay connected: the
+//! entry stays within the limits of its machine and serves ordinary callers.
+
+mod common;
+
+use sablepass_stand::site::ask;
+
+use crate::common::crowd::{self, Watch};
+use crate::common::crowd_site;
+
+/// Guards against connections to targets that keep the buffer of a large request after it is sent.
+#[test]
+fn verify_large_requests_in_a_row_leave_room_for_ordinary_callers() {
+    const BODY: usize = 2 << 20;
+    const REQUESTS: usize = 96;
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(0);
+    for _ in 0..8 {
+        site.add_replica("orders");
+    }
+    site.settle(8);
+    let watch = Watch::start(&site.entries[0]);
+    let body = "b".repeat(BODY);
+    for number in 0..REQUESTS {
+        let answer = ask("POST", "/once/x", &format!("row-{number}"), &body).send(&site.http(0));
+        assert_eq!((answer.status, answer.body.len()), (200, BODY), "request {number}");
+    }
+    let answer = ask("POST", "/safe/x", "ordinary", "q").send(&site.http(0));
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(!site.entries[0].ended(), "the entry has ended");
+    watch.check(crowd_site::BOUNDS);
+}
--- /dev/null
+++ b/crates/sablepass-stand/tests/crowds_agents.rs
@@ -0,0 +1,81 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! Crowds of clients at an entry whose targets are behind agents with a gate: the entry and the
+//! agents stay within the limits of their machines and serve ordinary callers.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+
+use sablepass_stand::client::Ask;
+use sablepass_stand::fleet::{Fleet, Timers};
+
+use crate::common::crowd::{self, Bounds, Watch};
+use crate::common::raw::{self, RawReplica};
+
+const CUSTOMER: &str =
+    "[[customer]]\nname = \"farm\"\nkey = \"tatranska:key-build-farm\"\nshare = 10\n";
+
+/// Limits of the machine in the settings of the entry.
+const BOUNDS: Bounds = Bounds { memory: 64, descriptors: 2_048 };
+
+/// What a target answers is in the path: `hang` is never answered, `N` has N bytes.
+fn respond(_: &str, path: &str, stream: &mut TcpStream) {
+    let what = path.rsplit('/').next().unwrap_or_default();
+    if what == "hang" {
+        return raw::read_to_end(stream);
+    }
+    let length = what.parse().unwrap_or(2);
+    // The agent may close the connection at any time.
+    let _ =
+        stream.write_all(format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n").as_bytes());
+    let _ = stream.write_all(&vec![b'a'; length]);
+    raw::finish(stream);
+}
+
+/// Starts a fleet of an entry on a machine with these limits, and of agents.
+fn open(bounds: Bounds, agents: usize) -> Fleet {
+    let mut fleet = Fleet::open(Timers::default());
+    let targets: String = (0..agents).map(target).collect();
+    let revision = fleet.publish("tatranska/main.toml", &format!("{targets}{CUSTOMER}"));
+    for number in 0..agents {
+        let target = RawReplica::spawn(Arc::new(respond));
+        let name = format!("tatranska/s{number}");
+        fleet.add_service_at(&name, "ba-1", &target.addr.to_string());
+    }
+    fleet.add_entry("entry-1", "ba-1", &format!("subset = {agents}\n{}", limits(bounds)));
+    fleet.settle(agents, revision);
+    fleet
+}
+
+fn target(number: usize) -> String {
+    format!(
+        "[[target]]\nname = \"s{number}\"\nkind = \"service\"\nserves = \"claims\"\nhall = \"ba-1\"\ncapacity = 1000\n"
+    )
+}
+
+fn limits(bounds: Bounds) -> String {
+    let Bounds { memory, descriptors } = bounds;
+    format!("\n[limits]\nmemory = {memory}\ndescriptors = {descriptors}\nlink = 1000\ncores = 1\n")
+}
+
+/// Guards against connections to agents that keep the buffer of a large request after it is sent.
+#[test]
+fn verify_large_requests_in_a_row_to_agents_leave_room_for_ordinary_callers() {
+    const BODY: usize = 3_000_000;
+    const REQUESTS: usize = 96;
+    let _alone = crowd::alone();
+    let mut fleet = open(BOUNDS, 24);
+    let watch = Watch::start(&fleet.entries[0].1);
+    let body = "b".repeat(BODY);
+    for number in 0..REQUESTS {
+        let ask = Ask::post(common::FARM, "/services/claims/2", &body);
+        let answer = ask.send(&fleet.http(0));
+        assert_eq!(answer.status, 200, "request {number}: {answer:?}");
+    }
+    assert!(!fleet.entries[0].1.ended(), "the entry has ended");
+    watch.check(BOUNDS);
+}
--- a/crates/sablepass-wire/src/frame.rs
+++ b/crates/sablepass-wire/src/frame.rs
@@ -14,6 +14,9 @@
 /// size that the platform allows, in its newest and its accepted version, and the other fields.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Length in bytes of a frame after which the memory of the input is given back.
+const LARGE_FRAME_BYTES: usize = 64 * 1024;
+
 /// Size in bytes of the length in front of each message.
 pub const LENGTH_BYTES: usize = 4;
 
@@ -42,6 +45,8 @@
 pub struct Codec {
     lengths: LengthDelimitedCodec,
     input: BytesMut,
+    /// Whether the input had a large frame since its memory was given back.
+    had_large: bool,
 }
 
 impl Default for Codec {
@@ -54,7 +59,7 @@
     /// Creates a codec with empty buffers.
     pub fn open() -> Self {
         let lengths = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-        Self { lengths, input: BytesMut::new() }
+        Self { lengths, input: BytesMut::new(), had_large: false }
     }
 
     /// Adds received bytes to the input buffer.
@@ -66,9 +71,13 @@
     /// complete frame.
     pub fn next_body(&mut self) -> Result<Option<(Body, usize)>, Error> {
         let Some(frame) = self.lengths.decode(&mut self.input).context(LengthSnafu)? else {
+            if self.input.is_empty() && std::mem::take(&mut self.had_large) {
+                self.input = BytesMut::new();
+            }
             return Ok(None);
         };
         let size = frame.len();
+        self.had_large |= size > LARGE_FRAME_BYTES;
         let frame = generated::Frame::decode(frame).context(DecodeSnafu)?;
         let body = frame.body.ok_or(Error::Empty)?;
         Ok(Some((body, size)))
