edge: read the next request once the caller has read its answers

Cause: the next request of a connection was read as soon as the answer to the last one was in the output buffer, however much of that was unread. The notice that the buffer is full named the next exchange. Change: while the output buffer is above its high-water mark, no request of the connection is read; it continues below the low-water mark. Why it works: a connection adds at most one answer to a buffer that is below the mark.

--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -242,9 +242,9 @@
     fn ready(&mut self, cx: CX![], ready: Ready) {
         self.input_closed |= ready.is_read_closed() || ready.is_error();
         if ready.is_writable() {
-            let flushed = self.flush();
-            if flushed.is_err() {
-                self.close_on_error(cx, flushed);
+            let continued = self.flush().and_then(|()| self.continue_input());
+            if continued.is_err() {
+                self.close_on_error(cx, continued);
                 return;
             }
             self.close_if_idle(cx);
@@ -300,20 +300,38 @@
 
     fn accepts_input(&self) -> bool {
         match self.phase {
+            Phase::Head(_) if self.output_full => self.has_read_ahead_room(),
             Phase::Head(_) | Phase::Body(_) | Phase::Lingering => true,
             Phase::Waiting(_) | Phase::Gathering(_) | Phase::Sending(_) => {
-                self.tcp.wr - self.tcp.rd < MAX_READ_AHEAD
+                self.has_read_ahead_room()
             }
             Phase::Closed => false,
         }
     }
 
+    fn has_read_ahead_room(&self) -> bool {
+        self.tcp.wr - self.tcp.rd < MAX_READ_AHEAD
+    }
+
+    /// Continues with the input after an answer: the next request, which the caller may have sent
+    /// already, or the rest of a refused one. The next request waits while the caller does not read
+    /// its answers.
+    fn continue_input(&mut self) -> Step {
+        let waits = self.output_full || !matches!(self.phase, Phase::Head(_) | Phase::Lingering);
+        if waits || self.tcp.rd == self.tcp.wr {
+            return Ok(());
+        }
+        let read_ahead_full = !self.has_read_ahead_room();
+        self.advance()?;
+        if read_ahead_full { self.read() } else { Ok(()) }
+    }
+
     /// Processes the input buffer as far as the current phase allows.
     fn advance(&mut self) -> Step {
         if matches!(self.phase, Phase::Lingering) {
             self.tcp.rd = self.tcp.wr;
         }
-        if matches!(self.phase, Phase::Head(_)) {
+        if matches!(self.phase, Phase::Head(_)) && !self.output_full {
             self.parse_head()?;
         }
         if matches!(self.phase, Phase::Body(_)) {
@@ -491,7 +509,8 @@
             Part::End => self.write_end()?,
             Part::Abort => return self.abort(),
         }
-        self.flush()
+        self.flush()?;
+        self.continue_input()
     }
 
     /// Closes the connection without an event, since the owner asked for it.
@@ -594,10 +613,7 @@
         }
         self.phase = idle();
         self.start_idle_time();
-        // The caller may have sent its next request already.
-        let read_ahead_full = self.tcp.wr - self.tcp.rd >= MAX_READ_AHEAD;
-        self.advance()?;
-        if read_ahead_full { self.read() } else { Ok(()) }
+        Ok(())
     }
 
     fn flush(&mut self) -> Step {
--- /dev/null
+++ b/crates/sablepass-stand/tests/crowds_doors.rs
@@ -0,0 +1,70 @@
+// Copyright the sablepass authors.
+// SPDX-License-Identifier: Apache-2.0
+
+//! Crowds of clients at the addresses for operators and load balancers: entries and agents stay
+//! within their limits, answer operators, and serve ordinary callers.
+
+mod common;
+
+use std::sync::Arc;
+
+use sablepass_stand::client::Ask;
+use sablepass_stand::process::Process;
+use sablepass_stand::site::Site;
+
+use crate::common::crowd::{self, Bounds, Client, Watch};
+use crate::common::crowd_site;
+
+/// Memory that an agent may use in a deployment of the size to design for, and descriptors.
+const AGENT_BOUNDS: Bounds = Bounds { memory: 64, descriptors: 2_048 };
+/// What the clients of a crowd send: a head and a body.
+type Message = (String, Arc<Vec<u8>>);
+
+fn queries() -> Message {
+    ("GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n".repeat(5_000), Arc::default())
+}
+
+/// Lets `count` clients play at an address, and checks the process and that the address answers.
+fn play(process: &Process, addr: &str, (count, message): (usize, Message), bounds: Bounds) {
+    let watch = Watch::start(process);
+    let (head, body) = message;
+    let mut clients: Vec<Client> =
+        (0..count).map(|_| Client::connect(addr, head.clone(), &body)).collect();
+    crowd::send(&mut clients, 64 * 1024);
+    let query = Ask {
+        method: "GET".into(),
+        path: "/healthz".into(),
+        headers: Vec::new(),
+        body: String::new(),
+    };
+    let answer = query.send(addr);
+    watch.check(bounds);
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
+fn play_at_entry(count: usize, message: Message) {
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(2);
+    let watch = Watch::start(&site.entries[0]);
+    play(&site.entries[0], &site.entries[0].addr("admin"), (count, message), crowd_site::BOUNDS);
+    crowd_site::check(&mut site, &watch);
+}
+
+fn play_at_agent(count: usize, message: Message) {
+    let _alone = crowd::alone();
+    let site: Site = crowd_site::open(1);
+    let agent = site.add_agent(([127, 0, 0, 1], 0).into(), ([127, 0, 0, 1], 9).into());
+    play(&agent, &agent.addr("admin"), (count, message), AGENT_BOUNDS);
+}
+
+/// Guards against queries in a row whose answers, not read, take more memory than the entry's machine has.
+#[test]
+fn verify_unread_queries_at_the_admin_address_leave_room_in_an_entry() {
+    play_at_entry(4, queries());
+}
+
+/// Guards against queries in a row whose answers, not read, take more memory than the agent's machine has.
+#[test]
+fn verify_unread_queries_at_the_admin_address_leave_room_in_an_agent() {
+    play_at_agent(4, queries());
+}
