edge: unfinished requests give way when memory is short

Cause: heads were not counted at all, bodies by length and not by capacity; who came first kept the memory until the time limit, sending or not; large bodies kept out small ones. Heads in progress and bodies are counted by capacity, unfinished heads in a room of their own. What does not fit is refused at once as not run; connections that held theirs for a second and send less than 64 KiB/s give way then, the largest first. Why it works: memory that nobody uses goes to those who do, and small requests need none of what large ones may take. Counters: sablepass_connections_gave_way_total{activity}, refusals by reason as before.

--- a/crates/sablepass-core/src/capacity.rs
+++ b/crates/sablepass-core/src/capacity.rs
@@ -23,12 +23,13 @@
 /// Bytes in a MB of memory.
 const MB: f64 = (1 << 20) as f64;
 /// Fraction of the memory for the state of open requests, for connections of callers, for
-/// connections to targets, and for bodies. The rest is for the program, its configuration and what
-/// the allocator cannot reuse.
+/// connections to targets, for bodies, and for what callers have not sent completely or not read.
+/// The rest is for the program, its configuration and what the allocator cannot reuse.
 const REQUEST_MEMORY: f64 = 0.25;
 const CALLER_MEMORY: f64 = 0.125;
 const TARGET_MEMORY: f64 = 0.125;
 const BODY_MEMORY: f64 = 0.25;
+const BUFFER_MEMORY: f64 = 0.125;
 /// Bytes for an open request without its body: its state, a head, and part of an answer that its
 /// caller does not read fast enough.
 const REQUEST_BYTES: f64 = 32.0 * 1024.0;
@@ -88,6 +89,8 @@
     pub requests: usize,
     /// Bytes of request bodies.
     pub bodies: usize,
+    /// Bytes of unfinished heads, and of answers that callers have not read.
+    pub buffers: usize,
     /// Log lines per second.
     pub log_lines: u32,
 }
@@ -130,6 +133,7 @@
             targets: count(targets),
             requests: count(requests),
             bodies: count(bodies),
+            buffers: count(memory * BUFFER_MEMORY),
             log_lines: count(log_lines) as u32,
         })
     }
--- a/crates/sablepass-edge/src/admin.rs
+++ b/crates/sablepass-edge/src/admin.rs
@@ -110,6 +110,7 @@
             server::Event::Disconnected(_)
             | server::Event::OutputFull(_)
             | server::Event::OutputReady(_) => {}
+            server::Event::GaveWay(activity) => self.metrics.gave_way(activity),
         }
     }
 
--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -4,6 +4,7 @@
 //! One connection of a caller to a [`crate::server`]. The actor owns the socket, reads requests and
 //! writes answers, one exchange at a time.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use http::header::{self, HeaderValue};
@@ -13,16 +14,21 @@
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
 use ureq_proto::server::{self as proto, RecvRequestResult, SendResponseResult, state};
 
-use crate::bodies::HeldBody;
 use crate::buffers;
 use crate::framing::{self, RequestFraming};
+use crate::progress::{Activity, Progress};
+use crate::room::{Room, Share};
 use crate::server::{Event, ExchangeKey, Framing, Incoming, Limits, Part, Problem, Reply};
 
-/// Size of one read. The buffers of an idle connection keep about twice this size.
+/// Size of one read.
 const READ_SIZE: usize = 4 * 1024;
+/// Size of the input buffer of an idle connection.
+const IDLE_INPUT: usize = 2 * READ_SIZE;
 /// Size of the input after the current request from which the connection is no longer read until
 /// the answer is complete. The buffer of an idle connection holds it.
 const MAX_READ_AHEAD: usize = READ_SIZE;
+/// Maximum capacity that a body has before any of it has arrived.
+const MAX_FIRST_CAPACITY: usize = 4 << 20;
 /// Size of the output buffer above which the owner is asked to pause.
 const WRITE_HIGH_WATER: usize = 64 * 1024;
 /// Size of the output buffer below which the owner may continue.
@@ -67,12 +73,22 @@
 struct Receiving {
     proto: proto::Reply<state::RecvBody>,
     request: http::Request<()>,
+    /// Size of the request's head beyond that of an idle connection's input.
+    head_bytes: usize,
     body: Vec<u8>,
 }
 
 impl Receiving {
-    /// Decodes input as far as possible. Returns the number of bytes used, or `None` if the body is
-    /// malformed.
+    /// Returns the capacity that the body needs to take this much input. It grows by factors, up to
+    /// the largest body.
+    fn capacity_for(&self, input: usize, max_body: usize) -> usize {
+        let needed = self.body.len() + input;
+        let capacity = self.body.capacity();
+        if needed <= capacity { capacity } else { needed.max((2 * capacity).min(max_body)) }
+    }
+
+    /// Decodes input as far as possible, which the body has the capacity for. Returns the number of
+    /// bytes used, or `None` if the body is malformed.
     fn read(&mut self, input: &[u8]) -> Option<usize> {
         let mut end = self.body.len();
         self.body.resize(end + input.len(), 0);
@@ -126,14 +142,26 @@
     }
 }
 
+/// Memory that the connections of a server share.
+#[derive(Clone, Debug)]
+pub struct Rooms {
+    /// For requests.
+    pub bodies: Room,
+    /// For input that is not processed, and output that is not read.
+    pub buffers: Room,
+}
+
 /// Actor that owns the connection.
 pub struct Connection {
     tcp: TcpStreamBuf,
     key: ExchangeKey,
     phase: Phase,
     limits: Limits,
-    /// Size of the current request's body.
-    held: HeldBody,
+    /// Memory for the current request: its body, and its head if that is large.
+    held: Share,
+    /// Memory for input that is not processed, and output that is not read.
+    buffered: Share,
+    progress: Rc<Progress>,
     owner: Fwd<Event>,
     replies: Fwd<(ExchangeKey, Part)>,
     /// The connection closes after the next answer.
@@ -157,7 +185,7 @@
         cx: CX![],
         key: u64,
         stream: TcpStream,
-        (limits, held): (Limits, HeldBody),
+        (limits, rooms, progress): (Limits, Rooms, Rc<Progress>),
         close_after_reply: bool,
         owner: Fwd<Event>,
     ) -> Option<Self> {
@@ -177,7 +205,9 @@
             key: ExchangeKey { connection: key, number: 0 },
             phase: idle(),
             limits,
-            held,
+            held: Share::open(&rooms.bodies),
+            buffered: Share::open(&rooms.buffers),
+            progress,
             owner,
             replies: fwd_to!([cx], |this, cx, it: (ExchangeKey, Part)| this
                 .handle_part(cx, it.0, it.1)),
@@ -239,7 +269,52 @@
         }
     }
 
+    /// Gives way to other connections, unless the owner has a request of it: refuses the request
+    /// that it receives, or closes.
+    pub fn give_way(&mut self, cx: CX![]) {
+        let activity = self.progress.activity();
+        if activity == Activity::Busy {
+            return;
+        }
+        self.owner.fwd(Event::GaveWay(activity));
+        if activity == Activity::Receiving {
+            self.refuse(Problem::NoRoom);
+            self.update_progress();
+        } else {
+            self.close_on_error(cx, Err(StopCause::Disconnected));
+        }
+    }
+
+    /// Updates the memory that the connection holds, and its progress.
+    fn update_progress(&mut self) {
+        self.buffered.set(self.buffered_bytes());
+        let activity = match self.phase {
+            _ if !self.tcp.out.is_empty() => Activity::Writing,
+            Phase::Head(_) if self.tcp.rd == self.tcp.wr => Activity::Idle,
+            Phase::Head(_) | Phase::Body(_) => Activity::Receiving,
+            Phase::Waiting(_) | Phase::Gathering(_) | Phase::Sending(_) => Activity::Busy,
+            Phase::Lingering | Phase::Closed => Activity::Idle,
+        };
+        self.progress.set_activity(activity);
+        self.progress.body.set(self.held.bytes());
+        self.progress.buffers.set(self.buffered.bytes());
+    }
+
+    /// Returns the size of the buffers beyond those of an idle connection.
+    fn buffered_bytes(&self) -> usize {
+        let gathered = match &self.phase {
+            Phase::Gathering(it) => it.body.capacity(),
+            _ => 0,
+        };
+        self.tcp.inp.len().saturating_sub(IDLE_INPUT) + self.tcp.out.capacity() + gathered
+    }
+
     fn ready(&mut self, cx: CX![], ready: Ready) {
+        self.process_ready(cx, ready);
+        self.update_progress();
+    }
+
+    fn process_ready(&mut self, cx: CX![], ready: Ready) {
         self.input_closed |= ready.is_read_closed() || ready.is_error();
         if ready.is_writable() {
             let continued = self.flush().and_then(|()| self.continue_input());
@@ -288,7 +363,9 @@
                 }
             }
             let received = self.tcp.wr - self.tcp.rd - before;
+            self.progress.add(received);
             self.advance()?;
+            self.release_input();
             if received < READ_SIZE && !self.input_closed {
                 // The socket is drained; further data makes it readable again.
                 return Ok(());
@@ -326,6 +403,22 @@
         if read_ahead_full { self.read() } else { Ok(()) }
     }
 
+    /// Frees an input buffer that is empty and has grown, as for a large head.
+    fn release_input(&mut self) {
+        if self.tcp.rd == self.tcp.wr && self.tcp.inp.len() > IDLE_INPUT {
+            self.tcp.inp = Vec::new();
+            (self.tcp.rd, self.tcp.wr) = (0, 0);
+        }
+    }
+
+    /// Returns whether there is memory for the input buffer to grow if the next read needs it.
+    fn has_room_for_input(&mut self) -> bool {
+        let unread = self.tcp.wr - self.tcp.rd;
+        let grows = unread + READ_SIZE > self.tcp.inp.len();
+        let growth = if grows { self.tcp.inp.len() } else { 0 };
+        self.buffered.resize(self.buffered_bytes() + growth)
+    }
+
     /// Processes the input buffer as far as the current phase allows.
     fn advance(&mut self) -> Step {
         if matches!(self.phase, Phase::Lingering) {
@@ -358,15 +451,23 @@
             return Ok(());
         }
         let Some(request) = request else {
+            if !self.has_room_for_input() {
+                self.refuse(Problem::NoRoom);
+                return Ok(());
+            }
             let head_deadline = Instant::now() + self.limits.head_time;
             self.deadline = Some(self.deadline.map_or(head_deadline, |it| it.min(head_deadline)));
             return Ok(());
         };
         self.tcp.rd += used;
-        self.begin_request(request)
+        self.begin_request(request, used.saturating_sub(IDLE_INPUT))
     }
 
-    fn begin_request(&mut self, request: http::Request<()>) -> Step {
+    fn begin_request(&mut self, request: http::Request<()>, head_bytes: usize) -> Step {
+        if !self.held.resize(head_bytes) {
+            self.refuse(Problem::NoRoom);
+            return Ok(());
+        }
         match framing::of_request(&request) {
             Ok(RequestFraming::Stated) => {}
             Ok(RequestFraming::Ambiguous) => self.close_after_reply = true,
@@ -402,19 +503,27 @@
         }
         // A body that is too large is refused as such, when more than its limit has arrived.
         let length = announced_length(fields).unwrap_or(0).min(self.limits.body);
-        if !self.held.grow(length, self.limits.bodies) {
+        if !self.held.resize(head_bytes + length) {
             self.refuse(Problem::NoRoom);
             return Ok(());
         }
         proto.stop_on_chunk_boundary(true);
         self.deadline = Some(Instant::now() + self.limits.head_time);
-        self.phase = Phase::Body(Box::new(Receiving { proto, request, body: Vec::new() }));
+        let body = Vec::with_capacity(length.min(MAX_FIRST_CAPACITY));
+        self.phase = Phase::Body(Box::new(Receiving { proto, request, head_bytes, body }));
         Ok(())
     }
 
     fn parse_body(&mut self) -> Step {
         let Phase::Body(it) = &mut self.phase else { return Ok(()) };
-        let Some(used) = it.read(&self.tcp.inp[self.tcp.rd..self.tcp.wr]) else {
+        let input = &self.tcp.inp[self.tcp.rd..self.tcp.wr];
+        let capacity = it.capacity_for(input.len(), self.limits.body);
+        if !self.held.resize(it.head_bytes + capacity) {
+            self.refuse(Problem::NoRoom);
+            return Ok(());
+        }
+        it.body.reserve_exact(capacity - it.body.len());
+        let Some(used) = it.read(input) else {
             self.refuse(Problem::Malformed);
             return Ok(());
         };
@@ -423,10 +532,6 @@
             self.refuse(Problem::BodyTooLarge);
             return Ok(());
         }
-        if !self.held.grow(it.body.len(), self.limits.bodies) {
-            self.refuse(Problem::NoRoom);
-            return Ok(());
-        }
         if !it.proto.is_ended() {
             // The line with a chunk's size, or of a trailer, does not end.
             if self.tcp.wr - self.tcp.rd > self.limits.head {
@@ -466,6 +571,7 @@
         self.close_after_reply = true;
         self.held.release();
         self.tcp.rd = self.tcp.wr;
+        self.release_input();
         self.phase = match placeholder() {
             Some(it) => Phase::Waiting(Box::new(it)),
             None => Phase::Closed,
@@ -482,6 +588,7 @@
         }
         let step = self.write(part);
         self.close_on_error(cx, step);
+        self.update_progress();
     }
 
     fn write(&mut self, part: Part) -> Step {
@@ -620,6 +727,7 @@
         let before = self.tcp.out.len();
         self.tcp.flush()?;
         let left = self.tcp.out.len();
+        self.progress.add(before - left);
         if left > WRITE_HIGH_WATER && !self.output_full {
             self.output_full = true;
             self.owner.fwd(Event::OutputFull(self.key));
--- a/crates/sablepass-edge/src/lib.rs
+++ b/crates/sablepass-edge/src/lib.rs
@@ -8,7 +8,6 @@
 //! transfers data and calls `sablepass-core` for decisions.
 
 pub mod admin;
-mod bodies;
 mod buffers;
 pub mod caller;
 pub mod cli;
@@ -22,7 +21,9 @@
 pub mod link;
 pub mod log;
 pub mod mesh;
+pub mod progress;
 pub mod reader;
+pub mod room;
 pub mod runtime;
 pub mod server;
 pub mod settings;
--- a/crates/sablepass-edge/src/server.rs
+++ b/crates/sablepass-edge/src/server.rs
@@ -10,6 +10,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use snafu::{ResultExt, Snafu};
@@ -18,8 +19,9 @@
 use stakker_mio::mio::net::{TcpListener, TcpStream};
 use stakker_mio::{MioPoll, MioSource, Ready};
 
-use crate::bodies::{BodyBytes, HeldBody};
-use crate::connection::Connection;
+use crate::connection::{Connection, Rooms};
+use crate::progress::{Activity, Progress};
+use crate::room::Room;
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 4096;
@@ -64,7 +66,8 @@
     BodyTooLarge,
     /// The request did not arrive in time.
     Slow,
-    /// The bodies of all connections together would exceed [`Limits::bodies`].
+    /// Memory for requests is short: that of all connections together would exceed
+    /// [`Limits::bodies`] or [`Limits::buffers`], or the request arrives too slowly meanwhile.
     NoRoom,
 }
 
@@ -93,6 +96,8 @@
     OutputFull(ExchangeKey),
     /// The output buffer has room again.
     OutputReady(ExchangeKey),
+    /// A connection that did this gave way to others, as memory or connections were short.
+    GaveWay(Activity),
 }
 
 /// Framing of an answer's body.
@@ -162,14 +167,18 @@
     pub idle_time: Duration,
     /// Maximum number of open connections.
     pub connections: usize,
-    /// Maximum size in bytes of the bodies of all connections together. A body that is the only one
-    /// is read regardless of its size.
+    /// Maximum size in bytes of the requests of all connections together: bodies and large heads.
+    /// A body that is the only one is read regardless of its size.
     pub bodies: usize,
+    /// Maximum size in bytes of all that connections hold besides: input that is not processed, and
+    /// answers that are not read.
+    pub buffers: usize,
 }
 
 impl Default for Limits {
     /// 16 KiB of head, as in many servers; 4 MiB of body; 10 s each to send them; 75 s idle, longer
-    /// than common clients keep an idle connection; 4,000 connections; any size of all bodies.
+    /// than common clients keep an idle connection; 4,000 connections; any size of all bodies
+    /// and of all buffers.
     fn default() -> Self {
         Self {
             head: 16 * 1024,
@@ -178,6 +187,7 @@
             idle_time: Duration::from_secs(75),
             connections: 4_000,
             bodies: usize::MAX,
+            buffers: usize::MAX,
         }
     }
 }
@@ -197,13 +207,19 @@
     open().context(ListenSnafu { addr })
 }
 
+/// A connection that was accepted.
+struct Accepted {
+    actor: ActorOwn<Connection>,
+    progress: Rc<Progress>,
+}
+
 /// Actor that accepts connections.
 pub struct Server {
     listener: Option<MioSource<TcpListener>>,
     owner: Fwd<Event>,
     limits: Limits,
-    connections: HashMap<u64, ActorOwn<Connection>>,
-    bodies: BodyBytes,
+    connections: HashMap<u64, Accepted>,
+    rooms: Rooms,
     next_key: u64,
     draining: bool,
     /// Receives the end of the last connection once the server closes.
@@ -234,7 +250,7 @@
             owner,
             limits,
             connections: HashMap::new(),
-            bodies: BodyBytes::default(),
+            rooms: Rooms { bodies: Room::open(limits.bodies), buffers: Room::open(limits.buffers) },
             next_key: 0,
             draining: false,
             closed: None,
@@ -244,8 +260,10 @@
     /// Changes the limits, also of open connections.
     pub fn limit(&mut self, _cx: CX![], limits: Limits) {
         self.limits = limits;
+        self.rooms.bodies.set_limit(limits.bodies);
+        self.rooms.buffers.set_limit(limits.buffers);
         for it in self.connections.values() {
-            call!([it], limit(limits));
+            call!([it.actor], limit(limits));
         }
     }
 
@@ -253,7 +271,7 @@
     pub fn drain(&mut self, _cx: CX![]) {
         self.draining = true;
         for it in self.connections.values() {
-            call!([it], drain());
+            call!([it.actor], drain());
         }
     }
 
@@ -262,7 +280,7 @@
     pub fn close(&mut self, _cx: CX![], closed: Ret<()>) {
         self.listener = None;
         for it in self.connections.values() {
-            call!([it], close_when_idle());
+            call!([it.actor], close_when_idle());
         }
         self.closed = Some(closed);
         self.check_closed();
@@ -288,21 +306,52 @@
         self.next_key += 1;
         let key = self.next_key;
         let ended = ret_some_to!([cx], |this, _cx, _cause: stakker::StopCause| {
-            this.connections.remove(&key);
+            this.remove_connection(key);
             this.check_closed();
         });
-        let connection = actor_new!(cx, Connection, ended);
+        let actor = actor_new!(cx, Connection, ended);
         let (limits, owner, draining) = (self.limits, self.owner.clone(), self.draining);
-        let bodies = HeldBody::open(&self.bodies);
-        call!([connection], Connection::init(key, stream, (limits, bodies), draining, owner));
-        self.connections.insert(key, connection);
+        let progress = Rc::new(Progress::open());
+        let held = (limits, self.rooms.clone(), Rc::clone(&progress));
+        call!([actor], Connection::init(key, stream, held, draining, owner));
+        self.connections.insert(key, Accepted { actor, progress });
+    }
+
+    fn remove_connection(&mut self, key: u64) {
+        self.connections.remove(&key);
     }
 
     fn sweep(&mut self, cx: CX![]) {
         let now = Instant::now();
         for it in self.connections.values() {
-            call!([it], sweep(now));
+            call!([it.actor], sweep(now));
         }
+        self.relieve(now);
         after!(SWEEP_INTERVAL, [cx], sweep());
     }
+
+    /// Makes slow connections give way if memory was short.
+    fn relieve(&self, now: Instant) {
+        self.relieve_room(now, &self.rooms.bodies, |it| it.body.get());
+        self.relieve_room(now, &self.rooms.buffers, |it| it.buffers.get());
+    }
+
+    /// Makes slow connections give way if a room was short: those that hold most of it first.
+    fn relieve_room(&self, now: Instant, room: &Room, held: impl Fn(&Progress) -> usize) {
+        let mut shortage = room.take_shortage();
+        if shortage == 0 {
+            return;
+        }
+        let is_slow = |it: &&Accepted| it.progress.is_slow(now);
+        let slow = self.connections.values().filter(is_slow).map(|it| (held(&it.progress), it));
+        let mut slow: Vec<(usize, &Accepted)> = slow.filter(|(bytes, _)| *bytes > 0).collect();
+        slow.sort_by_key(|(bytes, _)| std::cmp::Reverse(*bytes));
+        for (bytes, it) in slow {
+            if shortage == 0 {
+                break;
+            }
+            call!([it.actor], give_way());
+            shortage = shortage.saturating_sub(bytes);
+        }
+    }
 }
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -10,6 +10,8 @@
 use sablepass_core::reason::{Ignored, Refusal, Retry};
 use snafu::{ResultExt, Snafu};
 
+use crate::progress::Activity;
+
 /// Error of setting up the metrics.
 #[derive(Debug, Snafu)]
 #[snafu(display("metrics: {source}"))]
@@ -101,6 +103,9 @@
     pub limits: GaugeVec,
     /// Requests that waited for permission under a target's limit, by outcome.
     pub turns: IntCounterVec,
+    /// Connections that gave way to others while memory or connections were short, by what they
+    /// did.
+    gave_way: IntCounterVec,
     /// Answers that named a limit, by whether the limit could be read.
     pub limits_named: IntCounterVec,
     /// Suspect requests, during which targets had ended, that were evicted because the table was
@@ -231,6 +236,12 @@
             )?,
             limits: float_gauges(r, "limits", "Requests a second under limits", &["whose"])?,
             turns: counters(r, "turns_total", "Turns at targets with limits", &["outcome"])?,
+            gave_way: counters(
+                r,
+                "connections_gave_way_total",
+                "Connections that gave way to others while memory or connections were short",
+                &["activity"],
+            )?,
             limits_named: counters(
                 r,
                 "limits_named_total",
@@ -262,6 +273,11 @@
         }
     }
 
+    /// Counts a connection that gave way to others.
+    pub fn gave_way(&self, activity: Activity) {
+        self.gave_way.with_label_values(&[activity.label()]).inc();
+    }
+
     /// Counts a refused or failed request.
     pub fn refused(&self, reason: Refusal) {
         self.refusals.with_label_values(&[reason.label()]).inc();
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -58,6 +58,7 @@
             },
             server::Event::OutputFull(key) => self.pause(key, true),
             server::Event::OutputReady(key) => self.pause(key, false),
+            server::Event::GaveWay(activity) => self.metrics.gave_way(activity),
         }
     }
 
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -307,6 +307,7 @@
         server::Limits {
             connections: limits.connections.min(capacity.callers),
             bodies: limits.bodies.min(capacity.bodies),
+            buffers: limits.buffers.min(capacity.buffers),
             ..limits
         }
     }
--- a/crates/sablepass-stand/tests/crowds.rs
+++ b/crates/sablepass-stand/tests/crowds.rs
@@ -11,8 +11,12 @@
 use sablepass_stand::site::{Site, ask};
 
 use crate::common::crowd::{self, Client, Watch};
-use crate::common::crowd_site;
+use crate::common::crowd_site::{self, MAX_BODY, MAX_HEAD};
 
+/// Number of clients with large bodies.
+const BODIES: usize = 64;
+/// Number of connections: more than the entry may accept with its descriptors.
+const CONNECTIONS: usize = 800;
 /// Bytes that a client sends at once, piece by piece.
 const PIECE: usize = 16 * 1024;
 
@@ -26,6 +30,64 @@
     crowd_site::check(site, &watch);
 }
 
+fn with_length(path: &str, number: usize, length: usize) -> String {
+    let head = crowd_site::head("POST", path, &format!("crowd-{number}"));
+    format!("{head}content-length: {length}\r\n\r\n")
+}
+
+fn in_chunks(path: &str, number: usize) -> String {
+    let head = crowd_site::head("POST", path, &format!("crowd-{number}"));
+    format!("{head}transfer-encoding: chunked\r\n\r\n")
+}
+
+/// Guards against bodies with a length that stop before their last byte and keep the memory for bodies.
+#[test]
+fn verify_unfinished_bodies_with_a_length_leave_room_for_ordinary_callers() {
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(2);
+    let head = |number| with_length("/safe/2", number, MAX_BODY);
+    play(&mut site, BODIES, head, &crowd::all_but_last(MAX_BODY));
+}
+
+/// Guards against bodies of which only the length arrives and which keep the memory for bodies.
+#[test]
+fn verify_announced_bodies_leave_room_for_ordinary_callers() {
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(2);
+    let head = |number| with_length("/safe/2", number, MAX_BODY);
+    play(&mut site, BODIES, head, &crowd::all_but_last(2));
+}
+
+/// Guards against bodies in chunks that stop before their last chunk and take more memory than is counted.
+#[test]
+fn verify_unfinished_bodies_in_chunks_leave_room_for_ordinary_callers() {
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(2);
+    play(&mut site, BODIES, |number| in_chunks("/safe/2", number), &crowd::chunks(MAX_BODY, 8_000));
+}
+
+/// Guards against whole bodies whose requests are not answered and which take more memory than is counted.
+#[test]
+fn verify_whole_bodies_leave_room_for_ordinary_callers() {
+    const BODY: usize = 1 << 20;
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(8);
+    let head = |number| with_length("/safe/hang", number, BODY);
+    play(&mut site, BODIES, head, &Arc::new(vec![b'b'; BODY]));
+}
+
+/// Guards against heads that do not end and take all connections or more memory than is counted.
+#[test]
+fn verify_unfinished_heads_leave_room_for_ordinary_callers() {
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(2);
+    let head = |number| {
+        let head = crowd_site::head("GET", "/safe/2", &format!("crowd-{number}"));
+        format!("{head}x-long: ")
+    };
+    play(&mut site, CONNECTIONS, head, &Arc::new(vec![b'h'; MAX_HEAD - 1_024]));
+}
+
 /// Guards against input that is sent ahead of an answer and takes more memory than is counted.
 #[test]
 fn verify_input_sent_ahead_leaves_room_for_ordinary_callers() {
@@ -38,6 +100,19 @@
     play(&mut site, 500, head, &Arc::new(vec![b'n'; 64 * 1024]));
 }
 
+/// Guards against large heads whose requests are not answered and which take more memory than is counted.
+#[test]
+fn verify_large_heads_leave_room_for_ordinary_callers() {
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(80);
+    let long = "h".repeat(MAX_HEAD - 1_024);
+    let head = |number| {
+        let head = crowd_site::head("GET", "/safe/hang", &format!("crowd-{number}"));
+        format!("{head}x-long: {long}\r\n\r\n")
+    };
+    play(&mut site, 400, head, &Arc::default());
+}
+
 /// Guards against connections to targets that keep the buffer of a large request after it is sent.
 #[test]
 fn verify_large_requests_in_a_row_leave_room_for_ordinary_callers() {
