edge: a new connection takes the place of an idle one

Cause: at the limit of connections the new one was closed, and those that do nothing stayed. The test failed before. Change: the connection that is idle for the longest time gives way, or else one that is slow; at most 64 are accepted before those are closed. The listener is asked again every 250 ms, since connections that found no descriptor waited for the next event. Why it works: an idle connection has no request that could be lost, and a client may open a new one.

--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -151,6 +151,15 @@
     pub buffers: Room,
 }
 
+/// How a connection gives way to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveWay {
+    /// It refuses the request that it receives, and keeps others.
+    Refuse,
+    /// It closes.
+    Close,
+}
+
 /// Actor that owns the connection.
 pub struct Connection {
     tcp: TcpStreamBuf,
@@ -269,15 +278,14 @@
         }
     }
 
-    /// Gives way to other connections, unless the owner has a request of it: refuses the request
-    /// that it receives, or closes.
-    pub fn give_way(&mut self, cx: CX![]) {
+    /// Gives way to other connections, unless the owner has a request of it.
+    pub fn give_way(&mut self, cx: CX![], how: GiveWay) {
         let activity = self.progress.activity();
         if activity == Activity::Busy {
             return;
         }
         self.owner.fwd(Event::GaveWay(activity));
-        if activity == Activity::Receiving {
+        if how == GiveWay::Refuse && activity == Activity::Receiving {
             self.refuse(Problem::NoRoom);
             self.update_progress();
         } else {
--- a/crates/sablepass-edge/src/progress.rs
+++ b/crates/sablepass-edge/src/progress.rs
@@ -67,6 +67,11 @@
         self.activity.get()
     }
 
+    /// Returns when the activity began.
+    pub(crate) fn since(&self) -> Instant {
+        self.since.get()
+    }
+
     /// Records what the connection does now.
     pub(crate) fn set_activity(&self, activity: Activity) {
         if activity != self.activity.get() {
--- a/crates/sablepass-edge/src/server.rs
+++ b/crates/sablepass-edge/src/server.rs
@@ -19,7 +19,7 @@
 use stakker_mio::mio::net::{TcpListener, TcpStream};
 use stakker_mio::{MioPoll, MioSource, Ready};
 
-use crate::connection::{Connection, Rooms};
+use crate::connection::{Connection, GiveWay, Rooms};
 use crate::progress::{Activity, Progress};
 use crate::room::Room;
 
@@ -30,6 +30,8 @@
 const SEND_BUFFER_BYTES: usize = 256 * 1024;
 /// Priority of socket events in the poll.
 const PRIORITY: u32 = 10;
+/// Maximum number of connections that are accepted before other events are processed.
+const ACCEPTS_PER_TURN: usize = 64;
 /// Interval between two checks for idle and blocked connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -211,6 +213,8 @@
 struct Accepted {
     actor: ActorOwn<Connection>,
     progress: Rc<Progress>,
+    /// Whether it was told to close for another one.
+    closing: bool,
 }
 
 /// Actor that accepts connections.
@@ -221,6 +225,8 @@
     connections: HashMap<u64, Accepted>,
     rooms: Rooms,
     next_key: u64,
+    /// Number of connections that were told to close for others.
+    closing: usize,
     draining: bool,
     /// Receives the end of the last connection once the server closes.
     closed: Option<Ret<()>>,
@@ -252,6 +258,7 @@
             connections: HashMap::new(),
             rooms: Rooms { bodies: Room::open(limits.bodies), buffers: Room::open(limits.buffers) },
             next_key: 0,
+            closing: 0,
             draining: false,
             closed: None,
         })
@@ -295,11 +302,40 @@
     }
 
     fn accept(&mut self, cx: CX![], _: Ready) {
-        while let Some(Ok((stream, _))) = self.listener.as_ref().map(|it| it.accept()) {
-            if self.connections.len() < self.limits.connections {
+        self.accept_waiting(cx);
+    }
+
+    /// Accepts the connections that wait, a limited number at once, so that those that are to be
+    /// closed for others are closed meanwhile.
+    fn accept_waiting(&mut self, cx: CX![]) {
+        for _ in 0..ACCEPTS_PER_TURN {
+            let Some(Ok((stream, _))) = self.listener.as_ref().map(|it| it.accept()) else {
+                return;
+            };
+            if self.has_room_for_connection() {
                 self.add_connection(cx, stream);
             }
         }
+        call!([cx], accept_waiting());
+    }
+
+    /// Returns whether another connection may be opened. Makes one give way if there are too many:
+    /// the one that is idle for the longest time, or else one that is slow.
+    fn has_room_for_connection(&mut self) -> bool {
+        if self.connections.len() - self.closing < self.limits.connections {
+            return true;
+        }
+        let now = Instant::now();
+        let may_close = |it: &Accepted| {
+            !it.closing && (it.progress.activity() == Activity::Idle || it.progress.is_slow(now))
+        };
+        let rank = |it: &Accepted| (it.progress.activity() != Activity::Idle, it.progress.since());
+        let candidates = self.connections.values_mut().filter(|it| may_close(it));
+        let Some(it) = candidates.min_by_key(|it| rank(it)) else { return false };
+        it.closing = true;
+        self.closing += 1;
+        call!([it.actor], give_way(GiveWay::Close));
+        true
     }
 
     fn add_connection(&mut self, cx: CX![], stream: TcpStream) {
@@ -314,11 +350,13 @@
         let progress = Rc::new(Progress::open());
         let held = (limits, self.rooms.clone(), Rc::clone(&progress));
         call!([actor], Connection::init(key, stream, held, draining, owner));
-        self.connections.insert(key, Accepted { actor, progress });
+        self.connections.insert(key, Accepted { actor, progress, closing: false });
     }
 
     fn remove_connection(&mut self, key: u64) {
-        self.connections.remove(&key);
+        if self.connections.remove(&key).is_some_and(|it| it.closing) {
+            self.closing -= 1;
+        }
     }
 
     fn sweep(&mut self, cx: CX![]) {
@@ -327,6 +365,8 @@
             call!([it.actor], sweep(now));
         }
         self.relieve(now);
+        // Connections wait if there was no descriptor for them.
+        self.accept_waiting(cx);
         after!(SWEEP_INTERVAL, [cx], sweep());
     }
 
@@ -342,7 +382,7 @@
         if shortage == 0 {
             return;
         }
-        let is_slow = |it: &&Accepted| it.progress.is_slow(now);
+        let is_slow = |it: &&Accepted| !it.closing && it.progress.is_slow(now);
         let slow = self.connections.values().filter(is_slow).map(|it| (held(&it.progress), it));
         let mut slow: Vec<(usize, &Accepted)> = slow.filter(|(bytes, _)| *bytes > 0).collect();
         slow.sort_by_key(|(bytes, _)| std::cmp::Reverse(*bytes));
@@ -350,7 +390,7 @@
             if shortage == 0 {
                 break;
             }
-            call!([it.actor], give_way());
+            call!([it.actor], give_way(GiveWay::Refuse));
             shortage = shortage.saturating_sub(bytes);
         }
     }
--- a/crates/sablepass-stand/tests/crowds.rs
+++ b/crates/sablepass-stand/tests/crowds.rs
@@ -88,6 +88,14 @@
     play(&mut site, CONNECTIONS, head, &Arc::new(vec![b'h'; MAX_HEAD - 1_024]));
 }
 
+/// Guards against idle connections that take all connections of the entry.
+#[test]
+fn verify_idle_connections_leave_room_for_ordinary_callers() {
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(2);
+    play(&mut site, CONNECTIONS, |_| String::new(), &Arc::default());
+}
+
 /// Guards against input that is sent ahead of an answer and takes more memory than is counted.
 #[test]
 fn verify_input_sent_ahead_leaves_room_for_ordinary_callers() {
