entry: count all answers that are kept or unread together

Cause: answers were limited one by one; a connection to a target was read until the kernel had no more, before it could be paused; a stream could keep 64 KiB, whatever all of them took. Change: the router and the callers' connections share one room for answers. An answer with a length gets its memory before its body is read, and its target's connection is paused until then, in order of arrival; one without a length fails as answers-full (502, ran) if it does not fit. While the room is full streams are paused earlier, and slow readers give way. Connections to targets are read 16 KiB at a time. Why it works: who waits holds nothing, and who holds memory without reading loses it, so that answers go on. Counters: sablepass_answers_waited_total, refusals_total{reason="answers-full"}.

--- a/crates/sablepass-core/src/flight.rs
+++ b/crates/sablepass-core/src/flight.rs
@@ -135,6 +135,8 @@
     TargetDegraded,
     /// The target's machine is unresponsive, and no part of this answer has arrived for a while.
     TargetUnresponsive,
+    /// There is no memory for the part of the answer that is kept until it is complete.
+    NoRoom,
     /// The answer ended with its connection, and nothing has proved for a while that it is
     /// complete.
     EndUnconfirmed,
@@ -283,6 +285,12 @@
         self.splitter.as_ref().filter(|_| self.request.resumable).and_then(Splitter::last_id)
     }
 
+    /// Returns the memory in bytes for the part of the answer that is kept: a whole answer until it
+    /// is complete, and an incomplete event.
+    pub fn buffered_bytes(&self) -> usize {
+        self.body.capacity() + self.splitter.as_ref().map_or(0, Splitter::pending_bytes)
+    }
+
     /// Returns whether an attempt is in progress and no part of its answer, nor any other sign
     /// of its target, was recorded for `SILENCE_THRESHOLD`.
     pub fn is_silent(&self, now: Millis) -> bool {
@@ -360,6 +368,7 @@
             Event::TargetDegraded => self.switch_target(now, Retry::SlowTarget, budget),
             Event::TargetUnresponsive => self.switch_target(now, Retry::QuietTarget, budget),
             Event::EndUnconfirmed => self.switch_target(now, Retry::UnconfirmedEnd, budget),
+            Event::NoRoom => self.refuse_answer(Refusal::AnswersFull),
             Event::EndsTargets => self.on_ends_targets(),
             Event::ProcessEnds => self.give_up(Refusal::Stopping),
             Event::CallerGone => self.on_caller_gone(),
@@ -452,7 +461,7 @@
         if let Some(splitter) = &mut self.splitter {
             let complete = splitter.push(&data);
             if splitter.pending_bytes() > self.options.max_answer_bytes {
-                return self.refuse_answer();
+                return self.refuse_answer(Refusal::AnswerTooLarge);
             }
             // Incomplete events are held back only if another target may continue the stream.
             let ready = if self.request.resumable { complete } else { data };
@@ -462,16 +471,16 @@
             return vec![Action::Deliver(data)];
         }
         if self.body.len() + data.len() > self.options.max_answer_bytes {
-            return self.refuse_answer();
+            return self.refuse_answer(Refusal::AnswerTooLarge);
         }
         self.body.extend_from_slice(&data);
         Vec::new()
     }
 
-    /// Fails a request whose answer, or an event of it, exceeds the buffer limit.
-    fn refuse_answer(&mut self) -> Vec<Action> {
+    /// Fails a request whose answer, or an event of it, cannot be kept.
+    fn refuse_answer(&mut self, reason: Refusal) -> Vec<Action> {
         let mut actions = vec![Action::Cancel(self.attempt())];
-        actions.extend(self.fail(Refusal::AnswerTooLarge, Ran::Ran));
+        actions.extend(self.fail(reason, Ran::Ran));
         actions
     }
 
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -155,6 +155,8 @@
         EngineEnded = 63, "engine-ended";
         /// A name that the request has to carry to a target, such as its customer's, fits no header.
         Unforwardable = 64, "unforwardable";
+        /// There is no memory for the answer: other callers have not read theirs.
+        AnswersFull = 65, "answers-full";
         /// The headers exceed the size limit.
         HeaderTooLarge = 40, "header-too-large";
     }
@@ -240,6 +242,7 @@
             | Self::EngineEnded
             | Self::AnswerGap
             | Self::AnswerTooLarge
+            | Self::AnswersFull
             | Self::WrongAnswer => 502,
             Self::Saturated
             | Self::NoConfiguration
--- a/crates/sablepass-edge/src/admin.rs
+++ b/crates/sablepass-edge/src/admin.rs
@@ -11,6 +11,7 @@
 use sablepass_platform::request::READY_PATH;
 use stakker::{ActorOwn, CX, Fwd, Stakker, actor_new, call, fwd_to, ret_shutdown};
 
+use crate::room::Room;
 use crate::server::{self, Incoming, Limits, Server};
 use crate::telemetry::Metrics;
 
@@ -88,7 +89,9 @@
     let admin = actor_new!(s, Admin, ret_shutdown!(s));
     let events = fwd_to!([admin], event() as (server::Event));
     let server = actor_new!(s, Server, ret_shutdown!(s));
-    call!([server], Server::init(listener, Limits::default(), events));
+    let limits = Limits::default();
+    let buffers = Room::open(limits.buffers);
+    call!([server], Server::init(listener, limits, buffers, events));
     call!([admin], Admin::init(metrics, queries, server));
     Ok((addr, admin))
 }
--- a/crates/sablepass-edge/src/client.rs
+++ b/crates/sablepass-edge/src/client.rs
@@ -14,7 +14,7 @@
 use http::HeaderName;
 use http::header::{self, HeaderValue};
 use snafu::{ResultExt, Snafu, ensure};
-use stakker::{CX, Fwd, after, fwd_to, stop};
+use stakker::{CX, Fwd, after, call, fwd_to, stop};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
@@ -26,6 +26,8 @@
 
 /// Size of one read.
 const READ_SIZE: usize = 4 * 1024;
+/// Maximum number of reads before other events are processed.
+const READS_PER_TURN: usize = 4;
 /// Size of a response head, with the interim responses before it, beyond which the response is
 /// rejected.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -306,8 +308,13 @@
         }
     }
 
+    /// Reads a limited number of bytes, so that the owner can pause the connection, and then
+    /// continues after other events.
     fn read(&mut self, cx: CX![]) {
-        while !self.paused && !matches!(self.phase, Phase::Closed) {
+        for _ in 0..READS_PER_TURN {
+            if self.paused || matches!(self.phase, Phase::Closed) {
+                return;
+            }
             let before = self.tcp.wr - self.tcp.rd;
             let status = self.tcp.read(READ_SIZE);
             let received = self.tcp.wr - self.tcp.rd - before;
@@ -337,6 +344,11 @@
                 }
             }
         }
+        call!([cx], continue_read());
+    }
+
+    fn continue_read(&mut self, cx: CX![]) {
+        self.read(cx);
     }
 
     /// Handles the end of the input. A body delimited by the end of the connection is complete
--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -33,6 +33,9 @@
 const WRITE_HIGH_WATER: usize = 64 * 1024;
 /// Size of the output buffer below which the owner may continue.
 const WRITE_LOW_WATER: usize = 8 * 1024;
+/// Size of the output buffer above which the connection is closed if memory is short and the answer
+/// is still being sent.
+const MAX_UNREAD: usize = 2 * WRITE_HIGH_WATER;
 /// Time without progress in writing after which the caller counts as disconnected, if the owner was
 /// asked to pause. With less output, it is [`Limits::idle_time`] if that is longer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -736,7 +739,15 @@
         self.tcp.flush()?;
         let left = self.tcp.out.len();
         self.progress.add(before - left);
-        if left > WRITE_HIGH_WATER && !self.output_full {
+        self.buffered.set(self.buffered_bytes());
+        let is_short = self.buffered.room().is_full();
+        if is_short && left > MAX_UNREAD && matches!(self.phase, Phase::Sending(_)) {
+            // The owner cannot pause this answer.
+            self.owner.fwd(Event::GaveWay(Activity::Writing));
+            return Err(StopCause::Disconnected);
+        }
+        let high_water = if is_short { WRITE_LOW_WATER } else { WRITE_HIGH_WATER };
+        if left > high_water && !self.output_full {
             self.output_full = true;
             self.owner.fwd(Event::OutputFull(self.key));
         } else if self.output_full && left < WRITE_LOW_WATER {
--- a/crates/sablepass-edge/src/server.rs
+++ b/crates/sablepass-edge/src/server.rs
@@ -233,11 +233,13 @@
 }
 
 impl Server {
-    /// Starts to accept connections.
+    /// Starts to accept connections. What they hold besides requests is counted in `buffers`, with
+    /// what the owner holds for them.
     pub fn init(
         cx: CX![],
         listener: TcpListener,
         limits: Limits,
+        buffers: Room,
         owner: Fwd<Event>,
     ) -> Option<Self> {
         let poll = cx.anymap_get::<MioPoll>();
@@ -256,7 +258,7 @@
             owner,
             limits,
             connections: HashMap::new(),
-            rooms: Rooms { bodies: Room::open(limits.bodies), buffers: Room::open(limits.buffers) },
+            rooms: Rooms { bodies: Room::open(limits.bodies), buffers },
             next_key: 0,
             closing: 0,
             draining: false,
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -103,6 +103,8 @@
     pub limits: GaugeVec,
     /// Requests that waited for permission under a target's limit, by outcome.
     pub turns: IntCounterVec,
+    /// Answers whose body was not read at once, as there was no memory for it.
+    pub answers_waited: IntCounter,
     /// Connections that gave way to others while memory or connections were short, by what they
     /// did.
     gave_way: IntCounterVec,
@@ -236,6 +238,11 @@
             )?,
             limits: float_gauges(r, "limits", "Requests a second under limits", &["whose"])?,
             turns: counters(r, "turns_total", "Turns at targets with limits", &["outcome"])?,
+            answers_waited: counter(
+                r,
+                "answers_waited_total",
+                "Answers that were not read until there was memory for them",
+            )?,
             gave_way: counters(
                 r,
                 "connections_gave_way_total",
--- a/crates/sablepass-entry/src/callers.rs
+++ b/crates/sablepass-entry/src/callers.rs
@@ -19,6 +19,7 @@
 use sablepass_core::reason::Refusal;
 use sablepass_core::route::{Class, Route};
 use sablepass_core::scope::Scope;
+use sablepass_edge::room::Share;
 use sablepass_edge::{clock, server};
 use stakker::CX;
 
@@ -173,6 +174,7 @@
             queued: None,
             counted_target: None,
             connection: None,
+            answer: Share::open(&self.answers),
             succeeded: false,
             head_sent: false,
             delivered_at: now,
--- a/crates/sablepass-entry/src/direct.rs
+++ b/crates/sablepass-entry/src/direct.rs
@@ -201,6 +201,7 @@
                     code if code.is_success() => self.targets.record_success(&target),
                     _ => {}
                 }
+                self.reserve_answer(in_flight.request, key, head);
                 let fields = answer::forward(head.headers());
                 let head = Head { status: status.into(), fields, replayed: false };
                 self.handle_event(cx, in_flight.request, in_flight.attempt, Event::Head(head));
--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -30,12 +30,14 @@
 mod ticks;
 mod trace;
 mod turns;
+mod whole;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use sablepass_edge::daemon::{self, Base};
 use sablepass_edge::instance::Role;
+use sablepass_edge::room::Room;
 use sablepass_edge::server::{Limits, Server};
 use sablepass_edge::{admin, mesh, runtime, server};
 use stakker::{actor_new, call, fwd_to, ret_shutdown};
@@ -75,11 +77,12 @@
             ..Limits::default()
         });
         let events = fwd_to!([actor], server_event() as (server::Event));
-        call!([server], Server::init(listener, limits, events));
+        let buffers = Room::open(limits.buffers);
+        call!([server], Server::init(listener, limits, buffers.clone(), events));
         let addresses = serde_json::json!({ "http": callers, "peers": peers, "admin": admin });
         println!("{addresses}");
         slog::info!(log, "started"; "callers" => %callers, "peers" => %peers, "admin" => %admin);
-        call!([actor], Router::init((settings, file), log, metrics, mesh, server));
+        call!([actor], Router::init((settings, file), log, metrics, mesh, (server, buffers)));
         Ok((actor, signals, operators, ready))
     })
 }
--- a/crates/sablepass-entry/src/open.rs
+++ b/crates/sablepass-entry/src/open.rs
@@ -15,6 +15,7 @@
 use sablepass_core::route::Route;
 use sablepass_core::scope::Scope;
 use sablepass_core::starts::StartRequest;
+use sablepass_edge::room::Share;
 use sablepass_edge::server::ExchangeKey;
 
 use crate::call::Run;
@@ -62,6 +63,8 @@
     pub(crate) counted_target: Option<String>,
     /// The connection in use, if the request was sent directly to its target.
     pub(crate) connection: Option<ConnectionKey>,
+    /// Memory for the part of the answer that is not passed on yet.
+    pub(crate) answer: Share,
     /// Whether the answer that was sent to the caller has a success status.
     pub(crate) succeeded: bool,
     /// Whether the head of the answer was sent to the caller.
@@ -93,6 +96,13 @@
         })
     }
 
+    /// Counts the part of the answer that is not passed on yet. Returns false if there is no memory
+    /// for it.
+    pub(crate) fn reserve_buffered(&mut self) -> bool {
+        let bytes = self.flight.buffered_bytes();
+        bytes <= self.answer.bytes() || self.answer.resize(bytes)
+    }
+
     /// Returns what the request demands of its target.
     pub(crate) fn demand(&self) -> Demand<'_> {
         Demand { served: &self.served, scope: &self.scope }
--- a/crates/sablepass-entry/src/router.rs
+++ b/crates/sablepass-entry/src/router.rs
@@ -23,6 +23,7 @@
 use sablepass_edge::clock;
 use sablepass_edge::mesh::Mesh;
 use sablepass_edge::reader::Form;
+use sablepass_edge::room::Room;
 use sablepass_edge::server::{ExchangeKey, Part, Server};
 use sablepass_edge::telemetry::Metrics;
 use sablepass_edge::unread::UnreadFields;
@@ -42,6 +43,7 @@
 use crate::targets::{self, Choice, Served, Targets, Via};
 use crate::trace::{Step, Traces};
 use crate::turns::PeerTurns;
+use crate::whole::WaitingAnswers;
 
 /// Maximum time that a request waits for a connection to the target that owns its idempotency key.
 const OWNER_WAIT: Millis = 2_000;
@@ -75,6 +77,9 @@
     /// Streams that wait to be started, by service.
     pub(crate) start_queues: HashMap<Served, StartQueue>,
     pub(crate) pool: Pool,
+    /// Memory for answers that are not passed on or not read.
+    pub(crate) answers: Room,
+    pub(crate) waiting_answers: WaitingAnswers,
     /// Answers without a length whose ends are not known to be complete.
     pub(crate) ends: EndChecks,
     pub(crate) traces: Traces,
@@ -102,7 +107,7 @@
         log: Logger,
         metrics: Arc<Metrics>,
         mesh: ActorOwn<Mesh>,
-        server: ActorOwn<Server>,
+        (server, answers): (ActorOwn<Server>, Room),
     ) -> Option<Self> {
         let options = targets::Options {
             me: settings.node.name.clone(),
@@ -130,6 +135,8 @@
                 fwd_to!([cx], direct_event() as ((ConnectionKey, client::Event))),
                 settings.capacity().map_or(usize::MAX, |it| it.targets),
             ),
+            answers,
+            waiting_answers: WaitingAnswers::default(),
             ends: EndChecks::default(),
             traces: Traces::open(settings.stories),
             watch: SuspectTracker::default(),
@@ -350,7 +357,11 @@
         };
         let mut budget = self.retry_budgets.get_mut(&open.served);
         let mut spend_retry = || budget.as_mut().is_some_and(|it| it.spend());
-        let actions = open.flight.handle_event(clock::now(), number, event, &mut spend_retry);
+        let mut actions = open.flight.handle_event(clock::now(), number, event, &mut spend_retry);
+        if !open.reserve_buffered() {
+            let event = Event::NoRoom;
+            actions.extend(open.flight.handle_event(clock::now(), 0, event, &mut spend_retry));
+        }
         self.apply_actions(cx, id, actions);
     }
 
--- a/crates/sablepass-entry/src/ticks.rs
+++ b/crates/sablepass-entry/src/ticks.rs
@@ -47,6 +47,7 @@
             self.tick_request(cx, id);
         }
         self.pool.close_expired(now);
+        self.continue_answers();
         let gone = self.targets.remove_expired_if_missing(now);
         self.remove_targets(cx, &gone);
         self.answer_before_kill(cx, now);
--- a/crates/sablepass-stand/tests/crowds.rs
+++ b/crates/sablepass-stand/tests/crowds.rs
@@ -10,7 +10,7 @@
 
 use sablepass_stand::site::{Site, ask};
 
-use crate::common::crowd::{self, Client, Watch};
+use crate::common::crowd::{self, Bounds, Client, Watch};
 use crate::common::crowd_site::{self, MAX_BODY, MAX_HEAD};
 
 /// Number of clients with large bodies.
@@ -143,3 +143,49 @@
     assert!(!site.entries[0].ended(), "the entry has ended");
     watch.check(crowd_site::BOUNDS);
 }
+
+/// Guards against clients of all kinds at once that together take more memory than each kind alone.
+#[test]
+fn verify_a_mixed_crowd_leaves_room_for_ordinary_callers() {
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(80);
+    let watch = Watch::start(&site.entries[0]);
+    let addr = site.http(0);
+    let plain =
+        |path: &str, number: usize| crowd_site::head("GET", path, &format!("crowd-{number}"));
+    let (whole, cut, none) =
+        (crowd::all_but_last(MAX_BODY), crowd::chunks(MAX_BODY, 8_000), Arc::default());
+    let (ahead, long) = (Arc::new(vec![b'n'; 64 * 1024]), Arc::new(vec![b'h'; MAX_HEAD - 1_024]));
+    let connect = |number: usize| match number % 6 {
+        0 => Client::connect(&addr, with_length("/safe/2", number, MAX_BODY), &whole),
+        1 => Client::connect(&addr, in_chunks("/safe/2", number), &cut),
+        2 => Client::connect(&addr, format!("{}\r\n", plain("/safe/hang", number)), &ahead),
+        3 => Client::connect(&addr, format!("{}x-long: ", plain("/safe/2", number)), &long),
+        4 => Client::connect(&addr, format!("{}\r\n", plain("/safe/1000000", number)), &none),
+        _ => Client::connect(&addr, format!("{}\r\n", plain("/stream/1000000", number)), &none),
+    };
+    // Each crowd leaves before the next one comes.
+    for _ in 0..3 {
+        let mut clients: Vec<Client> = (0..CONNECTIONS).map(connect).collect();
+        crowd::send(&mut clients, PIECE);
+        crowd_site::check(&mut site, &watch);
+    }
+}
+
+/// Guards against limits on the memory of all requests that keep out a single one of the largest size.
+#[test]
+fn verify_the_largest_request_is_served_in_calm_on_the_smallest_machine() {
+    const SMALLEST: Bounds = Bounds { memory: 32, descriptors: 512 };
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open_on(SMALLEST, 0);
+    site.add_replica("orders");
+    site.settle(1);
+    let watch = Watch::start(&site.entries[0]);
+    let body = "b".repeat(MAX_BODY);
+    for number in 0..10 {
+        let answer = ask("POST", "/once/x", &format!("large-{number}"), &body).send(&site.http(0));
+        assert_eq!((answer.status, answer.body.len()), (200, MAX_BODY), "request {number}");
+    }
+    assert!(!site.entries[0].ended(), "the entry has ended");
+    watch.check(SMALLEST);
+}
--- a/crates/sablepass-stand/tests/crowds_answers.rs
+++ b/crates/sablepass-stand/tests/crowds_answers.rs
@@ -32,6 +32,18 @@
     format!("{}\r\n", crowd_site::head("GET", path, id))
 }
 
+/// Guards against whole answers that are not read and take more memory than the machine has.
+#[test]
+fn verify_unread_answers_leave_room_for_ordinary_callers() {
+    play(8, 64, |number| get("/safe/4000000", &format!("crowd-{number}")));
+}
+
+/// Guards against streams that are not read and take more memory than the machine has.
+#[test]
+fn verify_unread_streams_leave_room_for_ordinary_callers() {
+    play(40, 300, |number| get("/stream/4000000", &format!("crowd-{number}")));
+}
+
 /// Guards against requests in a row on a connection whose answers, not read, take more memory than the machine has.
 #[test]
 fn verify_unread_answers_in_a_row_leave_room_for_ordinary_callers() {
