entry: bound requests and answers without the limits of a machine

Cause: the bounds came from the machine's limits alone. Change: settings bodies and buffers, 256 MiB each by default, 64 KiB to 1 TiB; with [limits] the lower figure counts. The sum of all bounds of a machine is checked against its memory in core/tests/capacity.rs.

--- a/crates/sablepass-core/tests/capacity.rs
+++ b/crates/sablepass-core/tests/capacity.rs
@@ -44,6 +44,9 @@
         // Buffers of connections, the state of requests, and bodies with one copy each.
         let bytes = connections * 8 * 1024 + it.requests * 32 * 1024 + it.bodies * 2;
         assert!((bytes as f64) < limits.memory * 0.8 * 1_048_576.0, "{limits:?}: {it:?}");
+        // With what callers have not sent completely or not read, it fits the machine at its caps.
+        let bytes = bytes + it.buffers;
+        assert!((bytes as f64) < limits.memory * 0.9 * 1_048_576.0, "{limits:?}: {it:?}");
         assert!(it.requests <= it.targets, "{limits:?}: a request finds no connection: {it:?}");
     }
 }
--- a/crates/sablepass-entry/src/settings.rs
+++ b/crates/sablepass-entry/src/settings.rs
@@ -45,6 +45,14 @@
     /// the message that carries it.
     #[serde(default = "default_body")]
     pub body: usize,
+    /// Maximum size in bytes of the bodies and large heads of all requests together. Default 256
+    /// MiB.
+    #[serde(default = "default_room")]
+    pub bodies: usize,
+    /// Maximum size in bytes of all unfinished heads, and of all answers that are not passed on or
+    /// that callers have not read. Default 256 MiB.
+    #[serde(default = "default_room")]
+    pub buffers: usize,
     /// Deadline of a request that specifies none. Default 120,000.
     #[serde(default = "default_deadline")]
     pub deadline: u64,
@@ -122,6 +130,8 @@
     pub slack: f64,
 }
 
+/// Allowed values of `bodies` and `buffers`: 64 KiB to 1 TiB.
+const ROOM_RANGE: std::ops::RangeInclusive<usize> = 1 << 16..=1 << 40;
 /// Maximum of `stop_grace_s`: a day.
 const MAX_STOP_GRACE_S: f64 = 86_400.0;
 /// Maximum number of data halls in the table of regions; known deployments have three.
@@ -169,6 +179,10 @@
     (4 << 20) - 65_536
 }
 
+fn default_room() -> usize {
+    256 << 20
+}
+
 fn default_deadline() -> u64 {
     120_000
 }
@@ -217,6 +231,9 @@
             (1_024..=max_body).contains(&self.body),
             "1024 to 4128768",
         )?;
+        for (key, value) in [("bodies", self.bodies), ("buffers", self.buffers)] {
+            checker.ensure(key, value, ROOM_RANGE.contains(&value), "65536 to 1099511627776")?;
+        }
         checker.ensure("attempts", self.attempts, (1..=10).contains(&self.attempts), "1 to 10")?;
         let ratio = self.retry_ratio;
         checker.ensure("retry_ratio", ratio, (0.0..=1.0).contains(&ratio), "0 to 1")?;
@@ -301,8 +318,10 @@
         self.limits.and_then(|it| it.capacity().ok())
     }
 
-    /// Reduces the limits of callers' connections to the capacity of the machine.
+    /// Reduces the limits of callers' connections to those of the settings and to the capacity of the
+    /// machine.
     pub fn bounded(&self, limits: server::Limits) -> server::Limits {
+        let limits = server::Limits { bodies: self.bodies, buffers: self.buffers, ..limits };
         let Some(capacity) = self.capacity() else { return limits };
         server::Limits {
             connections: limits.connections.min(capacity.callers),
--- a/crates/sablepass-stand/tests/tools.rs
+++ b/crates/sablepass-stand/tests/tools.rs
@@ -62,6 +62,11 @@
         (good.replace("http = ", "http_ = "), "http_"),
         (good.replace("# policy = \"affinity\"", "policy = \"luck\""), "policy = luck"),
         (good.replace("# subset = 8", "subset = 0"), "subset = 0; allowed is 1 to 1024"),
+        (
+            good.replace("# bodies = 268435456", "bodies = 65535"),
+            "bodies = 65535; allowed is 65536",
+        ),
+        (good.replace("# buffers = 268435456", "buffers = 9"), "buffers = 9; allowed is 65536"),
         (good.replace("name = \"entry-1\"", "name = \"\""), "node.name"),
         (good.replace("\"127.0.0.1:7000\"", "\"nowhere\""), "listen"),
         (good.replace("platform = \"http:", "platform = \"ftp:"), "node.platform"),
