agent: read answers no faster than they leave

Cause: the threads of an agent's runs put their answers into a queue without a bound; the entry read that connection until the kernel had no more before it processed a message. The test failed before. Change: a thread waits while 32 KiB of its answer are queued or 1 MiB waits on the connection to its entry; connections between processes are read 128 KiB at a time. Why it works: the target's connection is not read meanwhile, so the target waits.

--- a/crates/sablepass-agent/src/keeper.rs
+++ b/crates/sablepass-agent/src/keeper.rs
@@ -25,6 +25,7 @@
 use stakker::sync::Channel;
 use stakker::{ActorOwn, CX, call};
 
+use crate::flow::Flow;
 use crate::group::Group;
 use crate::listeners::Listeners;
 use crate::memory::SuspectCache;
@@ -45,6 +46,8 @@
     pub(crate) unsafe_repeat: bool,
     pub(crate) key: Option<Key>,
     pub(crate) cancelled: Arc<AtomicBool>,
+    /// Parts of the answer that are on their way to the entry.
+    pub(crate) flow: Flow,
     /// HTTP status and content type of the answer.
     pub(crate) head: Option<(u32, String)>,
     /// Bytes of the answer received so far.
@@ -152,7 +155,7 @@
     pub fn mesh_event(&mut self, cx: CX![], event: mesh::Event) {
         match event {
             mesh::Event::Up(peer, it) if it.role == "entry" && it.dialled.is_none() => {
-                self.entries.up(peer, it.name);
+                self.entries.up(peer, it.name, it.unsent);
                 self.report();
                 let blocked = self.suspects.message(clock::now());
                 blocked.into_iter().for_each(|it| self.send(Some(peer), it));
@@ -254,11 +257,13 @@
         dispatch: wire::Dispatch,
     ) {
         let cancelled = Arc::new(AtomicBool::new(false));
+        let flow = self.entries.flow(peer);
         let active = Active {
             peer: Some(peer),
             unsafe_repeat: dispatch.unsafe_repeat,
             key,
             cancelled: cancelled.clone(),
+            flow: flow.clone(),
             head: None,
             sent: 0,
             kept: Vec::new(),
@@ -278,6 +283,7 @@
             sent: clock::now(),
             body: dispatch.body.to_vec(),
             cancelled,
+            flow,
         };
         if !self.target.spawn(job, self.parts.clone()) {
             let failure = Failure { reason: Refusal::ProcessLimit, ran: Ran::NotRun };
@@ -308,6 +314,7 @@
         let Some(active) = self.active.get_mut(&attempt) else {
             return;
         };
+        active.flow.remove(bytes.len());
         let offset = active.sent;
         active.sent += bytes.len() as u64;
         if active.unsafe_repeat && active.complete {
--- a/crates/sablepass-agent/src/main.rs
+++ b/crates/sablepass-agent/src/main.rs
@@ -9,6 +9,7 @@
 
 mod answers;
 mod engine;
+mod flow;
 mod group;
 mod keeper;
 mod leaving;
--- a/crates/sablepass-agent/src/observer.rs
+++ b/crates/sablepass-agent/src/observer.rs
@@ -151,7 +151,7 @@
             mesh::Event::Up(peer, it) if it.role == Role::Entry.name() => {
                 if it.dialled.is_none() {
                     slog::info!(self.log, "entry connected"; "entry" => &it.name);
-                    self.entries.up(peer, it.name);
+                    self.entries.up(peer, it.name, it.unsent);
                     if let Some(held) = self.suspects.message(clock::now()) {
                         call!([self.mesh], send(peer, held));
                     }
--- a/crates/sablepass-agent/src/run.rs
+++ b/crates/sablepass-agent/src/run.rs
@@ -17,6 +17,7 @@
 use sablepass_platform::answer::{self, Limit, Pause};
 use stakker::sync::Channel;
 
+use crate::flow::Flow;
 use crate::transport;
 use crate::witness::{self, Witness};
 
@@ -44,6 +45,8 @@
     pub sent: Millis,
     /// Set when no caller awaits the answer any more.
     pub cancelled: Arc<AtomicBool>,
+    /// Parts of the answer that are on their way to the entry.
+    pub flow: Flow,
 }
 
 /// A part of an attempt's answer.
@@ -132,7 +135,9 @@
     send(Content::Head { status, content_type, notice });
     let mut witness = (!is_framed).then(|| Witness::open(base));
     let end = stream_body(body.into_reader(), &job.cancelled, |bytes| {
+        job.flow.add(bytes.len());
         send(Content::Bytes(bytes));
+        job.flow.wait(&job.cancelled);
         if let Some(it) = &mut witness {
             it.renew();
         }
--- a/crates/sablepass-edge/src/link.rs
+++ b/crates/sablepass-edge/src/link.rs
@@ -5,6 +5,7 @@
 //! [`crate::mesh`].
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use sablepass_core::reason::Ignored;
@@ -12,7 +13,7 @@
 use sablepass_wire::generated::frame::Body;
 use sablepass_wire::short_form::{Restorer, Shortener};
 use snafu::Snafu;
-use stakker::{CX, Fwd, after, fwd_to, stop};
+use stakker::{CX, Fwd, after, call, fwd_to, stop};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
@@ -23,6 +24,8 @@
 /// Size of one read, and of the buffer that each connection keeps. An agent in a group of 72 ranks
 /// has 83 connections; with 64 KB their buffers took 9 MB of its 13 MB of memory.
 const READ_SIZE: usize = 8 * 1024;
+/// Maximum number of reads before other events are processed.
+const READS_PER_TURN: usize = 16;
 /// Size of the send buffer above which the peer counts as stuck.
 const MAX_SEND_BUFFER_BYTES: usize = 32 << 20;
 /// Time to establish a connection: some round trips, but less than the kernel waits before it
@@ -79,6 +82,8 @@
     owner: Fwd<Event>,
     metrics: Arc<Metrics>,
     connected: bool,
+    /// Number of bytes that wait to be written; 0 after the end.
+    unsent: Arc<AtomicUsize>,
     /// Data hall of this process.
     hall: String,
     /// Whether the peer is in the same hall. False until the peer has introduced itself: frames
@@ -95,7 +100,7 @@
         stream: TcpStream,
         owner: Fwd<Event>,
         metrics: Arc<Metrics>,
-        hall: String,
+        (hall, unsent): (String, Arc<AtomicUsize>),
     ) -> Option<Self> {
         let poll = cx.anymap_get::<MioPoll>();
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -115,6 +120,7 @@
                     owner,
                     metrics,
                     connected,
+                    unsent,
                     hall,
                     same_hall: false,
                     shortener: Shortener::default(),
@@ -166,14 +172,17 @@
 
     fn flush(&mut self, cx: CX![]) {
         let flushed = self.tcp.flush();
+        self.unsent.store(self.tcp.out.len(), Ordering::Relaxed);
         buffers::release_empty(&mut self.tcp.out);
         if let Err(source) = flushed {
             self.close(cx, Cause::Socket { source });
         }
     }
 
+    /// Reads a limited number of bytes, so that the owner processes the messages in between, and then
+    /// continues after other events.
     fn read(&mut self, cx: CX![]) {
-        loop {
+        for _ in 0..READS_PER_TURN {
             let cause = match self.tcp.read(READ_SIZE) {
                 ReadStatus::NewData => match self.decode() {
                     Ok(()) => continue,
@@ -186,6 +195,11 @@
             self.close(cx, cause);
             return;
         }
+        call!([cx], continue_read());
+    }
+
+    fn continue_read(&mut self, cx: CX![]) {
+        self.read(cx);
     }
 
     fn decode(&mut self) -> Result<(), frame::Error> {
@@ -214,3 +228,9 @@
         stop!(cx);
     }
 }
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.unsent.store(0, Ordering::Relaxed);
+    }
+}
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use sablepass_core::catalogue::Catalogue;
@@ -81,6 +82,8 @@
     pub incarnation: Incarnation,
     /// Name of the endpoint, if this process dialled the connection.
     pub dialled: Option<String>,
+    /// Number of bytes that wait to be written on the connection.
+    pub unsent: Arc<AtomicUsize>,
 }
 
 /// A process to which the owner requires a connection.
@@ -153,6 +156,7 @@
 
 struct Peer {
     link: ActorOwn<Link>,
+    unsent: Arc<AtomicUsize>,
     introduction: Option<Introduction>,
     /// Name of the endpoint, if this process dialled the connection.
     endpoint: Option<String>,
@@ -301,7 +305,9 @@
         let key = PeerKey(self.next_peer);
         let events = fwd_to!([cx], link_event(key) as (link::Event));
         let link = actor_new!(cx, Link, ret_nop!());
-        call!([link], Link::init(stream, events, self.metrics.clone(), self.node.hall.clone()));
+        let unsent = Arc::default();
+        let (metrics, hall) = (self.metrics.clone(), self.node.hall.clone());
+        call!([link], Link::init(stream, events, metrics, (hall, Arc::clone(&unsent))));
         let dialled = endpoint.as_ref().and_then(|it| self.endpoints.get(it));
         let for_replication = dialled.is_some_and(|it| it.for_replication);
         let hello = Body::Hello(wire::Hello {
@@ -314,6 +320,7 @@
         call!([link], send(hello));
         let peer = Peer {
             link,
+            unsent,
             introduction: None,
             endpoint,
             for_replication,
@@ -381,6 +388,7 @@
             hall: message.hall,
             incarnation: Incarnation(message.incarnation),
             dialled: peer.endpoint.clone(),
+            unsent: Arc::clone(&peer.unsent),
         };
         peer.for_replication |= message.spread;
         peer.introduction = Some(introduction.clone());
--- a/crates/sablepass-stand/tests/crowds_agents.rs
+++ b/crates/sablepass-stand/tests/crowds_agents.rs
@@ -13,7 +13,7 @@
 use sablepass_stand::client::Ask;
 use sablepass_stand::fleet::{Fleet, Timers};
 
-use crate::common::crowd::{self, Bounds, Watch};
+use crate::common::crowd::{self, Bounds, Client, Watch};
 use crate::common::raw::{self, RawReplica};
 
 const CUSTOMER: &str =
@@ -21,6 +21,10 @@
 
 /// Limits of the machine in the settings of the entry.
 const BOUNDS: Bounds = Bounds { memory: 64, descriptors: 2_048 };
+/// Memory that an agent may use in a deployment of the size to design for, and descriptors.
+const AGENT_BOUNDS: Bounds = Bounds { memory: 64, descriptors: 2_048 };
+/// Time for which a crowd's requests may be in progress: longer than any test.
+const LONG_MS: u64 = 300_000;
 
 /// What a target answers is in the path: `hang` is never answered, `N` has N bytes.
 fn respond(_: &str, path: &str, stream: &mut TcpStream) {
@@ -62,6 +66,38 @@
     format!("\n[limits]\nmemory = {memory}\ndescriptors = {descriptors}\nlink = 1000\ncores = 1\n")
 }
 
+fn head(path: &str, more: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {}\r\nx-sablepass-deadline-ms: {LONG_MS}\r\n{more}\r\n",
+        common::FARM
+    )
+}
+
+/// Lets a crowd play at the entry, and checks the entry, the agent and an ordinary caller.
+fn play(fleet: &mut Fleet, bounds: Bounds, (count, head): (usize, String), body: &Arc<Vec<u8>>) {
+    let addr = fleet.http(0);
+    let watches = [Watch::start(&fleet.entries[0].1), Watch::start(&fleet.targets[0].agent)];
+    let mut clients: Vec<Client> =
+        (0..count).map(|_| Client::connect(&addr, head.clone(), body)).collect();
+    crowd::send(&mut clients, 64 * 1024);
+    let ordinary = |_| Ask::post(common::FARM, "/services/claims/2", "q").send(&addr);
+    let answer = crowd::ask_patiently(ordinary);
+    assert!(!fleet.entries[0].1.ended(), "the entry has ended");
+    assert!(!fleet.targets[0].agent.ended(), "the agent has ended");
+    watches[0].check(bounds);
+    watches[1].check(AGENT_BOUNDS);
+    assert_eq!((answer.status, answer.body.as_str()), (200, "aa"), "{answer:?}");
+}
+
+/// Guards against answers of an agent that are not read and take more memory than the entry's machine has.
+#[test]
+fn verify_unread_answers_of_an_agent_leave_room_for_ordinary_callers() {
+    let _alone = crowd::alone();
+    let mut fleet = open(BOUNDS, 1);
+    let crowd = (64, head("/services/claims/4000000", "content-length: 0\r\n"));
+    play(&mut fleet, BOUNDS, crowd, &Arc::default());
+}
+
 /// Guards against connections to agents that keep the buffer of a large request after it is sent.
 #[test]
 fn verify_large_requests_in_a_row_to_agents_leave_room_for_ordinary_callers() {
