edge: limits of its own for the admin address

Cause: that address, and the one for readiness, had the default limits: 4,000 connections with 4 MiB each. The four tests failed before. Change: 64 connections, 64 KiB a body, 1 MiB of all bodies, 4 MiB of all else.

--- a/crates/sablepass-edge/src/admin.rs
+++ b/crates/sablepass-edge/src/admin.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header::{self, HeaderValue};
 use sablepass_platform::request::READY_PATH;
@@ -15,6 +16,17 @@
 use crate::server::{self, Incoming, Limits, Server};
 use crate::telemetry::Metrics;
 
+/// Limits of the interface: queries have no body, and few come at once.
+const LIMITS: Limits = Limits {
+    head: 16 * 1024,
+    body: 64 * 1024,
+    head_time: Duration::from_secs(10),
+    idle_time: Duration::from_secs(75),
+    connections: 64,
+    bodies: 1 << 20,
+    buffers: 4 << 20,
+};
+
 /// A query to the main actor.
 #[derive(Debug)]
 pub struct Query {
@@ -89,9 +101,8 @@
     let admin = actor_new!(s, Admin, ret_shutdown!(s));
     let events = fwd_to!([admin], event() as (server::Event));
     let server = actor_new!(s, Server, ret_shutdown!(s));
-    let limits = Limits::default();
-    let buffers = Room::open(limits.buffers);
-    call!([server], Server::init(listener, limits, buffers, events));
+    let buffers = Room::open(LIMITS.buffers);
+    call!([server], Server::init(listener, LIMITS, buffers, events));
     call!([admin], Admin::init(metrics, queries, server));
     Ok((addr, admin))
 }
--- a/crates/sablepass-stand/tests/crowds_doors.rs
+++ b/crates/sablepass-stand/tests/crowds_doors.rs
@@ -17,9 +17,21 @@
 
 /// Memory that an agent may use in a deployment of the size to design for, and descriptors.
 const AGENT_BOUNDS: Bounds = Bounds { memory: 64, descriptors: 2_048 };
+/// Size of a body that no query has.
+const BODY: usize = 4 << 20;
+
 /// What the clients of a crowd send: a head and a body.
 type Message = (String, Arc<Vec<u8>>);
 
+fn bodies() -> Message {
+    let head = format!("POST /status HTTP/1.1\r\nhost: h\r\ncontent-length: {BODY}\r\n\r\n");
+    (head, crowd::all_but_last(BODY))
+}
+
+fn nothing() -> Message {
+    (String::new(), Arc::default())
+}
+
 fn queries() -> Message {
     ("GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n".repeat(5_000), Arc::default())
 }
@@ -57,12 +69,36 @@
     play(&agent, &agent.addr("admin"), (count, message), AGENT_BOUNDS);
 }
 
+/// Guards against bodies at the admin address that take more memory than the entry's machine has.
+#[test]
+fn verify_bodies_at_the_admin_address_leave_room_in_an_entry() {
+    play_at_entry(64, bodies());
+}
+
+/// Guards against idle connections at the admin address that take all descriptors of the entry.
+#[test]
+fn verify_idle_connections_at_the_admin_address_leave_room_in_an_entry() {
+    play_at_entry(2_500, nothing());
+}
+
 /// Guards against queries in a row whose answers, not read, take more memory than the entry's machine has.
 #[test]
 fn verify_unread_queries_at_the_admin_address_leave_room_in_an_entry() {
     play_at_entry(4, queries());
 }
 
+/// Guards against bodies at the admin address that take more memory than the agent's machine has.
+#[test]
+fn verify_bodies_at_the_admin_address_leave_room_in_an_agent() {
+    play_at_agent(64, bodies());
+}
+
+/// Guards against idle connections at the admin address that take all descriptors of the agent.
+#[test]
+fn verify_idle_connections_at_the_admin_address_leave_room_in_an_agent() {
+    play_at_agent(2_500, nothing());
+}
+
 /// Guards against queries in a row whose answers, not read, take more memory than the agent's machine has.
 #[test]
 fn verify_unread_queries_at_the_admin_address_leave_room_in_an_agent() {
