agent: bound the bodies of requests in progress

Cause: an agent takes 256 requests with up to 4 MiB each. Change: setting bodies, 16 MiB by default, 64 KiB to 1 TiB. An attempt beyond it is refused as bodies-full, not run, and the entry tries another target. Why it works: the refusal comes before the gate records a run, so it proves that there was none.

--- a/crates/sablepass-agent/src/keeper.rs
+++ b/crates/sablepass-agent/src/keeper.rs
@@ -17,6 +17,7 @@
 use sablepass_core::reason::{Ignored, Refusal};
 use sablepass_edge::clock;
 use sablepass_edge::mesh::{self, Mesh, PeerKey};
+use sablepass_edge::room::{Room, Share};
 use sablepass_edge::telemetry::Metrics;
 use sablepass_wire::convert;
 use sablepass_wire::generated as wire;
@@ -48,6 +49,8 @@
     pub(crate) cancelled: Arc<AtomicBool>,
     /// Parts of the answer that are on their way to the entry.
     pub(crate) flow: Flow,
+    /// Memory for the body of the request while it runs.
+    pub(crate) body: Share,
     /// HTTP status and content type of the answer.
     pub(crate) head: Option<(u32, String)>,
     /// Bytes of the answer received so far.
@@ -87,6 +90,8 @@
     /// Names of the connected agents.
     pub(crate) agents: HashMap<PeerKey, String>,
     pub(crate) gate: Gate,
+    /// Memory for the bodies of the requests that run.
+    pub(crate) bodies: Room,
     pub(crate) active: HashMap<AttemptId, Active>,
     /// Ended attempts whose answers are kept, in the order of their ends.
     pub(crate) ended: VecDeque<AttemptId>,
@@ -121,6 +126,7 @@
         let gate = Gate::new(settings.gate(), me, &settings.node.name, clock::now());
         let mut keeper = Self {
             gate,
+            bodies: Room::open(settings.bodies),
             log,
             metrics,
             mesh,
@@ -224,12 +230,21 @@
         let parsed = convert::dispatch(&dispatch)?;
         let attempt = parsed.attempt;
         let now = clock::now();
+        let mut body = Share::open(&self.bodies);
         let (notices, evacuated) = (&mut self.notices, self.evacuated);
-        let admit = || if evacuated { Err(Refusal::HallEvacuated) } else { notices.admit(now) };
+        let admit = || {
+            if evacuated {
+                return Err(Refusal::HallEvacuated);
+            }
+            if !body.resize(dispatch.body.len()) {
+                return Err(Refusal::BodiesFull);
+            }
+            notices.admit(now)
+        };
         match self.gate.dispatch_if(now, &parsed, admit) {
             Decision::Run => {
                 let key = parsed.key.filter(|_| parsed.unsafe_repeat);
-                self.start(peer, attempt, key, dispatch);
+                self.start(peer, attempt, (key, body), dispatch);
             }
             Decision::Replay(answer) => self.replay(peer, attempt, &answer),
             Decision::Refuse(reason) => self.refuse(peer, attempt, reason),
@@ -253,7 +268,7 @@
         &mut self,
         peer: PeerKey,
         attempt: AttemptId,
-        key: Option<Key>,
+        (key, body): (Option<Key>, Share),
         dispatch: wire::Dispatch,
     ) {
         let cancelled = Arc::new(AtomicBool::new(false));
@@ -264,6 +279,7 @@
             key,
             cancelled: cancelled.clone(),
             flow: flow.clone(),
+            body,
             head: None,
             sent: 0,
             kept: Vec::new(),
@@ -345,6 +361,7 @@
             return;
         };
         active.end = Some((now, result));
+        active.body.release();
         let end = completion(active, result);
         let (peer, key, sent) = (active.peer, active.key.clone(), active.sent);
         let keep = active.unsafe_repeat;
--- a/crates/sablepass-agent/src/settings.rs
+++ b/crates/sablepass-agent/src/settings.rs
@@ -27,6 +27,10 @@
     /// Maximum number of requests that run or wait on the target. Default 256.
     #[serde(default = "default_limit")]
     pub limit: usize,
+    /// Maximum size in bytes of the bodies of the requests that run or wait on the target together.
+    /// A body that is the only one is taken regardless of its size. Default 16 MiB.
+    #[serde(default = "default_bodies")]
+    pub bodies: usize,
     /// Heartbeat interval, in milliseconds. Default 1,000.
     #[serde(default = "default_heartbeat")]
     pub heartbeat: u64,
@@ -50,6 +54,9 @@
     pub link: f64,
 }
 
+/// Allowed values of `bodies`: 64 KiB to 1 TiB.
+const BODIES_RANGE: std::ops::RangeInclusive<usize> = 1 << 16..=1 << 40;
+
 fn default_link() -> f64 {
     1_000.0
 }
@@ -66,6 +73,10 @@
     gate::Options::default().max_requests
 }
 
+fn default_bodies() -> usize {
+    16 << 20
+}
+
 fn default_heartbeat() -> u64 {
     1_000
 }
@@ -95,6 +106,13 @@
             checker.ensure("target", &self.target, fits, "http:// with an IP address and port")?;
         }
         checker.ensure("limit", self.limit, (1..=10_000).contains(&self.limit), "1 to 10000")?;
+        let bodies = self.bodies;
+        checker.ensure(
+            "bodies",
+            bodies,
+            BODIES_RANGE.contains(&bodies),
+            "65536 to 1099511627776",
+        )?;
         checker.ensure("link", self.link, (0.1..=1e6).contains(&self.link), "0.1 to 1000000")?;
         let spans = [("heartbeat", self.heartbeat), ("keep", self.keep), ("read", self.read)];
         for (key, value) in spans {
--- a/crates/sablepass-core/src/reason.rs
+++ b/crates/sablepass-core/src/reason.rs
@@ -300,6 +300,7 @@
             Self::WrongIncarnation
                 | Self::Leaving
                 | Self::AgentLimit
+                | Self::BodiesFull
                 | Self::EngineAway
                 | Self::Blocked
                 | Self::TargetFull
--- a/crates/sablepass-stand/tests/crowds_agents.rs
+++ b/crates/sablepass-stand/tests/crowds_agents.rs
@@ -23,6 +23,8 @@
 const BOUNDS: Bounds = Bounds { memory: 64, descriptors: 2_048 };
 /// Memory that an agent may use in a deployment of the size to design for, and descriptors.
 const AGENT_BOUNDS: Bounds = Bounds { memory: 64, descriptors: 2_048 };
+/// Limits of the machine of an entry that holds many bodies.
+const LARGE_BOUNDS: Bounds = Bounds { memory: 1_024, descriptors: 2_048 };
 /// Time for which a crowd's requests may be in progress: longer than any test.
 const LONG_MS: u64 = 300_000;
 
@@ -89,6 +91,17 @@
     assert_eq!((answer.status, answer.body.as_str()), (200, "aa"), "{answer:?}");
 }
 
+/// Guards against whole bodies, not answered, that take more memory than the agent's machine has.
+#[test]
+fn verify_whole_bodies_leave_room_in_an_agent() {
+    const BODY: usize = 4_000_000;
+    let _alone = crowd::alone();
+    let mut fleet = open(LARGE_BOUNDS, 1);
+    let more = format!("content-length: {BODY}\r\n");
+    let crowd = (64, head("/services/claims/hang", &more));
+    play(&mut fleet, LARGE_BOUNDS, crowd, &Arc::new(vec![b'b'; BODY]));
+}
+
 /// Guards against answers of an agent that are not read and take more memory than the entry's machine has.
 #[test]
 fn verify_unread_answers_of_an_agent_leave_room_for_ordinary_callers() {
