entry: decode the messages of a prompt one at a time

Cause: the prompt was decoded into a tree of values, 32 bytes for a token of two characters. The test failed before; that with many messages passed before (26 MB) and stays as a guard. Change: messages are decoded one at a time, and only the prefix and the names of the shared parts are kept. Why it works: what is kept does not grow with the prompt.

--- a/crates/sablepass-entry/src/main.rs
+++ b/crates/sablepass-entry/src/main.rs
@@ -10,6 +10,7 @@
 mod answers;
 mod call;
 mod callers;
+mod completion;
 mod dialect;
 mod direct;
 mod ends;
--- a/crates/sablepass-entry/src/openai.rs
+++ b/crates/sablepass-entry/src/openai.rs
@@ -4,21 +4,19 @@
 //! The dialect of the `OpenAI` API: completions and models, and plain services under
 //! `/services/NAME/`.
 
-use std::collections::HashSet;
-
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Response};
 use sablepass_core::declaration::{Kind, Priority};
-use sablepass_core::fingerprint::Fingerprint;
 use sablepass_core::flight::Head;
 use sablepass_core::id::Millis;
 use sablepass_core::outcome::{Failure, Ran};
 use sablepass_core::reason::Refusal;
 use sablepass_edge::clock;
 use sablepass_edge::server::{Incoming, Part, Reply};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::call::{self, Call, Run, Selector};
+use crate::completion::Completion;
 use crate::dialect::{self, Refused};
 use crate::settings::Settings;
 
@@ -26,8 +24,6 @@
 const MAX_DEADLINE: Millis = 3_600_000;
 /// Maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 255;
-/// Maximum number of messages of a conversation that count as shared parts of its prompt.
-const MAX_SHARED_PARTS: usize = 64;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const RAN: HeaderName = HeaderName::from_static("x-sablepass-ran");
@@ -50,24 +46,6 @@
 
 // Requests.
 
-/// The fields of a completion request that routing needs. The engine receives the body unchanged.
-#[derive(Debug, Deserialize)]
-struct Completion {
-    model: String,
-    #[serde(default)]
-    stream: bool,
-    #[serde(default)]
-    messages: Option<Vec<Message>>,
-    #[serde(default)]
-    prompt: Option<serde_json::Value>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Message {
-    #[serde(default)]
-    content: Option<serde_json::Value>,
-}
-
 enum Path {
     Chat,
     Text,
@@ -191,39 +169,16 @@
 }
 
 fn parse_completion(run: &mut Run, path: &str, prefix: usize) -> Result<(), Refusal> {
-    let completion: Completion = serde_json::from_slice(&run.body).map_err(|_| Refusal::BadBody)?;
-    let mut parts: Vec<String> = match (completion.messages, completion.prompt) {
-        (Some(messages), _) => {
-            messages.into_iter().filter_map(|it| it.content).map(|it| plain_text(&it)).collect()
-        }
-        (None, Some(prompt)) => vec![plain_text(&prompt)],
-        (None, None) => return Err(Refusal::BadBody),
-    };
-    let text = parts.join("\n");
+    let completion = Completion::parse(&run.body, prefix).map_err(|_| Refusal::BadBody)?;
+    let prompt = completion.prompt.ok_or(Refusal::BadBody)?;
     run.selector = Selector::Named(Kind::Model, completion.model);
     run.stream = completion.stream;
-    run.prefix = Some(text.chars().take(prefix).collect());
-    parts.pop();
-    run.shared_parts = shared_parts(&parts);
+    run.prefix = Some(prompt.prefix);
+    run.shared_parts = prompt.shared_parts;
     run.path = path.to_owned();
     Ok(())
 }
 
-/// Returns names for the messages before the last of a conversation, which other requests may
-/// share. The last one is the caller's own question.
-fn shared_parts(messages: &[String]) -> Vec<String> {
-    let mut seen = HashSet::new();
-    let names = messages.iter().map(|it| Fingerprint::of_part("", it).to_string());
-    names.filter(|it| seen.insert(it.clone())).take(MAX_SHARED_PARTS).collect()
-}
-
-fn plain_text(value: &serde_json::Value) -> String {
-    match value {
-        serde_json::Value::String(text) => text.clone(),
-        other => other.to_string(),
-    }
-}
-
 // Answers.
 
 /// Error body of the `OpenAI` API, with the additional fields `request_id` and `ran`.
--- a/crates/sablepass-stand/tests/crowds_agents.rs
+++ b/crates/sablepass-stand/tests/crowds_agents.rs
@@ -128,3 +128,29 @@
     assert!(!fleet.entries[0].1.ended(), "the entry has ended");
     watch.check(BOUNDS);
 }
+
+/// Guards against a body in JSON whose decoded form takes more memory than the entry's machine has.
+#[test]
+fn verify_a_large_prompt_is_read_within_the_memory_of_the_machine() {
+    let _alone = crowd::alone();
+    let fleet = open(BOUNDS, 1);
+    let watch = Watch::start(&fleet.entries[0].1);
+    let numbers = "0,".repeat(2_000_000);
+    let body = format!("{{\"model\":\"unknown\",\"prompt\":[{numbers}0]}}");
+    let answer = Ask::post(common::FARM, "/v1/completions", &body).send(&fleet.http(0));
+    watch.check(BOUNDS);
+    assert_eq!(answer.status, 404, "{answer:?}");
+}
+
+/// Guards against messages in JSON whose decoded form takes more memory than the entry's machine has.
+#[test]
+fn verify_many_messages_are_read_within_the_memory_of_the_machine() {
+    let _alone = crowd::alone();
+    let fleet = open(BOUNDS, 1);
+    let watch = Watch::start(&fleet.entries[0].1);
+    let messages = "{\"content\":\"a\"},".repeat(240_000);
+    let body = format!("{{\"model\":\"unknown\",\"messages\":[{messages}{{}}]}}");
+    let answer = Ask::post(common::FARM, "/v1/chat/completions", &body).send(&fleet.http(0));
+    watch.check(BOUNDS);
+    assert_eq!(answer.status, 404, "{answer:?}");
+}
