edge: bound what a peer may send and hold before it introduces itself

Cause: a frame of 4 MiB is read before its sender has introduced itself, and 4,096 connections may be open. Change: the first frame may have 16 KiB; 256 connections may wait for an introduction, and a further one takes the place of the oldest (sablepass_strangers_closed_total). Why it works: peers introduce themselves at once, in a frame of some bytes.

--- a/crates/sablepass-edge/src/link.rs
+++ b/crates/sablepass-edge/src/link.rs
@@ -112,7 +112,8 @@
                 tcp.init(source);
                 tcp.set_nodelay(true);
                 after!(CONNECT_TIMEOUT, [cx], check_connected());
-                let codec = Codec::open();
+                let mut codec = Codec::open();
+                codec.limit_frames(frame::MAX_FIRST_FRAME_BYTES);
                 let connected = false;
                 Some(Self {
                     tcp,
@@ -207,7 +208,10 @@
         self.tcp.rd = self.tcp.wr;
         while let Some((body, size)) = self.codec.next_body()? {
             match &body {
-                Body::Hello(it) => self.same_hall = it.hall == self.hall,
+                Body::Hello(it) => {
+                    self.same_hall = it.hall == self.hall;
+                    self.codec.limit_frames(frame::MAX_FRAME_BYTES);
+                }
                 Body::Digest(it) if it.short_forms => self.shortener.accept(),
                 _ => {}
             }
--- a/crates/sablepass-edge/src/mesh.rs
+++ b/crates/sablepass-edge/src/mesh.rs
@@ -49,6 +49,10 @@
 const REQUEST_LINK_FACTOR: u64 = 10;
 /// Number of connections, in both directions, from which on no more are accepted.
 const MAX_PEERS: usize = 4_096;
+/// Maximum number of accepted connections whose peers have not introduced themselves.
+const MAX_STRANGERS: usize = 256;
+/// Maximum number of connections that are accepted before other events are processed.
+const ACCEPTS_PER_TURN: usize = 64;
 /// Priority of socket events in the poll.
 const PRIORITY: u32 = 10;
 
@@ -287,12 +291,37 @@
     }
 
     fn accept(&mut self, cx: CX![], _: Ready) {
-        // A failed accept is retried at the next event, and the peer dials again.
-        while let Ok((stream, _)) = self.listener.accept() {
+        self.accept_waiting(cx);
+    }
+
+    /// Accepts the connections that wait, a limited number at once, so that those that are closed
+    /// for others are closed meanwhile.
+    fn accept_waiting(&mut self, cx: CX![]) {
+        for _ in 0..ACCEPTS_PER_TURN {
+            // A failed accept is retried at the next event, and the peer dials again.
+            let Ok((stream, _)) = self.listener.accept() else { return };
+            self.limit_strangers();
             if self.peers.len() < MAX_PEERS {
                 self.add_peer(cx, stream, None);
             }
         }
+        call!([cx], accept_waiting());
+    }
+
+    /// Closes the oldest accepted connection whose peer has not introduced itself if there are too
+    /// many of them.
+    fn limit_strangers(&mut self) {
+        let is_stranger = |it: &Peer| it.introduction.is_none() && it.endpoint.is_none();
+        let strangers = self.peers.iter().filter(|it| is_stranger(it.1)).map(|it| *it.0);
+        let (count, oldest) = strangers.fold((0, None), |(count, oldest): (usize, _), key| {
+            (count + 1, Some(oldest.map_or(key, |it: PeerKey| it.min(key))))
+        });
+        if count >= MAX_STRANGERS
+            && let Some(key) = oldest
+        {
+            self.peers.remove(&key);
+            self.metrics.strangers_closed.inc();
+        }
     }
 
     pub(crate) fn add_peer(
--- a/crates/sablepass-edge/src/telemetry.rs
+++ b/crates/sablepass-edge/src/telemetry.rs
@@ -103,6 +103,8 @@
     pub limits: GaugeVec,
     /// Requests that waited for permission under a target's limit, by outcome.
     pub turns: IntCounterVec,
+    /// Connections of peers that did not introduce themselves and gave way to others.
+    pub strangers_closed: IntCounter,
     /// Answers whose body was not read at once, as there was no memory for it.
     pub answers_waited: IntCounter,
     /// Connections that gave way to others while memory or connections were short, by what they
@@ -238,6 +240,11 @@
             )?,
             limits: float_gauges(r, "limits", "Requests a second under limits", &["whose"])?,
             turns: counters(r, "turns_total", "Turns at targets with limits", &["outcome"])?,
+            strangers_closed: counter(
+                r,
+                "strangers_closed_total",
+                "Connections of peers without introduction that gave way to others",
+            )?,
             answers_waited: counter(
                 r,
                 "answers_waited_total",
--- a/crates/sablepass-stand/tests/crowds_doors.rs
+++ b/crates/sablepass-stand/tests/crowds_doors.rs
@@ -32,6 +32,14 @@
     (String::new(), Arc::default())
 }
 
+/// A frame for another process that stops before its last byte.
+fn frames() -> Message {
+    let length = u32::try_from(BODY).expect("a length of four bytes");
+    let mut frame = length.to_be_bytes().to_vec();
+    frame.extend_from_slice(&crowd::all_but_last(BODY));
+    (String::new(), Arc::new(frame))
+}
+
 fn queries() -> Message {
     ("GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n".repeat(5_000), Arc::default())
 }
@@ -62,6 +70,18 @@
     crowd_site::check(&mut site, &watch);
 }
 
+fn play_at_peers(count: usize, message: Message) {
+    let _alone = crowd::alone();
+    let mut site = crowd_site::open(2);
+    let watch = Watch::start(&site.entries[0]);
+    let addr = site.entries[0].addr("peers");
+    let (head, body) = message;
+    let connect = |_| Client::connect(&addr, head.clone(), &body);
+    let mut clients: Vec<Client> = (0..count).map(connect).collect();
+    crowd::send(&mut clients, 64 * 1024);
+    crowd_site::check(&mut site, &watch);
+}
+
 fn play_at_agent(count: usize, message: Message) {
     let _alone = crowd::alone();
     let site: Site = crowd_site::open(1);
@@ -104,3 +124,15 @@
 fn verify_unread_queries_at_the_admin_address_leave_room_in_an_agent() {
     play_at_agent(4, queries());
 }
+
+/// Guards against unfinished frames at the address for other processes that take more memory than the entry's machine has.
+#[test]
+fn verify_unfinished_frames_of_strangers_leave_room_in_an_entry() {
+    play_at_peers(64, frames());
+}
+
+/// Guards against idle connections at the address for other processes that take all descriptors of the entry.
+#[test]
+fn verify_idle_connections_of_strangers_leave_room_in_an_entry() {
+    play_at_peers(2_500, nothing());
+}
--- a/crates/sablepass-wire/src/frame.rs
+++ b/crates/sablepass-wire/src/frame.rs
@@ -14,6 +14,9 @@
 /// size that the platform allows, in its newest and its accepted version, and the other fields.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Maximum length in bytes of the first frame, by which a peer introduces itself.
+pub const MAX_FIRST_FRAME_BYTES: usize = 16 * 1024;
+
 /// Length in bytes of a frame after which the memory of the input is given back.
 const LARGE_FRAME_BYTES: usize = 64 * 1024;
 
@@ -43,7 +46,8 @@
 /// Splits a byte stream into messages, and encodes messages.
 #[derive(Debug)]
 pub struct Codec {
-    lengths: LengthDelimitedCodec,
+    output_lengths: LengthDelimitedCodec,
+    input_lengths: LengthDelimitedCodec,
     input: BytesMut,
     /// Whether the input had a large frame since its memory was given back.
     had_large: bool,
@@ -59,7 +63,17 @@
     /// Creates a codec with empty buffers.
     pub fn open() -> Self {
         let lengths = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-        Self { lengths, input: BytesMut::new(), had_large: false }
+        Self {
+            output_lengths: lengths.clone(),
+            input_lengths: lengths,
+            input: BytesMut::new(),
+            had_large: false,
+        }
+    }
+
+    /// Sets the maximum length of the frames that are read from now on.
+    pub fn limit_frames(&mut self, bytes: usize) {
+        self.input_lengths.set_max_frame_length(bytes);
     }
 
     /// Adds received bytes to the input buffer.
@@ -70,7 +84,7 @@
     /// Returns the next message and its encoded size in bytes, or `None` if the buffer has no
     /// complete frame.
     pub fn next_body(&mut self) -> Result<Option<(Body, usize)>, Error> {
-        let Some(frame) = self.lengths.decode(&mut self.input).context(LengthSnafu)? else {
+        let Some(frame) = self.input_lengths.decode(&mut self.input).context(LengthSnafu)? else {
             if self.input.is_empty() && std::mem::take(&mut self.had_large) {
                 self.input = BytesMut::new();
             }
@@ -88,7 +102,7 @@
         let frame = generated::Frame { body: Some(body) };
         let mut bytes = BytesMut::new();
         let message = Bytes::from(frame.encode_to_vec());
-        self.lengths.encode(message, &mut bytes).context(LengthSnafu)?;
+        self.output_lengths.encode(message, &mut bytes).context(LengthSnafu)?;
         out.extend_from_slice(&bytes);
         Ok(())
     }
