edge: a connection that is to make room closes after its answer

Cause: an idle connection that was chosen to close for another one stays open if its next request is taken up in the same turn, and is still counted as closing, so that one connection more than the limit is open for as long as its caller uses it. Change: it closes after the answer. Why it works: the count is right again once the answer is written.

--- a/crates/sablepass-edge/src/connection.rs
+++ b/crates/sablepass-edge/src/connection.rs
@@ -281,10 +281,12 @@
         }
     }
 
-    /// Gives way to other connections, unless the owner has a request of it.
+    /// Gives way to other connections. If the owner has its request, the connection is kept until it
+    /// is answered.
     pub fn give_way(&mut self, cx: CX![], how: GiveWay) {
         let activity = self.progress.activity();
         if activity == Activity::Busy {
+            self.close_after_reply |= how == GiveWay::Close;
             return;
         }
         self.owner.fwd(Event::GaveWay(activity));
